Serve real sockets: rename to cranebank, proxy in cranebank/net on aiohttp

Module unchanged but for its name; the settings parser of wire.py now takes values by path and serves the proxy's JSON as well as the wire.

--- /dev/null
+++ b/cranebank/__init__.py
@@ -0,0 +1,5 @@
+"""cranebank: load-balancing decisions for services that call services."""
+
+from cranebank.balance import Balancer
+
+__all__ = ["Balancer"]
--- /dev/null
+++ b/cranebank/__main__.py
@@ -0,0 +1,9 @@
+"""The proxy as a program: ``python -m cranebank``."""
+
+import os
+import sys
+
+from cranebank.net.daemon import main
+
+if __name__ == "__main__":
+    sys.exit(main(os.environ))
--- /dev/null
+++ b/cranebank/net/daemon.py
@@ -0,0 +1,84 @@
+"""The program: puts the actors together, serves until SIGTERM or SIGINT, finishes what it took."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import Mapping
+
+from cranebank.net.acquirer import Acquirer
+from cranebank.net.clock import Clock
+from cranebank.net.config import Config, ConfigError, load
+from cranebank.net.counters import Counters
+from cranebank.net.engine import Engine, Host
+from cranebank.net.issuer import Directory, Issuer
+from cranebank.net.log import Log
+from cranebank.net.routing_table import RoutingTable
+
+LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
+SPARE_SOCKETS = 64  # the interpreter's own, the listener, discovery
+
+
+class Proxy:
+    """One proxy in one event loop; for embedding as well as for the program."""
+
+    def __init__(self, config: Config) -> None:
+        self._config, self.counters, log = config, Counters(), Log(config.name)
+        clock, settings = Clock(asyncio.get_running_loop()), config.settings
+        # Half of the descriptors are for clients, the rest is shared out among the hosts (12 at most today).
+        hosts = max(12, len(config.known.hosts) if config.known else 0)
+        connections = max(4, (config.sockets - SPARE_SOCKETS) // 2 // hosts)
+        self._engine = Engine(settings, config.seed, clock, self.counters, log)
+
+        def make(host: Host) -> Issuer:
+            return Issuer(host, settings, connections, self._engine.post, clock, self.counters, log)
+
+        self._issuers = Directory(make)
+        self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
+                                   settings.watch_by_asking)
+        self._engine.connect(self._issuers, self._table)
+        self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants, self.counters, log,
+                                  lambda: self._table.heard.is_set() and not self._acquirer.closing)
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Listen and serve until ``stop``, then finish what was taken."""
+        self._table.start(self._config.known)
+        server = self._acquirer.server()
+        host, port = self._config.listen
+        listener = await asyncio.get_running_loop().create_server(server, host, port, backlog=512)
+        await stop.wait()
+        self._acquirer.closing = True
+        await asyncio.sleep(LINGER_S)
+        listener.close()
+        server.pre_shutdown()
+        longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._engine.idle(), longest)
+        await server.shutdown(0.1)
+        await self._table.close()
+        await self._issuers.close()
+
+
+async def _run(config: Config) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    proxy = Proxy(config)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: print(proxy.counters.text(), file=sys.stderr, flush=True))
+    try:
+        await proxy.serve(stop)
+    finally:
+        print(proxy.counters.text(), file=sys.stderr, flush=True)
+
+
+def main(environ: Mapping[str, str]) -> int:
+    """Run one proxy as the environment tells; return the exit code."""
+    try:
+        config = load(environ)
+        asyncio.run(_run(config))
+    except (ConfigError, OSError) as error:
+        print(f"cranebank: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/quillbeam/state.py
+++ b/cranebank/state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from quillbeam.interface import ServerEntry
+from cranebank.interface import ServerEntry
 
 
 class Server:
--- a/quillbeam/wire.py
+++ b/cranebank/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from quillbeam import interface as api
+from cranebank import interface as api
 
 T = TypeVar("T")
 
@@ -24,7 +24,7 @@
 _KINDS = {kind.value: kind for kind in api.ListKind}
 _OUTCOMES = {str(int(outcome)): outcome for outcome in api.Outcome}
 _BOOLS = {"true": True, "false": False}
-_LOAD_NAMES = {
+LOAD_NAMES = {
     "busy_reqs": "inflight",
     "pending": "queue",
     "cpu_share": "util",
@@ -37,13 +37,8 @@
 class _Pairs:
     """The settings by path; every lookup says which setting was at fault."""
 
-    def __init__(self, pairs: list[str]) -> None:
-        self._values: dict[str, str] = {}
-        for pair in pairs:
-            path, mark, value = pair.partition("=")
-            if not mark:
-                raise WireError(f"expected path=value in the settings, got {pair!r}")
-            self._values[path] = value
+    def __init__(self, values: dict[str, str]) -> None:
+        self._values = values
 
     def text(self, path: str, default: str | None = None) -> str:
         value = self._values.get(path, default)
@@ -78,8 +73,19 @@
 
 
 def parse_settings(pairs: list[str]) -> api.Settings:
-    """Turn the pairs of a START line into settings; unknown paths are ignored."""
-    at = _Pairs(pairs)
+    """Turn the pairs of a START line into settings."""
+    values: dict[str, str] = {}
+    for pair in pairs:
+        path, mark, value = pair.partition("=")
+        if not mark:
+            raise WireError(f"expected path=value in the settings, got {pair!r}")
+        values[path] = value
+    return settings_from(values)
+
+
+def settings_from(values: dict[str, str]) -> api.Settings:
+    """Turn values by path into settings; unknown paths are ignored. The proxy's configuration too."""
+    at = _Pairs(values)
     classes = tuple(
         api.RequestClass(
             aim=at.number(f"Lanes.{i}.Aim"),
@@ -179,8 +185,8 @@
         name, mark, value = pair.partition(":")
         if not mark:
             raise WireError(f"load report: expected name:value, got {pair!r}")
-        if name in _LOAD_NAMES:
-            load[_LOAD_NAMES[name]] = _number(value, name)
+        if name in LOAD_NAMES:
+            load[LOAD_NAMES[name]] = _number(value, name)
     return load
 
 
--- a/quillbeam/adapter.py
+++ b/cranebank/wirehost.py
@@ -1,7 +1,7 @@
-"""Hosts the balancer instances of one process on the wire: ``python -m quillbeam.adapter``.
+"""Hosts the balancer instances of one process on the wire: ``python -m cranebank.wirehost``.
 
 Reads batches from standard input and writes one reply for each to standard
-output. Knows nothing of the decisions; those are in ``quillbeam.balancer``.
+output. Knows nothing of the decisions; those are in ``cranebank.balance``.
 """
 
 from __future__ import annotations
@@ -9,9 +9,9 @@
 import sys
 from typing import TextIO
 
-from quillbeam import wire
-from quillbeam.balancer import Balancer
-from quillbeam.interface import Event, ServerEntry
+from cranebank import wire
+from cranebank.balance import Balancer
+from cranebank.interface import Event, ServerEntry
 
 
 class Host:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from quillbeam.balancer import Balancer
-from quillbeam.interface import (
+from cranebank.balance import Balancer
+from cranebank.interface import (
     Action,
     AttemptResult,
     Effect,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from quillbeam import wire
+from cranebank import wire
 
 SETTINGS = "\t".join([
     "Balancers=2", "Discovery=push", "FamilyInfo.PassesDeadline=true", "Lanes.count=1", "Lanes.0.Aim=400.0",
@@ -20,8 +20,8 @@
 
 
 def run(lines: list[str]) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "quillbeam.adapter"], input="".join(x + "\n" for x in lines),
-                          capture_output=True, text=True, timeout=60, check=False)
+    return subprocess.run([sys.executable, "-m", "cranebank.wirehost"], text=True, timeout=60, check=False,
+                          input="".join(x + "\n" for x in lines), capture_output=True)
 
 
 def start(node: int, ref: int = 0) -> list[str]:
@@ -83,9 +83,9 @@
 
 
 def test_an_exception_in_the_decisions_is_reported_as_broken() -> None:
-    code = ("import sys\nfrom quillbeam import adapter\n"
+    code = ("import sys\nfrom cranebank import wirehost\n"
             "def fail(self, now, event):\n    raise IndexError('out of\\nrange')\n"
-            "adapter.Balancer.handle = fail\nsys.exit(adapter.main())")
+            "wirehost.Balancer.handle = fail\nsys.exit(wirehost.main())")
     lines = ["BEGIN_BATCH\t10", *roster(0, "s:1"), *start(1), "COMMIT"]
     done = subprocess.run([sys.executable, "-c", code], input="\n".join(lines) + "\n", capture_output=True,
                           text=True, timeout=60, check=False)
--- a/tests/test_blend.py
+++ b/tests/test_blend.py
@@ -8,8 +8,8 @@
 import pytest
 from conftest import Driver
 
-from quillbeam.balancer import beta
-from quillbeam.interface import Outcome
+from cranebank.balance import beta
+from cranebank.interface import Outcome
 
 
 @pytest.mark.parametrize("n", [2, 3, 10, 50])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quillbeam.interface import (
+from cranebank.interface import (
     AttemptResult,
     Cancel,
     Effect,
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,7 +7,7 @@
 
 from conftest import Driver
 
-from quillbeam.interface import (
+from cranebank.interface import (
     Cancel,
     Effect,
     Group,
--- a/tests/test_untrue.py
+++ b/tests/test_untrue.py
@@ -7,7 +7,7 @@
 import pytest
 from conftest import Driver, make_settings
 
-from quillbeam.interface import (
+from cranebank.interface import (
     Action,
     Effect,
     Fail,
