Bound the module's queue, hold at most half of a request's time; stories on sockets

At fault: balance.py _hold, which pushes and never prunes, and whose give_up is bound by the aim alone. Now the heap is rid of answered entries once it is twice the open requests, and an unsent request is answered in its first half. Also: a leg or probe for a host without an actor ends as moot instead of raising; library log lines go through the limited log; Proxy has start/stop for embedding, port 0 is allowed and the address printed.

--- a/cranebank/balance.py
+++ b/cranebank/balance.py
@@ -322,7 +322,7 @@
         if self.settings.layer == 0 and self.settings.quotas and self._over_quota(event.tenant):
             value *= self.settings.over_share_worth
         aim_at = self.now + min(kind.aim, left)
-        request = Held(event.request, index, aim_at, self.now + left, value, groups)
+        request = Held(event.request, index, aim_at, self.now + left, value, self.now + left / 2, groups)
         self.requests[event.request] = request
         self._timer(request.deadline, "deadline." + request.name)
         self._dispatch(request)
@@ -398,6 +398,8 @@
     def _hold(self, request: Held) -> bool:
         """Keep a request while it can still make its aim, else answer it early; it is not sent either way."""
         in_time = request.aim_at - self.latency[request.kind]
+        # Who is turned away unsent in the first half of its time can still try elsewhere.
+        in_time = in_time if request.attempts else min(in_time, request.half_at - self.settings.tick)
         request.give_up = min(request.deadline - 2 * self.settings.tick, in_time)
         if request.give_up <= self.now:
             self._answer(request)
@@ -406,6 +408,9 @@
             self.order += 1
             request.waiting = True
             heapq.heappush(self.queue, (-request.value, -self.now, self.order, request))
+            if len(self.queue) > 2 * len(self.requests) + 64:  # a long jam leaves the answered in the heap
+                self.queue = [item for item in self.queue if item[3].waiting]
+                heapq.heapify(self.queue)
         return False
 
     def _serve_queue(self) -> None:
--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import signal
 import sys
 from collections.abc import Mapping
@@ -14,7 +15,7 @@
 from cranebank.net.counters import Counters
 from cranebank.net.engine import Engine, Host
 from cranebank.net.issuer import Directory, Issuer
-from cranebank.net.log import Log
+from cranebank.net.log import Handler, Log
 from cranebank.net.routing_table import RoutingTable
 
 LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
@@ -24,8 +25,8 @@
 class Proxy:
     """One proxy in one event loop; for embedding as well as for the program."""
 
-    def __init__(self, config: Config) -> None:
-        self._config, self.counters, log = config, Counters(), Log(config.name)
+    def __init__(self, config: Config, log: Log) -> None:
+        self._config, self.counters = config, Counters()
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
         # Half of the descriptors are for clients, the rest is shared out among the hosts (12 at most today).
         hosts = max(12, len(config.known.hosts) if config.known else 0)
@@ -35,42 +36,50 @@
         def make(host: Host) -> Issuer:
             return Issuer(host, settings, connections, self._engine.post, clock, self.counters, log)
 
-        self._issuers = Directory(make)
+        self._issuers = Directory(make, self._engine.post)
         self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
                                    settings.watch_by_asking)
         self._engine.connect(self._issuers, self._table)
         self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants, self.counters, log,
                                   lambda: self._table.heard.is_set() and not self._acquirer.closing)
+        self._server = self._acquirer.server()
+        self._listener: asyncio.Server
 
-    async def serve(self, stop: asyncio.Event) -> None:
-        """Listen and serve until ``stop``, then finish what was taken."""
-        self._table.start(self._config.known)
-        server = self._acquirer.server()
+    async def start(self) -> tuple[str, int]:
+        """Listen; return the address, which matters where port 0 was asked for."""
         host, port = self._config.listen
-        listener = await asyncio.get_running_loop().create_server(server, host, port, backlog=512)
-        await stop.wait()
+        self._listener = await asyncio.get_running_loop().create_server(self._server, host, port, backlog=512)
+        self._table.start(self._config.known)
+        address: tuple[str, int] = self._listener.sockets[0].getsockname()
+        return address
+
+    async def stop(self, linger: float = LINGER_S) -> None:
+        """Go on accepting for a moment, each answer the last on its connection; finish what was taken."""
         self._acquirer.closing = True
-        await asyncio.sleep(LINGER_S)
-        listener.close()
-        server.pre_shutdown()
+        await asyncio.sleep(linger)
+        self._listener.close()
+        self._server.pre_shutdown()
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._engine.idle(), longest)
-        await server.shutdown(0.1)
+        await self._server.shutdown(0.1)
         await self._table.close()
         await self._issuers.close()
 
 
 async def _run(config: Config) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    proxy = Proxy(config)
+    log = Log(config.name)
+    logging.basicConfig(handlers=[Handler(log)], level=logging.WARNING)
+    proxy = Proxy(config, log)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(proxy.counters.text(), file=sys.stderr, flush=True))
-    try:
-        await proxy.serve(stop)
-    finally:
-        print(proxy.counters.text(), file=sys.stderr, flush=True)
+    host, port = await proxy.start()
+    print(f"{config.name}: listening on {host}:{port}", file=sys.stderr, flush=True)
+    await stop.wait()
+    await proxy.stop()
+    print(proxy.counters.text(), file=sys.stderr, flush=True)
 
 
 def main(environ: Mapping[str, str]) -> int:
--- a/cranebank/net/issuer.py
+++ b/cranebank/net/issuer.py
@@ -249,8 +249,8 @@
 class Directory:
     """The actors by host, made and retired as the routing table says."""
 
-    def __init__(self, make: Callable[[Host], Issuer]) -> None:
-        self._make = make
+    def __init__(self, make: Callable[[Host], Issuer], tell: Callable[[Message], None]) -> None:
+        self._make, self._tell = make, tell
         self._issuers: dict[str, Issuer] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -274,7 +274,10 @@
 
     def send(self, leg: Leg) -> None:
         """Hand a leg to its host's actor."""
-        self._issuers[leg.server].post(SendLeg(leg))
+        if leg.server in self._issuers:
+            self._issuers[leg.server].post(SendLeg(leg))
+        else:
+            self._tell(LegEnded(leg, api.Outcome.MOOT))
 
     def cancel(self, leg: Leg) -> None:
         """Call a leg off."""
@@ -283,7 +286,10 @@
 
     def probe(self, server: str) -> None:
         """Probe a host."""
-        self._issuers[server].post(SendProbe())
+        if server in self._issuers:
+            self._issuers[server].post(SendProbe())
+        else:
+            self._tell(Probed(server, api.Outcome.MOOT, 0))
 
     async def close(self) -> None:
         """Retire all."""
--- a/cranebank/net/log.py
+++ b/cranebank/net/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 
@@ -24,3 +25,16 @@
         if count < self._burst:
             more = f" ({left_out} like it left out)" if left_out else ""
             print(f"{self._name}: {kind}: {text[:500]}{more}", file=sys.stderr, flush=True)
+
+
+class Handler(logging.Handler):
+    """Sends what libraries log the same way: a peer's garbage must not flood the log through them either."""
+
+    def __init__(self, log: Log) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Print a library's line, with what was raised but without its traceback."""
+        raised = record.exc_info[1] if record.exc_info else None
+        self._log.line(record.name, record.getMessage() + (f": {raised!r}" if raised else ""))
--- a/cranebank/state.py
+++ b/cranebank/state.py
@@ -47,6 +47,7 @@
     aim_at: float
     deadline: float
     value: float
+    half_at: float = float("inf")  # half of its time is gone: too late to be turned away unsent
     groups: tuple[int, ...] = ()  # its class and its tenant, among the groups whose times are kept
     give_up: float = 0.0
     open: int = 0
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,69 @@
+"""The program as it is started in service, spoken to over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from peers import Discovery, IssuerHost, configuration, entry, listening, request_headers
+
+
+async def program(path: Path, told: dict[str, Any]) -> tuple[asyncio.subprocess.Process, str]:
+    """Start the program; return it and its URL."""
+    (path / "config.json").write_text(json.dumps(told), encoding="utf-8")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cranebank", stderr=asyncio.subprocess.PIPE,
+        env=os.environ | {"GW_CONFIG": str(path / "config.json"), "GW_NAME": "n7"})
+    assert process.stderr is not None
+    line = (await process.stderr.readline()).decode()
+    assert line.startswith("n7: listening on "), line
+    return process, "http://" + line.split()[-1]
+
+
+def test_it_serves_counts_and_finishes_what_it_took(tmp_path: Path) -> None:
+    async def story() -> None:
+        host = IssuerHost(lambda n: None if n == 2 else b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes")
+        async with listening(host.talk) as address, listening(Discovery().talk) as discovery:
+            process, url = await program(tmp_path, configuration(discovery, [entry("s0", address)]))
+            async with aiohttp.ClientSession() as client:
+                async with client.get(url + "/-/ready") as ready:
+                    assert ready.status == 200
+                async with client.get(url + "/look", headers=request_headers()) as response:
+                    assert (response.status, await response.read()) == (200, b"yes")
+                async with client.get(url + "/-/counters") as counters:
+                    assert (await counters.json())["answers_served"] == 1
+                slow = asyncio.ensure_future(client.get(url + "/look", headers=request_headers()))
+                while len(host.requests) < 2:
+                    await asyncio.sleep(0.01)
+                process.send_signal(signal.SIGTERM)
+                response = await slow  # the host keeps silent: declined at its deadline, not dropped
+                assert (response.status, response.headers["Connection"]) == (503, "close")
+            _, errors = await process.communicate()
+        assert process.returncode == 0
+        last = json.loads(errors.decode().splitlines()[-1])
+        assert (last["requests_taken"], last["legs_sent"], last["answers_declined"]) == (2, 2, 1)
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize(("change", "word"), [
+    ({"settings": {}}, "Lanes.count is missing"), ({"listen": "nowhere"}, "GW_LISTEN: expected ADDRESS:PORT"),
+    ({"seed": "xyz"}, "malformed"), ({"known": {"servers": 3}}, "malformed"), (None, "GW_CONFIG"),
+])
+def test_a_bad_configuration_is_one_line_and_a_failure(tmp_path: Path, change: Any, word: str) -> None:
+    path = tmp_path / "config.json"
+    if change is not None:
+        path.write_text(json.dumps(configuration("127.0.0.1:1", []) | change), encoding="utf-8")
+    done = subprocess.run([sys.executable, "-m", "cranebank"], env=os.environ | {"GW_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2
+    assert word in done.stderr
+    assert len(done.stderr.splitlines()) == 1
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,192 @@
+"""Stories of the network code: one for each failure met or guarded against, on scripted peers."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from peers import OK, IssuerHost, Story, answer, entry, running, until
+
+from cranebank.net.issuer import read_load
+
+
+def play(tmp_path: Path, story: Callable[[Story], Awaitable[None]], *hosts: IssuerHost,
+         **limits: Any) -> None:
+    async def whole() -> None:
+        async with running(tmp_path, *hosts, **limits) as started:
+            await story(started)
+
+    asyncio.run(whole())
+
+
+def test_method_target_body_and_key_pass_unchanged_and_the_answer_too(tmp_path: Path) -> None:
+    packed = gzip.compress(b"\x00\xff" * 9000)
+    host = IssuerHost(lambda _: answer(200, packed, "Content-Encoding: gzip"))
+
+    async def story(s: Story) -> None:
+        status, body, headers = await s.ask("order", body=b"a\r\n\x00b")
+        assert (status, body, headers["Content-Encoding"]) == (200, packed, "gzip")
+        reader, writer = await asyncio.open_connection(*s.url.removeprefix("http://").split(":"))
+        writer.write(b"GET /look/%2F%41?q=%20a+b HTTP/1.1\r\nHost: x\r\nX-Request-Id: 7\r\nX-Class: look\r\n"
+                     b"X-Tenant: acme\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    play(tmp_path, story, host)
+    order, look = host.requests
+    assert order.startswith(b"POST /order HTTP/1.1\r\n")
+    assert order.endswith(b"\r\n\r\na\r\n\x00b")
+    assert b"\r\nX-Request-Id: 9b1f03aa\r\n" in order
+    assert b"\r\nIdempotency-Key: 5c0f\r\n" in order
+    assert 800 <= int(order.split(b"X-Deadline-Ms: ")[1].split(b"\r\n")[0]) <= 900
+    assert look.startswith(b"GET /look/%2F%41?q=%20a+b HTTP/1.1\r\n")
+    assert host.connections == 1
+
+
+@pytest.mark.parametrize(("kind", "changes"), [
+    ("none", {}), ("look", {"X-Tenant": "nobody"}), ("look", {"X-Deadline-Ms": "12.5"}),
+    ("look", {"X-Deadline-Ms": "-1"}), ("look", {"X-Cost-Hint": "much"}), ("look", {"X-Request-Id": ""}),
+    ("order", {"Idempotency-Key": ""}),
+])
+def test_a_malformed_request_gets_400_and_no_leg(tmp_path: Path, kind: str, changes: dict[str, str]) -> None:
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        assert (await s.ask(kind, changes))[0] == 400
+        assert (await s.ask("order", body=b"x" * (64 << 10)))[0] == 200
+        assert (await s.ask("order", body=b"x" * ((64 << 10) + 1)))[0] == 413
+
+    play(tmp_path, story, host)
+    assert len(host.requests) == 1
+
+
+CUT = answer(200, b"whole", "Connection: close")[:-1]
+BIG = answer(200, b"x" * ((64 << 10) + 1))
+
+
+@pytest.mark.parametrize("kind", ["look", "order", "pay"])
+@pytest.mark.parametrize(("told", "outcome", "may_refuse"), [
+    (answer(500), "error", False), (answer(503), "error", False),
+    (answer(302, b"", "Location: /look"), "error", False),
+    (answer(503, b"", "X-Not-Run: 1"), "full", True), (answer(504, b"", "X-Not-Run: 1"), "full", True),
+    (b"", "reset", False), (b"garbage\r\n\r\n", "reset", False), (CUT, "reset", False), (BIG, "reset", False),
+    (None, "timeout", False), (answer(200, b"ok", "X-Load: rubbish"), "ok", True),
+], ids=lambda value: value.decode()[:24].strip() if isinstance(value, bytes) else None)
+def test_each_way_a_leg_ends_has_its_outcome_and_refusals_only_where_harmless(
+        tmp_path: Path, kind: str, told: bytes | None, outcome: str, may_refuse: bool) -> None:
+    host = IssuerHost(lambda _: told)
+
+    async def story(s: Story) -> None:
+        status = (await s.ask(kind, {"X-Deadline-Ms": "150"}))[0]
+        refused = 503 if kind != "pay" or may_refuse else 502
+        assert status == (200 if outcome == "ok" else refused)
+        assert s.proxy.counters[f"legs_{outcome}"] == s.proxy.counters["legs_sent"] == 1
+        assert s.proxy.counters["answers_overdue"] == 0
+
+    play(tmp_path, story, host)
+    assert len(host.requests) == 1
+
+
+def test_a_host_that_is_not_there_is_a_connect_failure_and_the_next_one_serves(tmp_path: Path) -> None:
+    async def story(s: Story) -> None:
+        with socket.socket() as nobody:
+            nobody.bind(("127.0.0.1", 0))
+            down = f"127.0.0.1:{nobody.getsockname()[1]}"
+            s.discovery.lines.put_nowait(json.dumps({"version": 2, "full": False, "servers": [
+                entry("s1", down)]}).encode())
+            await until(lambda: s.proxy.counters["lists_changes"] == 1)
+            while not s.proxy.counters["legs_connect_failed"]:
+                assert (await s.ask("pay"))[0] == 200
+        assert s.proxy.counters["legs_ok"] >= 1
+
+    play(tmp_path, story, IssuerHost(), MaxAttempts=2)
+
+
+def test_a_request_on_a_dead_kept_connection_is_not_sent_once_more(tmp_path: Path) -> None:
+    host = IssuerHost(lambda n: OK if n == 1 else b"")
+
+    async def story(s: Story) -> None:
+        assert (await s.ask())[0] == 200
+        assert (await s.ask())[0] == 503
+        assert s.proxy.counters["legs_reset"] == 1
+
+    play(tmp_path, story, host)
+    assert (len(host.requests), host.connections) == (2, 1)
+
+
+def test_a_client_that_leaves_takes_its_leg_along(tmp_path: Path) -> None:
+    host = IssuerHost(lambda _: None)
+
+    async def story(s: Story) -> None:
+        asked = asyncio.ensure_future(s.ask())
+        await until(lambda: len(host.requests) == 1)
+        asked.cancel()
+        await host.closed.wait()
+        await until(lambda: s.proxy.counters["legs_cancelled"] == 1)
+        assert s.proxy.counters["clients_left"] == 1
+
+    play(tmp_path, story, host)
+
+
+def test_a_module_that_raises_costs_no_request_its_answer(tmp_path: Path,
+                                                          monkeypatch: pytest.MonkeyPatch) -> None:
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr("cranebank.balance.Balancer._draw", lambda *_: 1 / 0)
+            assert (await s.ask("pay"))[0] == 503
+        await until(lambda: s.proxy.counters["lists_remembered"] == 2)
+        assert (await s.ask("pay"))[0] == 200
+        assert s.proxy.counters["module_faults"] == 1
+
+    play(tmp_path, story, host)
+
+
+def test_the_watch_survives_rubbish_and_a_drained_host_gets_nothing_new(tmp_path: Path) -> None:
+    old, new = IssuerHost(), IssuerHost()
+
+    async def story(s: Story) -> None:
+        change = {"version": 7, "full": False, "extra": 1, "servers": [
+            {"id": "broken"}, entry("s0", s.address, "DRAINING")]}
+        for line in (b"", b"{rubbish", b"[]", json.dumps(change).encode()):
+            s.discovery.lines.put_nowait(line or b" ")
+        await until(lambda: s.proxy.counters["lists_changes"] == 1)
+        before = len(old.requests)
+        for _ in range(8):
+            assert (await s.ask())[0] == 200
+        assert len(old.requests) == before
+        assert s.proxy.counters["list_lines_skipped"] == 2
+        assert s.proxy.counters["list_entries_skipped"] == 1
+        s.discovery.lines.put_nowait(b"")  # the watch ends; the old list stays
+        await until(lambda: len(s.discovery.watches) == 2)
+        assert s.discovery.watches[1].endswith(b"from=7")
+        assert (await s.ask())[0] == 200
+
+    play(tmp_path, story, old, new)
+    assert len(new.requests) >= 9
+
+
+def test_a_silent_watch_is_left_and_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cranebank.net.routing_table.CALL_TIMEOUT_S", 0.2)
+
+    async def story(s: Story) -> None:
+        await until(lambda: len(s.discovery.watches) >= 2)
+        assert s.discovery.watches[0] == b"/api/targets?watch=1&from=1"
+
+    play(tmp_path, story, IssuerHost())
+
+
+@pytest.mark.parametrize(("text", "load"), [
+    ("TEXT inflight=7, queue=2, util=0.61", {"inflight": 7.0, "queue": 2.0, "util": 0.61}),
+    ("busy_reqs=3,pending=0,else=x", {"inflight": 3.0, "queue": 0.0}),
+    ("TEXT inflight=many", None), ("TEXT inflight=nan", None), ("inflight=-1", None), ("", None), ("7", None),
+])
+def test_load_reports_are_read_or_passed_over(text: str, load: dict[str, float] | None) -> None:
+    assert read_load(text) == load
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -297,3 +297,27 @@
     d.balancer.servers[heavy].heard = d.now - 1.0
     d.do(TimerFired(f"0.{name}"))
     assert d.balancer.servers[heavy].bad == 0.0
+
+
+def test_a_long_jam_leaves_no_answered_requests_behind(drive: Drive) -> None:
+    d = drive()
+    d.listed(["s0"])
+    d.balancer.limit, d.balancer.least_limit = 1.0, 1.0
+    for _ in range(500):
+        d.now += 5
+        name, _actions = d.request(left=40.0)
+        d.now += 60
+        d.do(TimerFired("deadline." + name))
+    assert len(d.balancer.queue) <= 2 * len(d.balancer.requests) + 64
+
+
+def test_a_held_request_is_turned_away_in_the_first_half_of_its_time(drive: Drive) -> None:
+    d = drive(tells_retry_after=True, max_retry_after=1000.0)
+    d.listed(["s0"])
+    d.balancer.limit = d.balancer.least_limit = 1.0
+    d.request()
+    name, actions = d.request(left=300.0)
+    (timer,) = [a for a in actions if isinstance(a, SetTimer) and a.name == "hold." + name]
+    assert d.now < timer.at < d.now + 150.0
+    d.now = timer.at
+    assert [type(a) for a in d.do(TimerFired(timer.name))] == [Refuse]
