Let the bigger limit aim lower, so that no front copy is starved under overload

At fault: balance.py _steer moves the limit by a step for each answer, so each copy's grows and shrinks in proportion to itself, and any split of the fleet is stable once the latency is at the target. Now the target falls with the limit against the copy's fair part of EACH calls a host, by the power 0.1, less where copies are many (few): a restoring force. Ruled out: the sockets, as the simulator starves a copy alike. The first form broke the test with 500 copies, where a limit says little; hence few. Test: at one latency a small limit grows and a large one falls.

--- a/cranebank/balance.py
+++ b/cranebank/balance.py
@@ -26,6 +26,7 @@
 PATIENCE = 5.0  # an answer is overdue after so many mean times: 0.7% of exponential ones
 FURTHER = 0.2  # further attempts as a share of first ones: 1.2 per tier, 1.7 over three
 EACH = 8.0  # calls out at each server, over all copies, that are never too many
+EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
@@ -346,7 +347,9 @@
         self.answered += 1
         self.part += (part - self.part) / min(self.answered, max(4.0, min(16.0, 4 * self.limit)))
         self.slow_part += (part - self.slow_part) / min(self.answered, max(4.0, min(64.0, 4 * self.limit)))
-        target = min(self.idle, self.slow_part) ** self.nearness
+        # Copies at one latency would keep any split of the fleet, one of them starved: the bigger aims lower.
+        fair = EACH * max(1, len(self.ready)) / self.settings.copies
+        target = min(self.idle, self.slow_part) ** self.nearness * (fair / self.limit) ** (EVEN * self.few)
         if self.answered >= max(3.0, 64 * self.few):  # many copies: the first few find the fleet idle
             self.idle = min(self.idle, self.slow_part)
         if self.part > target or self.limit < max(4.0, 2 * self.out):
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -321,3 +321,20 @@
     assert d.now < timer.at < d.now + 150.0
     d.now = timer.at
     assert [type(a) for a in d.do(TimerFired(timer.name))] == [Refuse]
+
+
+def test_copies_at_one_latency_come_to_share_it_evenly(drive: Drive) -> None:
+    d = drive()
+    d.listed(SERVERS)
+    d.balancer.limit = 2 * len(SERVERS)
+    for _ in range(100):
+        d.balancer._steer(0.3)
+    ends = []
+    for limit in (6.0, 60.0):
+        d.balancer.limit = limit
+        d.balancer.out = 1000  # demand is ample
+        for _ in range(20):
+            d.balancer._steer(0.3 ** d.balancer.nearness)
+        ends.append(d.balancer.limit)
+    assert ends[0] > 6.0
+    assert ends[1] < 60.0
