--- a/tests/peers.py
+++ b/tests/peers.py
@@ -41,7 +41,7 @@
 
     async def talk(self, reader: Reader, writer: Writer) -> None:
         self.connections += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = next((int(line.split(b":")[1]) for line in head.lower().split(b"\r\n")
@@ -63,7 +63,7 @@
     watches: list[bytes] = field(default_factory=list)
 
     async def talk(self, reader: Reader, writer: Writer) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             self.watches.append((await reader.readuntil(b"\r\n\r\n")).split()[1])
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             while line := await self.lines.get():
@@ -87,7 +87,7 @@
 
 
 def configuration(discovery: str, hosts: list[dict[str, Any]], **limits: Any) -> dict[str, Any]:
-    """The JSON of a proxy before ``hosts``, with three classes, one tenant and port 0."""
+    """The JSON of a proxy before ``hosts``: three classes, one tenant, port 0; ``mode`` is discovery's."""
     lanes = [LANE | {"Name": name, "Effect": effect}
              for name, effect in (("look", "retryable"), ("order", "dedup"), ("pay", "fragile"))]
     return {
@@ -95,7 +95,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"version": 1, "full": True, "servers": hosts},
         "settings": {
-            "Balancers": 1, "Discovery": "push", "Lanes": lanes, "Layer": 0, "Kinds": ["m"],
+            "Balancers": 1, "Discovery": limits.pop("mode", "push"), "Lanes": lanes, "Layer": 0,
             "Limits": {"Cancel": True, "ConnIdle": 15000.0, "DialTimeout": 100.0, "MaxAttempts": 1,
                        "MayProbe": False, "MaxRetryAfter": 1000.0, "RetryAfter": True, "SecondCopies": False,
                        "StreamsPerConn": 1, **limits},
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,8 +11,10 @@
 from typing import Any
 
 import pytest
-from peers import OK, IssuerHost, Story, answer, entry, running, until
+from peers import OK, Discovery, IssuerHost, Story, answer, entry, running, until
 
+from cranebank import Balancer
+from cranebank.interface import Action, Event, Request
 from cranebank.net.issuer import read_load
 
 
@@ -113,7 +115,8 @@
 
     async def story(s: Story) -> None:
         assert (await s.ask())[0] == 200
-        assert (await s.ask())[0] == 503
+        status, _, headers = await s.ask()
+        assert (status, float(headers["Retry-After"]) <= 1.0) == (503, True)
         assert s.proxy.counters["legs_reset"] == 1
 
     play(tmp_path, story, host)
@@ -134,17 +137,27 @@
     play(tmp_path, story, host)
 
 
-def test_a_module_that_raises_costs_no_request_its_answer(tmp_path: Path,
-                                                          monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(("forgets", "status", "count"), [
+    (False, 503, "module_faults"), (True, 502, "answers_overdue")])
+def test_a_module_that_raises_or_forgets_costs_no_request_its_answer(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, forgets: bool, status: int, count: str) -> None:
+    def faulty(balancer: Balancer, now: float, event: Event) -> list[Action]:
+        if isinstance(event, Request):
+            if forgets:
+                return []
+            raise IndexError("out of range")
+        return handle(balancer, now, event)
+
+    handle = Balancer.handle
     host = IssuerHost()
 
     async def story(s: Story) -> None:
         with monkeypatch.context() as patch:
-            patch.setattr("cranebank.balance.Balancer._draw", lambda *_: 1 / 0)
-            assert (await s.ask("pay"))[0] == 503
-        await until(lambda: s.proxy.counters["lists_remembered"] == 2)
+            patch.setattr(Balancer, "handle", faulty)
+            assert (await s.ask("pay", {"X-Deadline-Ms": "100"}))[0] == status
+            assert s.proxy.counters[count] == 1
+        await until(lambda: forgets or s.proxy.counters["lists_remembered"] == 2)
         assert (await s.ask("pay"))[0] == 200
-        assert s.proxy.counters["module_faults"] == 1
 
     play(tmp_path, story, host)
 
@@ -173,13 +186,29 @@
     assert len(new.requests) >= 9
 
 
-def test_a_silent_watch_is_left_and_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("mode", ["push", "ask"])
+def test_a_silent_watch_is_left_and_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                   mode: str) -> None:
     monkeypatch.setattr("cranebank.net.routing_table.CALL_TIMEOUT_S", 0.2)
 
     async def story(s: Story) -> None:
         await until(lambda: len(s.discovery.watches) >= 2)
         assert s.discovery.watches[0] == b"/api/targets?watch=1&from=1"
 
+    play(tmp_path, story, IssuerHost(), mode=mode)
+
+
+@pytest.mark.parametrize("told", [answer(503), b"", None, b"rubbish\r\n\r\n", answer(200, b"x" * 99)])
+def test_while_discovery_is_down_the_old_list_serves_and_there_is_no_storm(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, told: bytes | None) -> None:
+    monkeypatch.setattr("cranebank.net.routing_table.CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(Discovery, "talk", IssuerHost(lambda _: told).talk)
+
+    async def story(s: Story) -> None:
+        await until(lambda: s.proxy.counters["lists_refused"] == 2)
+        assert s.proxy.counters["watches_opened"] == 2
+        assert (await s.ask())[0] == 200
+
     play(tmp_path, story, IssuerHost())
 
 
