Count answers owed from the taking; skip unreadable entries; probes each their own task

Found on reading the code again, each with the line at fault: engine.submit cleared the idle mark, but another request's end could set it while this one lay in the mailbox: at a shutdown it would have been dropped. issuer.SendProbe compared equal to any other, so of two probes at one host the first to end dropped the second's task. routing_table._host let an address that is no text, NaN and negative weights through, and a deeply nested line ended the watch's task without a word to the engine, so it was never renewed. Tests: ten unreadable entries, and such a line in the story of the watch.

--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -63,7 +63,7 @@
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._engine.idle(), longest)
-        await self._server.shutdown(0.1)
+        await self._server.shutdown(1.0)
         await self._table.close()
         await self._issuers.close()
 
--- a/cranebank/net/engine.py
+++ b/cranebank/net/engine.py
@@ -183,6 +183,7 @@
         self._open: dict[str, Open] = {}
         self._by_answer: dict[asyncio.Future[Answer], Open] = {}
         self._hosts: dict[str, Host] = {}
+        self._owed = 0  # answers owed, from the moment of taking: a request may still lie in the mailbox
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -195,6 +196,7 @@
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.post(Arrived(call, answer, self._clock.now()))
         self._counters.add("requests_taken")
+        self._owed += 1
         self._idle.clear()
         return answer
 
@@ -335,7 +337,8 @@
         if request.overdue is not None:
             request.overdue.cancel()
         self._by_answer.pop(request.answer, None)
-        if not self._by_answer:
+        self._owed -= 1
+        if not self._owed:
             self._idle.set()
         self._forget(request)
 
--- a/cranebank/net/issuer.py
+++ b/cranebank/net/issuer.py
@@ -86,7 +86,7 @@
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)  # each its own: two may be out at once
 class SendProbe:
     """Message: ask the host for its load, or its health where there are no reports."""
 
--- a/cranebank/net/routing_table.py
+++ b/cranebank/net/routing_table.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 import aiohttp
@@ -54,22 +55,25 @@
         for entry in told["servers"]:
             try:
                 hosts.append(self._host(entry))
-            except (ValueError, TypeError, KeyError):
+            except (ValueError, TypeError, KeyError, AttributeError):
                 skipped += 1
         return Listing(version, bool(told.get("full", False)), tuple(hosts), skipped)
 
     def _host(self, entry: dict[str, Any]) -> Host:
         state, server, address = _STATES[entry["state"]], entry["id"], entry.get("addr", "")
         _, _, port = address.rpartition(":")
+        size, started = float(entry.get("weight") or 1.0), float(entry.get("started_ms") or 0.0)
         if not isinstance(server, str) or not server or (state is api.ServerState.IN and not port.isdigit()):
             raise ValueError("no id or no address")
+        if not (0.0 < size < inf and 0.0 <= started < inf):  # NaN would pass for a restart each time
+            raise ValueError("weight or start time out of range")
         return Host(api.ServerEntry(
             server=server,
             zone=self._zones.get(entry.get("zone", ""), len(self._zones)),  # unknown: not the own zone
             cell=int(entry.get("cell") or 0),
-            size=float(entry.get("weight") or 1.0),
+            size=size,
             state=state,
-            started=float(entry.get("started_ms") or 0.0),  # Unix time, and so is the module's clock
+            started=started,  # Unix time, and so is the module's clock
         ), address)
 
 
@@ -148,7 +152,7 @@
             self._log.line("discovery", "watch ended")
         except TimeoutError:
             self._log.line("discovery", "watch fell silent")
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except Exception as error:  # whatever discovery says, the engine must hear that the watch is over
             self._log.line("discovery", f"watch broke: {type(error).__name__}: {error}")
         return lines
 
@@ -157,7 +161,7 @@
             return  # nothing has changed
         try:
             listing = self._reader.read(json.loads(line))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             self._counters.add("list_lines_skipped")
             self._log.line("discovery", f"skipped a malformed line: {error}: {line[:80]!r}")
             return
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -16,6 +16,7 @@
 from cranebank import Balancer
 from cranebank.interface import Action, Event, Request
 from cranebank.net.issuer import read_load
+from cranebank.net.routing_table import ListReader
 
 
 def play(tmp_path: Path, story: Callable[[Story], Awaitable[None]], *hosts: IssuerHost,
@@ -168,8 +169,8 @@
     async def story(s: Story) -> None:
         change = {"version": 7, "full": False, "extra": 1, "servers": [
             {"id": "broken"}, entry("s0", s.address, "DRAINING")]}
-        for line in (b"", b"{rubbish", b"[]", json.dumps(change).encode()):
-            s.discovery.lines.put_nowait(line or b" ")
+        for line in (b" ", b"{rubbish", b"[" * 99999, json.dumps(change).encode()):
+            s.discovery.lines.put_nowait(line)
         await until(lambda: s.proxy.counters["lists_changes"] == 1)
         before = len(old.requests)
         for _ in range(8):
@@ -212,6 +213,17 @@
     play(tmp_path, story, IssuerHost())
 
 
+@pytest.mark.parametrize("change", [
+    {"state": "LOST"}, {"state": []}, {"addr": 7}, {"addr": "nowhere"}, {"id": ""}, {"id": 3}, {"cell": "x"},
+    {"weight": -1}, {"started_ms": float("nan")}, {"zone": []},
+])
+def test_an_entry_that_can_not_be_read_is_skipped_and_the_others_stand(change: dict[str, Any]) -> None:
+    good = entry("s0", "127.0.0.1:80", zone="b", unheard=1)
+    told = {"version": 4, "full": True, "servers": [good | change, None, good]}
+    listing = ListReader(("a", "b")).read(told)
+    assert (len(listing.hosts), listing.skipped, listing.hosts[0].entry.zone) == (1, 2, 1)
+
+
 @pytest.mark.parametrize(("text", "load"), [
     ("TEXT inflight=7, queue=2, util=0.61", {"inflight": 7.0, "queue": 2.0, "util": 0.61}),
     ("busy_reqs=3,pending=0,else=x", {"inflight": 3.0, "queue": 0.0}),
