Ask discovery again from one place only: the module, not the table as well

Saw: a story failed once in five with three watches opened where two had ended. Checked: balance.py _listed sets a timer to watch again on every refusal, whatever the settings say of asking; routing_table._keep_watch did the same by itself where changes come unasked, so the two cancelled and doubled each other. Ruled out: the ask mode of this deployment, where the table never asked by itself. The table's own loop is gone.

--- a/cranebank/net/routing_table.py
+++ b/cranebank/net/routing_table.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -84,7 +83,7 @@
                  counters: Counters, log: Log, asked: bool) -> None:
         self._url, self._reader, self._tell = f"http://{address}/api/targets", reader, tell
         self._counters, self._log = counters, log
-        self._asked = asked  # the module asks, and asks again; else this actor does so of itself
+        self._asked = asked  # the module asks first; else this actor does, and the module only asks again
         self._version: int | None = None
         self._task: asyncio.Task[None] | None = None
         self._mailbox: Mailbox[bool] = Mailbox(self._take, log)
@@ -119,27 +118,21 @@
         self._task = asyncio.get_running_loop().create_task(self._keep_watch()) if enable else None
 
     async def _keep_watch(self) -> None:
-        pause = 0.5
-        while True:
-            lines = await self._watch_once()
-            self._counters.add("watches_ended")
-            self._tell(TableNews(api.ListKind.REFUSED))
-            if self._asked:
-                return  # the module decides when to ask again
-            pause = 0.5 if lines else min(8.0, 2 * pause)  # ever later and never in step with the others
-            await asyncio.sleep(pause * (0.5 + random.random()))
-
-    async def _watch_once(self) -> int:
-        """Watch until the connection ends or falls silent; return how many lines came."""
+        await self._watch()
+        self._counters.add("watches_ended")
+        # The module says when to ask again, ever later. Asking from here as well would be two storms in one.
+        self._tell(TableNews(api.ListKind.REFUSED))
+
+    async def _watch(self) -> None:
+        """Watch until the connection ends or falls silent."""
         params = {"watch": "1", "from": str(self._version or 0)}
-        lines = 0
         self._counters.add("watches_opened")
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S) as limit:
                 async with self._session.get(self._url, params=params, allow_redirects=False) as response:
                     if response.status != 200:
                         self._log.line("discovery", f"watch answered {response.status}")
-                        return 0
+                        return
                     buffer = b""
                     async for chunk in response.content.iter_any():
                         limit.reschedule(asyncio.get_running_loop().time() + SILENCE_S)
@@ -147,14 +140,12 @@
                         if len(buffer) > LINE_BYTES:
                             raise ValueError("a line without end")
                         for line in whole:
-                            lines += 1
                             self._line(line)
             self._log.line("discovery", "watch ended")
         except TimeoutError:
             self._log.line("discovery", "watch fell silent")
         except Exception as error:  # whatever discovery says, the engine must hear that the watch is over
             self._log.line("discovery", f"watch broke: {type(error).__name__}: {error}")
-        return lines
 
     def _line(self, line: bytes) -> None:
         if not line.strip():
