A story for clients that talk rubbish: 400, no leg, and the others are served

Words, a TLS hello, a header of 100 kB, a negative length and an absolute target, each over a raw socket; all were answered 400 as the code stood.

--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -70,6 +70,27 @@
     assert len(host.requests) == 1
 
 
+@pytest.mark.parametrize("said", [
+    b"GARBAGE\r\n\r\n", b"\x16\x03\x01\x00\x05hello\r\n\r\n",
+    b"GET /look HTTP/1.1\r\nX: " + b"x" * 99999 + b"\r\n\r\n",
+    b"POST /order HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+    b"GET http://elsewhere/look HTTP/1.1\r\nHost: x\r\nX-Request-Id: 7\r\nX-Class: look\r\n"
+    b"X-Tenant: acme\r\n\r\n",
+], ids=["words", "tls", "long", "length", "absolute"])
+def test_a_client_that_talks_rubbish_gets_400_and_the_others_are_served(tmp_path: Path, said: bytes) -> None:
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        reader, writer = await asyncio.open_connection(*s.url.removeprefix("http://").split(":"))
+        writer.write(said)
+        assert (await reader.readline()).split()[1] == b"400"
+        writer.close()
+        assert (await s.ask())[0] == 200
+
+    play(tmp_path, story, host)
+    assert len(host.requests) == 1
+
+
 CUT = answer(200, b"whole", "Connection: close")[:-1]
 BIG = answer(200, b"x" * ((64 << 10) + 1))
 
