--- a/cranebank/net/acquirer.py
+++ b/cranebank/net/acquirer.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDictProxy
 
 from cranebank.interface import Effect, Settings
+from cranebank.net.clock import Clock, span_us
 from cranebank.net.counters import Counters
+from cranebank.net.door import Door
 from cranebank.net.engine import Call, Declined, Engine, Left, Served
 from cranebank.net.issuer import BODY_BYTES, HttpAnswer, HttpRequest
 from cranebank.net.log import Log
@@ -18,6 +21,9 @@
 DEADLINE_MARGIN = 5_000  # the answer must be back before the client gives up: its way, both times
 PASSED_ON = ("X-Request-Id", "Idempotency-Key", "X-Class", "X-Tenant", "X-Retry", "X-Cost-Hint", "X-Extras",
              "Content-Type")
+LINGER_S = 0.2  # an error is read, not a reset, by a client that sends on for so long
+_ID = re.compile(r"[!-~]{1,200}")
+_TARGET = re.compile(r"/([!-.0->@-~]+)(?:[/?][!-~]*)?")  # the class, and what follows
 
 
 class Malformed(ValueError):
@@ -28,18 +34,25 @@
     """Reads requests, hands them to the engine and writes its answers."""
 
     def __init__(self, engine: Engine, settings: Settings, classes: tuple[str, ...], tenants: tuple[str, ...],
-                 counters: Counters, log: Log, ready: Callable[[], bool]) -> None:
+                 connections: int, clock: Clock, counters: Counters, log: Log,
+                 ready: Callable[[], bool]) -> None:
         self._engine, self._settings = engine, settings
         self._classes = {name: index for index, name in enumerate(classes)}
         self._tenants = {name: index for index, name in enumerate(tenants)}
         self._counters, self._log, self._ready = counters, log, ready
+        self._ids: set[str] = set()  # of the requests that are open
         self.closing = False
+        # Heads are held whole: 64 fields of 4 KiB at most.
+        self.door = Door(self.handle, connections, clock, counters, _request, access_log=None,
+                         keepalive_timeout=3600.0, lingering_time=LINGER_S, max_headers=64,
+                         max_line_size=4096, max_field_size=4096, auto_decompress=False)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; cancelled when the client leaves."""
         response = await self._respond(request)
-        if self.closing:
-            response.force_close()
+        if self.closing or response.status in (400, 413):
+            response.force_close()  # whatever follows a request that could not be read is not to be trusted
+        self.door.answered(request.protocol)
         return response
 
     async def _respond(self, request: web.BaseRequest) -> web.Response:
@@ -47,19 +60,32 @@
             return web.Response(status=200 if self._ready() else 503)
         if request.path == COUNTERS:
             return web.json_response(text=self._counters.text())
-        body = await request.read()
         try:
-            call = self._call(request, body)
+            self._check(request)
+            call = self._call(request, await request.read())
         except Malformed as error:
             self._counters.add("requests_malformed")
             self._log.line("request", str(error))
             return web.Response(status=400, text=f"{error}\n")
+        except web.HTTPRequestEntityTooLarge as error:
+            self._counters.add("requests_malformed")
+            return web.Response(status=413, text=error.text)
+        self.door.taken(request.protocol)
+        return await self._answer(call, request.headers["X-Request-Id"])
+
+    async def _answer(self, call: Call, name: str) -> web.Response:
+        if name in self._ids:  # looked up again: another may have come while the body was read
+            self._counters.add("requests_malformed")
+            return web.Response(status=400, text="the id of a request that is open\n")
+        self._ids.add(name)
         answer = self._engine.submit(call)
         try:
             outcome = await answer
         except asyncio.CancelledError:
             self._engine.post(Left(answer))
             raise
+        finally:
+            self._ids.discard(name)
         match outcome:
             case Served(HttpAnswer(body, headers)):
                 return web.Response(status=200, body=body, headers=headers)
@@ -68,23 +94,41 @@
                 return web.Response(status=503, headers=told)
         return web.Response(status=502)
 
-    def _call(self, request: web.BaseRequest, body: bytes) -> Call:
-        headers, target = request.headers, request.raw_path
-        if not headers.get("X-Request-Id"):
-            raise Malformed("no X-Request-Id")
-        if headers.get("X-Class") not in self._classes:
+    def _check(self, request: web.BaseRequest) -> None:
+        """Refuse what no usual client sends, before its body is read. Hosts close on what they can't read."""
+        headers, kind = request.headers, self._classes.get(request.headers.get("X-Class", ""))
+        if any(len(headers.getall(name, ())) > 1 for name in PASSED_ON):
+            raise Malformed("a field given twice")
+        if "Content-Length" in headers and "Transfer-Encoding" in headers:
+            raise Malformed("Content-Length and Transfer-Encoding")  # may hide another request in the body
+        if not _ID.fullmatch(headers.get("X-Request-Id", "")):
+            raise Malformed("no X-Request-Id, or none that can be read")
+        if kind is None:
             raise Malformed(f"unknown X-Class {headers.get('X-Class')!r}")
-        index = self._classes[headers["X-Class"]]
-        kind = self._settings.classes[index]
         if self._tenants and headers.get("X-Tenant") not in self._tenants:
             raise Malformed(f"unknown X-Tenant {headers.get('X-Tenant')!r}")
-        if kind.effect is Effect.KEYED and not headers.get("Idempotency-Key"):
+        effect = self._settings.classes[kind].effect
+        if effect is Effect.KEYED and not headers.get("Idempotency-Key"):
             raise Malformed("no Idempotency-Key, which the class needs")
-        if not target.startswith("/"):
-            raise Malformed("expected a path as the request's target")
+        if request.method != ("GET" if effect is Effect.SAFE else "POST"):
+            raise Malformed(f"method {request.method} does not go with the class")
+        target = _TARGET.fullmatch(request.raw_path)
+        if target is None or target[1] != headers["X-Class"]:
+            raise Malformed("expected a path that begins with the class as the request's target")
+        if effect is Effect.SAFE and request.body_exists:
+            raise Malformed("a body, which the class has not")
+        length = request.content_length or 0
+        if length > BODY_BYTES:
+            raise web.HTTPRequestEntityTooLarge(BODY_BYTES, length)
+
+    def _call(self, request: web.BaseRequest, body: bytes) -> Call:
+        headers, target = request.headers, request.raw_path
+        index = self._classes[headers["X-Class"]]
+        kind = self._settings.classes[index]
         deadline = _whole(headers, "X-Deadline-Ms")
         hint = _whole(headers, "X-Cost-Hint")
-        wait = round(kind.deadline * 1000) if deadline is None else deadline * 1000
+        longest = span_us(kind.deadline)  # whatever a client says: nothing is held for longer
+        wait = longest if deadline is None else min(deadline * 1000, longest)
         return Call(
             class_index=index,
             tenant=self._tenants.get(headers.get("X-Tenant", ""), 0),
@@ -95,11 +139,6 @@
             resubmitted=headers.get("X-Retry") == "1",
         )
 
-    def server(self) -> web.Server:
-        """The protocol factory for a listening socket."""
-        return web.Server(self.handle, request_factory=_request, handler_cancellation=True, access_log=None,
-                          keepalive_timeout=3600.0)
-
 
 def _request(message, payload, protocol, writer, task):  # type: ignore[no-untyped-def]
     return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -7,6 +7,7 @@
 import logging
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Mapping
 
@@ -20,7 +21,7 @@
 from cranebank.net.routing_table import RoutingTable
 
 LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
-SPARE_SOCKETS = 64  # the interpreter's own, the listener, discovery
+ACCEPTS, BACKLOG = 16, 512  # taken in one turn of the loop; kept by the kernel until their turn
 
 
 class Proxy:
@@ -29,9 +30,10 @@
     def __init__(self, config: Config, log: Log) -> None:
         self._config, self.counters = config, Counters()
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
-        # Half of the descriptors are for clients, the rest is shared out among the hosts (12 at most today).
+        # Of the descriptors 7/16 are for clients, who need a third, as many for the hosts; the rest is spare.
+        share = config.sockets * 7 // 16
         hosts = max(12, len(config.known.hosts) if config.known else 0)
-        connections = max(4, (config.sockets - SPARE_SOCKETS) // 2 // hosts)
+        connections = max(4, share // hosts)
         self._engine = Engine(settings, config.seed, clock, self.counters, log)
 
         def make(host: Host) -> Issuer:
@@ -41,15 +43,19 @@
         self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
                                    settings.watch_by_asking)
         self._engine.connect(self._issuers, self._table)
-        self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants, self.counters, log,
+        self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants, share, clock,
+                                  self.counters, log,
                                   lambda: self._table.heard.is_set() and not self._acquirer.closing)
-        self._server = self._acquirer.server()
+        self._door = self._acquirer.door
         self._listener: asyncio.Server
 
     async def start(self) -> tuple[str, int]:
         """Listen; return the address, which matters where port 0 was asked for."""
-        host, port = self._config.listen
-        self._listener = await asyncio.get_running_loop().create_server(self._server, host, port, backlog=512)
+        sock = socket.create_server(self._config.listen)
+        # Guards the descriptors against a flood: asyncio accepts ``backlog`` before the door sees any.
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._door, sock=sock, backlog=ACCEPTS)
+        sock.listen(BACKLOG)
         self._table.start(self._config.known)
         address: tuple[str, int] = self._listener.sockets[0].getsockname()
         return address
@@ -59,11 +65,12 @@
         self._acquirer.closing = True
         await asyncio.sleep(linger)
         self._listener.close()
-        self._server.pre_shutdown()
+        self._door.pre_shutdown()
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._engine.idle(), longest)
-        await self._server.shutdown(1.0)
+        await self._door.shutdown(1.0)
+        self._door.stop()
         await self._table.close()
         await self._issuers.close()
 
--- /dev/null
+++ b/cranebank/net/door.py
@@ -0,0 +1,120 @@
+"""The acquirer side's connections, bounded in number and time: no client may take the others' place."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from cranebank.net.clock import Clock
+from cranebank.net.counters import Counters
+
+REQUEST_TIME = 2_300_000  # to send a whole request, from connecting or from its first byte
+KEPT_IDLE = 2_000_000  # a connection without a request is never closed sooner
+MOST_IDLE = 15_000_000  # nor kept for longer, however much room there is
+SETTLING = 100_000  # whoever connects and has said nothing for so long may go first when all places are taken
+SWEEP_S = 0.25
+
+
+class Connection(web.RequestHandler):
+    """One client's connection; tells the door when bytes come."""
+
+    def __init__(self, door: Door, **options: Any) -> None:
+        super().__init__(door, loop=asyncio.get_running_loop(), **options)
+        self._door = door
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of a request, or of the next one."""
+        self._door.stirred(self)
+        super().data_received(data)
+
+
+class Door(web.Server):
+    """Each connection is waited on for a request, has one open, or is idle; the open have no limit here."""
+
+    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
+                 clock: Clock, counters: Counters, request_factory: Any, **options: Any) -> None:
+        super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
+        self._most, self._clock, self._counters, self._options = most, clock, counters, options
+        self._transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        self._waited: dict[web.RequestHandler, int] = {}  # since when, the longest first
+        self._idle: dict[web.RequestHandler, int] = {}
+        self._ahead: set[web.RequestHandler] = set()  # bytes of the next request came with one still open
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __call__(self) -> web.RequestHandler:
+        """The protocol of a new connection."""
+        return Connection(self, **self._options)
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Let a client in; where all places are taken, one that asks for nothing makes room, or it goes."""
+        super().connection_made(handler, transport)
+        now = self._clock.now()
+        self._transports[handler] = transport
+        self._waited[handler] = now
+        if len(self._transports) > self._most:
+            made = self._close_first(self._idle, now - KEPT_IDLE)
+            made = made or self._close_first(self._waited, now - SETTLING)
+            if not made:
+                self._close(handler)
+        if self._timer is None:
+            self._sweep()
+
+    def connection_lost(self, handler: web.RequestHandler, exc: BaseException | None = None) -> None:
+        """Forget a connection."""
+        super().connection_lost(handler, exc)
+        for held in (self._transports, self._waited, self._idle):
+            held.pop(handler, None)
+        self._ahead.discard(handler)
+
+    def stirred(self, handler: web.RequestHandler) -> None:
+        """Bytes have come: an idle connection has a request on its way in and is not closed as idle."""
+        if self._idle.pop(handler, None) is not None:
+            self._waited[handler] = self._clock.now()
+        elif handler in self._transports and handler not in self._waited:
+            self._ahead.add(handler)
+
+    def taken(self, handler: web.RequestHandler) -> None:
+        """The whole request is in: from here the engine's limits hold."""
+        self._waited.pop(handler, None)
+        self._idle.pop(handler, None)
+        self._ahead.discard(handler)
+
+    def answered(self, handler: web.RequestHandler) -> None:
+        """The answer is given."""
+        if handler not in self._transports:
+            return  # the client has left
+        (self._waited if handler in self._ahead else self._idle)[handler] = self._clock.now()
+        self._ahead.discard(handler)
+
+    def stop(self) -> None:
+        """End the sweeping."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _sweep(self) -> None:
+        # One timer for all; input that is there already is read before it fires, so no request is overlooked.
+        now, crowded = self._clock.now(), 2 * len(self._transports) > self._most
+        while self._close_first(self._waited, now - REQUEST_TIME):
+            self._counters.add("requests_unfinished")
+        while self._close_first(self._idle, now - (KEPT_IDLE if crowded else MOST_IDLE)):
+            pass
+        self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def _close_first(self, held: dict[web.RequestHandler, int], before: int) -> bool:
+        handler, since = next(iter(held.items()), (None, 0))
+        if handler is None or since > before:
+            return False
+        self._close(handler)
+        return True
+
+    def _close(self, handler: web.RequestHandler) -> None:
+        self._counters.add("connections_closed")
+        transport = self._transports[handler]
+        for held in (self._transports, self._waited, self._idle):
+            held.pop(handler, None)
+        handler.force_close()
+        if transport.get_write_buffer_size():
+            transport.abort()  # a client that reads nothing must not keep its descriptor
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -92,7 +92,7 @@
              for name, effect in (("look", "retryable"), ("order", "dedup"), ("pay", "fragile"))]
     return {
         "name": "p0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": limits.pop("sockets", 1024)},
         "known": {"version": 1, "full": True, "servers": hosts},
         "settings": {
             "Balancers": 1, "Discovery": limits.pop("mode", "push"), "Lanes": lanes, "Layer": 0,
@@ -128,7 +128,7 @@
                   body: bytes | None = None) -> tuple[int, bytes, Any]:
         """Send one request; return status, body and headers of the answer."""
         told = {name: value for name, value in (request_headers(kind) | (changes or {})).items() if value}
-        method = "GET" if body is None else "POST"
+        method = "GET" if kind == "look" and body is None else "POST"
         async with self.client.request(method, f"{self.url}/{kind}", data=body, headers=told) as response:
             return response.status, await response.read(), response.headers
 
@@ -149,6 +149,16 @@
         await proxy.stop(linger=0.0)
 
 
+def play(tmp_path: Path, story: Callable[[Story], Awaitable[None]], *hosts: IssuerHost,
+         **limits: Any) -> None:
+    """Run a story around a proxy of its own."""
+    async def whole() -> None:
+        async with running(tmp_path, *hosts, **limits) as started:
+            await story(started)
+
+    asyncio.run(whole())
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait for what must come; a story that never gets there is ended by the runner, not by a clock here."""
     while not condition():
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,13 +6,12 @@
 import gzip
 import json
 import socket
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 import pytest
-from peers import OK, Discovery, IssuerHost, Story, answer, entry, running, until
+from peers import OK, Discovery, IssuerHost, Story, answer, entry, play, until
 
 from cranebank import Balancer
 from cranebank.interface import Action, Event, Request
@@ -20,15 +19,6 @@
 from cranebank.net.routing_table import ListReader
 
 
-def play(tmp_path: Path, story: Callable[[Story], Awaitable[None]], *hosts: IssuerHost,
-         **limits: Any) -> None:
-    async def whole() -> None:
-        async with running(tmp_path, *hosts, **limits) as started:
-            await story(started)
-
-    asyncio.run(whole())
-
-
 def test_method_target_body_and_key_pass_unchanged_and_the_answer_too(tmp_path: Path) -> None:
     packed = gzip.compress(b"\x00\xff" * 9000)
     host = IssuerHost(lambda _: answer(200, packed, "Content-Encoding: gzip"))
