--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -102,8 +102,8 @@
             reader, writer = await connected(s)
             writer.write(WHOLE)
             assert (await reader.readline()).startswith(b"HTTP/1.1 200")
-            kept.append(reader)
-        await kept[0].read()  # the longest idle goes
+            kept.append((reader, writer))
+        await kept[0][0].read()  # the longest idle goes
         assert s.proxy.counters["requests_unfinished"] == 0
 
     play(tmp_path, story, IssuerHost(), sockets=64)
