Legs go over our own connections read by httptools: no spare bytes ever answer the next request

A second copy that came while the connection was idle was served as the answer to the next request; noise right behind a good answer spoilt that answer; half a copy was kept for later. Checked: what aiohttp offers in public. The connection pool hands out what it holds unseen, and the protocol of an idle connection can't be reached without private names; so aiohttp's client can't be made safe for legs. Its nearest relative is httptools: the same parser (llhttp) under asyncio's Protocol. Discovery keeps aiohttp.

net/link.py holds the connections. One that has had a byte too many, a spoilt answer, or an end is closed; before each use it is polled for unread bytes, and it rests 10 ms, as what belongs to no answer comes right behind it. Heads, bodies and all framing are bounded. One limit for all hosts takes the place of fixed caps for 12 hosts; when it binds, a leg ends as never sent (moot) and is no evidence against the host. A leg counts as written once its last byte is out. A 4xx of a host ends the request at once and is no evidence either.

--- a/cranebank/net/acquirer.py
+++ b/cranebank/net/acquirer.py
@@ -14,7 +14,8 @@
 from cranebank.net.counters import Counters
 from cranebank.net.door import Door
 from cranebank.net.engine import Call, Declined, Engine, Left, Served
-from cranebank.net.issuer import BODY_BYTES, HttpAnswer, HttpRequest
+from cranebank.net.issuer import HttpAnswer, HttpRequest
+from cranebank.net.link import BODY_BYTES
 from cranebank.net.log import Log
 
 READY, COUNTERS = "/-/ready", "/-/counters"
--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -12,15 +12,17 @@
 from collections.abc import Mapping
 
 from cranebank.net.acquirer import Acquirer
-from cranebank.net.clock import Clock
+from cranebank.net.clock import Clock, span_us
 from cranebank.net.config import Config, ConfigError, load
 from cranebank.net.counters import Counters
 from cranebank.net.engine import Engine, Host
 from cranebank.net.issuer import Directory, Issuer
+from cranebank.net.link import Links
 from cranebank.net.log import Handler, Log
 from cranebank.net.routing_table import RoutingTable
 
 LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
+IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
 ACCEPTS, BACKLOG = 16, 512  # taken in one turn of the loop; kept by the kernel until their turn
 
 
@@ -32,12 +34,12 @@
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
         # Of the descriptors 7/16 are for clients, who need a third, as many for the hosts; the rest is spare.
         share = config.sockets * 7 // 16
-        hosts = max(12, len(config.known.hosts) if config.known else 0)
-        connections = max(4, share // hosts)
+        self._links = Links(share, span_us(max(100.0, settings.idle_after - IDLE_MARGIN_MS)),
+                            settings.connect_timeout / 1000.0, clock, self.counters)
         self._engine = Engine(settings, config.seed, clock, self.counters, log)
 
         def make(host: Host) -> Issuer:
-            return Issuer(host, settings, connections, self._engine.post, clock, self.counters, log)
+            return Issuer(host, settings, self._links, self._engine.post, clock, self.counters, log)
 
         self._issuers = Directory(make, self._engine.post)
         self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
@@ -77,6 +79,7 @@
         self._door.stop()
         await self._table.close()
         await self._issuers.close()
+        self._links.drop()
 
 
 def _reload(proxy: Proxy, environ: Mapping[str, str], log: Log) -> None:
--- a/cranebank/net/engine.py
+++ b/cranebank/net/engine.py
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True, eq=False)
 class Leg:
-    """One attempt. ``written`` is set by the issuer's actor before the first byte goes out."""
+    """One attempt. ``written`` is set by the issuer's actor once the last byte is out."""
 
     request: str
     number: int
@@ -96,12 +96,13 @@
 
 @dataclass(slots=True, frozen=True)
 class LegEnded:
-    """Message: how a leg ended; ``content`` is the body that came with OK."""
+    """Message: how a leg ended; ``content`` came with OK; ``hopeless`` if the request itself is at fault."""
 
     leg: Leg
     outcome: api.Outcome
     load: dict[str, float] | None = None
     content: Any = None
+    hopeless: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -308,8 +309,12 @@
         self._counters.add(f"legs_{ended.outcome.name.lower()}")
         if ended.outcome is api.Outcome.OK and not request.over:
             self._answer(request, Served(ended.content))
+        outcome = ended.outcome
+        if ended.hopeless:  # no host would take it, and it says nothing about this one
+            self._answer(request, Failed())
+            outcome = api.Outcome.CANCELLED
         took = (self._clock.now() - leg.sent_at) / 1000.0
-        self._tell(api.AttemptResult(leg.request, leg.number, leg.server, ended.outcome, took,
+        self._tell(api.AttemptResult(leg.request, leg.number, leg.server, outcome, took,
                                      request.over, ended.load))
         self._forget(request)
 
--- a/cranebank/net/issuer.py
+++ b/cranebank/net/issuer.py
@@ -1,4 +1,4 @@
-"""One actor for each issuer host: its connections, its legs, its probes. HTTP/1.1, aiohttp's client."""
+"""One actor for each issuer host: its legs and its probes, in HTTP/1.1."""
 
 from __future__ import annotations
 
@@ -6,23 +6,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import isfinite
-from types import SimpleNamespace
 from typing import Any
 
-import aiohttp
-from yarl import URL
-
 from cranebank import interface as api
 from cranebank.net.clock import Clock
 from cranebank.net.counters import Counters
 from cranebank.net.engine import Host, Leg, LegEnded, Message, Probed, TableNews
+from cranebank.net.link import Broke, HostAnswer, Links, NoRoom, Spoilt
 from cranebank.net.log import Log
 from cranebank.net.mailbox import Mailbox
 from cranebank.wire import LOAD_NAMES
 
-BODY_BYTES = 64 << 10
 PASSED_BACK = ("Content-Type", "Content-Encoding")
-IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
 _NAMES = LOAD_NAMES | {name: name for name in LOAD_NAMES.values()}  # the settings' names, and the header's
 
 
@@ -44,21 +39,6 @@
     headers: dict[str, str]
 
 
-class LegBroke(Exception):
-    """A connection broke under a leg. Not of the kinds on which aiohttp sends once more by itself."""
-
-
-async def never_resend(request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-                       ) -> aiohttp.ClientResponse:
-    """Guards against a leg that nobody asked for: aiohttp resends a GET when a kept connection is dead."""
-    try:
-        return await handler(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectionResetError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise LegBroke(f"{type(error).__name__}: {error}") from error
-
-
 def read_load(text: str) -> dict[str, float] | None:
     """Read a load report such as ``TEXT inflight=7, queue=2``; None if it is malformed."""
     load: dict[str, float] = {}
@@ -104,33 +84,22 @@
 class Issuer:
     """The actor of one host."""
 
-    def __init__(self, host: Host, settings: api.Settings, connections: int, tell: Callable[[Message], None],
+    def __init__(self, host: Host, settings: api.Settings, links: Links, tell: Callable[[Message], None],
                  clock: Clock, counters: Counters, log: Log) -> None:
         self._host: Host | None = host
-        self._settings, self._tell = settings, tell
+        self._settings, self._links, self._tell = settings, links, tell
         self._clock, self._counters, self._log = clock, counters, log
         self._server, self._address = host.entry.server, host.address
         self._tasks: dict[Leg | SendProbe, asyncio.Task[None]] = {}
         self._mailbox: Mailbox[Order] = Mailbox(self._take, log)
         self.post = self._mailbox.post
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(self._dialled)
-        trace.on_connection_reuseconn.append(self._reused)
-        dial = settings.connect_timeout / 1000.0
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=connections, use_dns_cache=False,
-                keepalive_timeout=max(0.1, (settings.idle_after - IDLE_MARGIN_MS) / 1000.0)),
-            timeout=aiohttp.ClientTimeout(total=None, connect=dial, sock_connect=dial),
-            middlewares=(never_resend,), cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
-            trust_env=False, trace_configs=[trace],
-            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"))
 
     async def close(self) -> None:
         """Drop everything that is out, and the connections."""
         for task in self._tasks.values():
             task.cancel()
-        await self._session.close()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        self._links.drop(self._server)
 
     def _take(self, order: Order) -> None:
         match order:
@@ -147,8 +116,10 @@
                 self._run(order, self._probe())
             case Relisted(host):
                 self._host = host
-                if host is not None:
-                    self._address = host.address or self._address
+                address = host.address if host is not None else ""
+                if host is None or (address and address != self._address):
+                    self._links.drop(self._server)  # another host may get that address
+                self._address = address or self._address
 
     def _run(self, key: Leg | SendProbe, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -160,60 +131,57 @@
         """Gone from the list, with nothing out."""
         return self._host is None and not self._tasks
 
-    async def _dialled(self, _session: Any, context: SimpleNamespace, _params: Any) -> None:
-        self._counters.add("connections_opened")
-        self._up(context)
-
-    async def _reused(self, _session: Any, context: SimpleNamespace, _params: Any) -> None:
-        self._counters.add("connections_reused")
-        self._up(context)
-
-    @staticmethod
-    def _up(context: SimpleNamespace) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.written = True  # the request is written in this same step
+    async def _exchange(self, request: Callable[[], str], body: bytes,
+                        sent: Callable[[], None]) -> HostAnswer:
+        """One request and its answer on a connection of its own; OSError means that it was not sent whole."""
+        link = await self._links.take(self._server, self._address)
+        try:
+            head = f"{request()}Host: {self._address}\r\n\r\n"
+            return await link.ask(head.encode("utf-8", "surrogateescape") + body, sent)
+        except (Broke, Spoilt) as error:
+            if link.sent:
+                raise
+            raise ConnectionError(str(error)) from error
+        finally:
+            self._links.give_back(link)
 
     async def _send(self, leg: Leg) -> None:
         request: HttpRequest = leg.content
-        left = max(0, leg.deadline - self._clock.now()) // 1000
-        outcome, load, content = api.Outcome.RESET, None, None
+
+        def head() -> str:
+            left = max(0, leg.deadline - self._clock.now()) // 1000
+            length = {"Content-Length": len(request.body)} if request.method != "GET" else {}
+            fields = request.headers | {"X-Deadline-Ms": left} | length
+            return f"{request.method} {request.target} HTTP/1.1\r\n" + "".join(
+                f"{name}: {value}\r\n" for name, value in fields.items())
+
+        def sent() -> None:
+            leg.written = True
+
+        ended = LegEnded(leg, api.Outcome.RESET)
         try:
-            async with self._session.request(
-                    request.method, URL(f"http://{self._address}{request.target}", encoded=True),
-                    headers=request.headers | {"X-Deadline-Ms": str(left)}, data=request.body or None,
-                    allow_redirects=False, trace_request_ctx=leg) as response:
-                body = await self._body(response)
-                load = self._load(response.headers.get("X-Load"))
-                outcome = self._outcome(response)
-                if outcome is api.Outcome.OK:
-                    told = response.headers
-                    content = HttpAnswer(body, {name: told[name] for name in PASSED_BACK if name in told})
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError,
-                aiohttp.ClientConnectionResetError):
-            outcome = api.Outcome.CONNECT_FAILED  # never up, or broken before the request was written
-        except (LegBroke, aiohttp.ClientError, OSError, ValueError) as error:
-            outcome = api.Outcome.RESET if leg.written else api.Outcome.CONNECT_FAILED
+            ended = self._ended(leg, await self._exchange(head, request.body, sent))
+        except NoRoom as error:
+            ended = LegEnded(leg, api.Outcome.MOOT)  # never sent, and no fault of the host's
+            self._log.line("leg", str(error))
+        except OSError as error:
+            ended = LegEnded(leg, api.Outcome.CONNECT_FAILED)
+            self._log.line("dial", f"{self._server}: {error}")
+        except (Broke, Spoilt) as error:
             self._log.line("leg", f"{self._server}: {type(error).__name__}: {error}")
         except Exception as error:  # whatever a peer can bring about, the leg has one outcome
             self._log.line("leg", f"{self._server}: unforeseen {type(error).__name__}: {error}")
-        self._tell(LegEnded(leg, outcome, load, content))
-
-    @staticmethod
-    def _outcome(response: aiohttp.ClientResponse) -> api.Outcome:
-        if response.status == 200:
-            return api.Outcome.OK
-        if response.status in (503, 504) and response.headers.get("X-Not-Run") == "1":
-            return api.Outcome.FULL
-        return api.Outcome.ERROR
-
-    @staticmethod
-    async def _body(response: aiohttp.ClientResponse) -> bytes:
-        body = b""
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > BODY_BYTES:
-                raise ValueError("a body over 64 KiB")
-        return body
+        self._tell(ended)
+
+    def _ended(self, leg: Leg, answer: HostAnswer) -> LegEnded:
+        load = self._load(answer.headers.get("x-load"))
+        if answer.status == 200:
+            found = {name: answer.headers.get(name.lower()) for name in PASSED_BACK}
+            told = {name: value for name, value in found.items() if value is not None}
+            return LegEnded(leg, api.Outcome.OK, load, HttpAnswer(answer.body, told))
+        if answer.status in (503, 504) and answer.headers.get("x-not-run") == "1":
+            return LegEnded(leg, api.Outcome.FULL, load)
+        return LegEnded(leg, api.Outcome.ERROR, load, hopeless=400 <= answer.status < 500)
 
     def _load(self, text: str | None) -> dict[str, float] | None:
         if not text:
@@ -227,21 +195,21 @@
     async def _probe(self) -> None:
         reports = self._settings.report_source is not api.ReportSource.NONE
         sent, outcome, load = self._clock.now(), api.Outcome.RESET, None
+        path = "/-/load" if reports else "/-/healthy"
         try:
             # Beside the dial, a probe waits as long again for its answer: an older figure is worth little.
             async with asyncio.timeout(2 * self._settings.connect_timeout / 1000.0):
-                async with self._session.get(
-                        URL(f"http://{self._address}{'/-/load' if reports else '/-/healthy'}", encoded=True),
-                        allow_redirects=False) as response:
-                    body = await self._body(response)
-            outcome = api.Outcome.OK if response.status == 200 else api.Outcome.FULL
-            if response.status == 200 and reports:
-                load = self._load(body.decode("utf-8", "replace"))
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            outcome = api.Outcome.CONNECT_FAILED
+                answer = await self._exchange(lambda: f"GET {path} HTTP/1.1\r\n", b"", lambda: None)
+            outcome = api.Outcome.OK if answer.status == 200 else api.Outcome.FULL
+            if answer.status == 200 and reports:
+                load = self._load(answer.body.decode("utf-8", "replace"))
+        except NoRoom:
+            outcome = api.Outcome.FULL  # no fault of the host's
         except TimeoutError:
             outcome = api.Outcome.TIMEOUT
-        except (LegBroke, aiohttp.ClientError, OSError, ValueError) as error:
+        except OSError:
+            outcome = api.Outcome.CONNECT_FAILED
+        except (Broke, Spoilt) as error:
             self._log.line("probe", f"{self._server}: {type(error).__name__}: {error}")
         self._tell(Probed(self._server, outcome, self._clock.now() - sent, load))
 
--- /dev/null
+++ b/cranebank/net/link.py
@@ -0,0 +1,252 @@
+"""Connections to issuer hosts: HTTP/1.1 with one request at a time on each, never used again once in doubt.
+
+aiohttp's client is not safe here: bytes that come behind an answer, or while a connection is idle, are its
+answer to the next request. httptools reads with the same parser (llhttp) and leaves the connection to us.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from cranebank.net.clock import Clock
+from cranebank.net.counters import Counters
+
+BODY_BYTES = 64 << 10
+HEAD_BYTES = 32 << 10  # till the head is whole, with the 1xx answers ahead of it
+WIRE_BYTES = 256 << 10  # all of it: a body may come in many small chunks
+REST = 10_000  # before a connection is used again: what belongs to no answer comes right behind it
+SWEEP_S = 1.0
+
+
+class Spoilt(Exception):
+    """An answer that can't be read; the request may have run."""
+
+
+class Broke(Exception):
+    """The connection ended before the answer was whole."""
+
+
+class NoRoom(Exception):
+    """All connections that there may be are in use."""
+
+
+@dataclass(slots=True, frozen=True)
+class HostAnswer:
+    """One whole answer; the names of the headers are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Link(asyncio.Protocol):
+    """One connection to an issuer host."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.sent = self.clean = False  # the request's last byte is out; fit for another request
+        self.idle_from = 0
+        self._transport: asyncio.Transport
+        self._answer: asyncio.Future[HostAnswer] | None = None
+
+    async def ask(self, request: bytes, sent: Callable[[], None]) -> HostAnswer:
+        """Send a request and wait for its answer; ``sent`` is called once its last byte is out."""
+        self._answer = asyncio.get_running_loop().create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._status = self._wire = 0
+        self._headers: dict[str, str] = {}
+        self._body = b""
+        self._head = self._whole = self._keep = self._spare = False
+        self._on_sent, self.sent, self.clean = sent, True, False
+        try:
+            if self._transport.is_closing():
+                self.sent = False
+                raise Broke("ended by the host before anything was sent")
+            self._transport.write(request)  # calls pause_writing at once if something is left over
+            if self.sent:
+                sent()
+            return await self._answer
+        finally:
+            self._answer = None
+            if not self.clean:
+                self.close()
+
+    def close(self) -> None:
+        """End it now, whatever is still to be written."""
+        self.clean = False
+        self._transport.abort()
+
+    def usable(self) -> bool:
+        """Nothing has come since the last answer: no bytes, no end, not even unread ones."""
+        if self.clean:
+            poll = select.poll()
+            poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+            self.clean = not poll.poll(0)
+        return self.clean
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that what is not written yet is known
+        self.clean = True
+
+    def pause_writing(self) -> None:
+        """Part of the request waits."""
+        self.sent = False
+
+    def resume_writing(self) -> None:
+        """All of it is out."""
+        self.sent = True
+        if self._answer is not None:
+            self._on_sent()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is over."""
+        self.clean = False
+        self._fail(Broke(str(exc or "ended by the host")))
+
+    def data_received(self, data: bytes) -> None:
+        """Part of an answer, or what belongs to none."""
+        if self._answer is None or self._answer.done():
+            self.close()
+            return
+        self._wire += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._spare = True
+            self._fail(Spoilt(str(error.__context__ or error)))
+        if self._whole and not self._answer.done():
+            self.clean = self._keep and self.sent and not self._spare
+            self._answer.set_result(HostAnswer(self._status, self._headers, self._body))
+        elif self._wire > (WIRE_BYTES if self._head else HEAD_BYTES):
+            self._fail(Spoilt("an answer without end"))
+
+    def _fail(self, error: Exception) -> None:
+        """The answer can't come any more; one that is whole stands, whatever comes behind it."""
+        if self._answer is not None and not self._answer.done() and not self._whole:
+            self._answer.set_exception(error)
+
+    # What the parser calls. An error raised here ends the parsing.
+
+    def on_message_begin(self) -> None:
+        """An answer begins, the first or one too many."""
+        self._spare = self._whole
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One field of the head."""
+        if not self._whole:
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        if self._whole:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
+            if self._status == 101:
+                raise Spoilt("a change of protocol that nobody asked for")
+            return
+        self._head = True
+        length = self._headers.get("content-length")
+        if length is None and "transfer-encoding" not in self._headers and self._status not in (204, 304):
+            raise Spoilt("neither a length nor chunks: nothing would tell the whole from a part")
+        if length is not None and int(length) > BODY_BYTES:
+            raise Spoilt("a body over 64 KiB")
+
+    def on_body(self, body: bytes) -> None:
+        """Part of the body."""
+        if not self._whole:
+            self._body += body
+            if len(self._body) > BODY_BYTES:
+                raise Spoilt("a body over 64 KiB")
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, or one ahead of it (1xx)."""
+        if self._status < 200:
+            self._headers = {}
+        elif not self._whole:
+            self._whole, self._keep = True, self._parser.should_keep_alive()
+
+
+class Links:
+    """All connections to issuer hosts, with one limit: hosts come and go, descriptors do not grow."""
+
+    def __init__(self, most: int, idle: int, dial_s: float, clock: Clock, counters: Counters) -> None:
+        self._most, self._idle_for, self._dial_s = most, idle, dial_s
+        self._clock, self._counters = clock, counters
+        self._open = 0  # with those that are being dialled
+        self._idle: dict[Link, None] = {}  # the longest idle first
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def take(self, host: str, address: str) -> Link:
+        """An open connection to ``host`` that has rested, or a new one; else OSError or NoRoom."""
+        now = self._clock.now()
+        for link in [link for link in reversed(self._idle) if link.host == host]:
+            if link.idle_from + REST > now:
+                continue
+            del self._idle[link]
+            if link.usable():
+                self._counters.add("connections_reused")
+                return link
+            self._close(link)
+        if self._open >= self._most:
+            if not self._idle:
+                raise NoRoom("all connections are in use")
+            self._close(self._oldest())
+        self._open += 1
+        try:
+            name, _, port = address.rpartition(":")
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(self._dial_s):
+                _, link = await loop.create_connection(lambda: Link(host), name, int(port))
+        except BaseException as error:
+            self._open -= 1
+            if isinstance(error, TimeoutError):
+                raise ConnectionError("not up in time") from None
+            raise
+        self._counters.add("connections_opened")
+        return link
+
+    def give_back(self, link: Link) -> None:
+        """Keep a connection for its next request, or forget one that is not fit for any."""
+        if not link.clean:
+            self._close(link)
+            return
+        link.idle_from = self._clock.now()
+        self._idle[link] = None
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def drop(self, host: str | None = None) -> None:
+        """Close the idle connections to a host, or to all."""
+        for link in [link for link in self._idle if host in (None, link.host)]:
+            del self._idle[link]
+            self._close(link)
+        if host is None and self._timer is not None:
+            self._timer.cancel()
+
+    def _sweep(self) -> None:
+        """Close what has been idle for long, or was ended by its host."""
+        limit = self._clock.now() - self._idle_for
+        for link in [link for link in self._idle if link.idle_from < limit or not link.clean]:
+            del self._idle[link]
+            self._close(link)
+        self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep) if self._idle else None
+
+    def _oldest(self) -> Link:
+        link = next(iter(self._idle))
+        del self._idle[link]
+        return link
+
+    def _close(self, link: Link) -> None:
+        self._open -= 1
+        link.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -32,9 +32,12 @@
 @dataclass
 class IssuerHost:
     """Answers each request as ``script`` says: bytes are written, and the connection broken behind them where
-    they are none or say ``Connection: close``; None keeps silent."""
+    they are none or say ``Connection: close``; None keeps silent. ``spare`` goes behind each answer, at once
+    or later."""
 
     script: Callable[[int], bytes | None] = lambda _: OK
+    spare: bytes = b""
+    spare_after: float = 0.0
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
     closed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -48,7 +51,9 @@
                                if line.startswith(b"content-length:")), 0)
                 self.requests.append(head + await reader.readexactly(length))
                 told = self.script(len(self.requests))
-                writer.write(told or b"")
+                writer.write((told or b"") + (b"" if self.spare_after else self.spare))
+                if self.spare_after:
+                    asyncio.get_running_loop().call_later(self.spare_after, writer.write, self.spare)
                 if told == b"" or b"Connection: close" in (told or b""):
                     break
         writer.close()
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,73 @@
+"""Stories of issuer hosts whose answers are spoilt, or good but with more than belongs to them."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from peers import IssuerHost, Story, answer, play
+
+COPY = answer(200, b"old")
+
+
+@pytest.mark.parametrize("late", [False, True], ids=["with it", "idle"])
+@pytest.mark.parametrize("spare", [
+    COPY, COPY[:-2], COPY[:9], b"\x00\xffnoise", b"\r\n" * 3 + COPY, COPY * 400,
+], ids=["copy", "half", "start", "noise", "blank lines", "many"])
+def test_what_comes_behind_an_answer_never_answers_the_next_request(
+        tmp_path: Path, spare: bytes, late: bool) -> None:
+    host = IssuerHost(lambda n: answer(200, b"%d" % n), spare=spare, spare_after=0.03 if late else 0.0)
+
+    async def story(s: Story) -> None:
+        for n in range(1, 4):
+            assert (await s.ask("pay"))[:2] == (200, b"%d" % n)
+            await asyncio.sleep(0.08)  # the spare bytes come; no verdict hangs on how soon
+        assert s.proxy.counters["legs_ok"] == s.proxy.counters["legs_sent"] == 3
+
+    play(tmp_path, story, host)
+    assert host.connections == 3
+
+
+@pytest.mark.parametrize("told", [
+    b"HTTP/1.1 100 Continue\r\n\r\n" + answer(200, b"ok"),
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + answer(200, b"ok"),
+    answer(200, b"ok", "X-Load: TEXT inflight=\xff"), answer(200, b"ok", "X-Load: " + "9" * 4000),
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+], ids=["100", "103 and 102", "report", "long report", "chunked"])
+def test_a_good_answer_is_passed_on_whatever_stands_around_it(tmp_path: Path, told: bytes) -> None:
+    host = IssuerHost(lambda _: told)
+
+    async def story(s: Story) -> None:
+        for _ in range(2):
+            assert (await s.ask("pay"))[:2] == (200, b"ok")
+            await asyncio.sleep(0.05)
+
+    play(tmp_path, story, host)
+    assert host.connections == 1
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize("told", [
+    b"\x00\xff" * 50, b"ICY 200 OK\r\n\r\n", HEAD + b"X: " + b"x" * 200_000, HEAD + b"X: 1\r\n" * 20_000,
+    HEAD + b"Content-Length: -1\r\n\r\nok", HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 9_000,
+    HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!", HEAD + b"Content-Length: 2x\r\n\r\nok",
+    HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+    HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nok", HEAD + b"\r\nok", HEAD + b"no colon\r\n\r\nok",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 9_000, b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n",
+    HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 70_000,
+], ids=["noise", "protocol", "long field", "endless head", "negative", "3 GB", "two lengths", "length",
+        "both", "chunk", "no length", "no colon", "endless 1xx", "upgrade", "endless chunks"])
+def test_a_spoilt_answer_is_a_leg_that_may_have_run_and_ends_its_connection_at_once(
+        tmp_path: Path, told: bytes) -> None:
+    host = IssuerHost(lambda n: told if n == 1 else answer(200, b"good"))
+
+    async def story(s: Story) -> None:
+        assert (await s.ask("pay"))[0] == 502  # failed, not refused: it may have run
+        assert s.proxy.counters["legs_reset"] == s.proxy.counters["legs_sent"] == 1
+        await host.closed.wait()
+        assert (await s.ask("pay"))[:2] == (200, b"good")
+
+    play(tmp_path, story, host)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -26,6 +26,7 @@
     async def story(s: Story) -> None:
         status, body, headers = await s.ask("order", body=b"a\r\n\x00b")
         assert (status, body, headers["Content-Encoding"]) == (200, packed, "gzip")
+        await asyncio.sleep(0.05)  # a connection rests before it is used again
         reader, writer = await asyncio.open_connection(*s.url.removeprefix("http://").split(":"))
         writer.write(b"GET /look/%2F%41?q=%20a+b HTTP/1.1\r\nHost: x\r\nX-Request-Id: 7\r\nX-Class: look\r\n"
                      b"X-Tenant: acme\r\n\r\n")
@@ -128,6 +129,7 @@
 
     async def story(s: Story) -> None:
         assert (await s.ask())[0] == 200
+        await asyncio.sleep(0.05)
         status, _, headers = await s.ask()
         assert (status, float(headers["Retry-After"]) <= 1.0) == (503, True)
         assert s.proxy.counters["legs_reset"] == 1
