--- a/cranebank/balance.py
+++ b/cranebank/balance.py
@@ -133,7 +133,8 @@
         self.off = [s for s in self.listed if s.barred_until > self.now]
         self.near = [s for s in self.ready if s.entry.zone == self.own]
         self.least_limit = max(1, len(self.ready)) * self.floor  # so many calls out are never too many
-        self.limit = self.limit or max(1.0, self.least_limit)  # a call of each copy's own to start with
+        if not self.answered:  # a fresh copy may be amid full traffic: half of its part of what is harmless
+            self.limit = max(1.0, self.least_limit, EACH / 2 * len(self.ready) / self.settings.copies)
         self.total_size = sum(s.entry.size for s in self.ready) or 1.0
         self.most_size = max((s.entry.size for s in self.ready), default=1.0)
         self.bad_sum = sum(s.bad for s in self.listed)
