--- a/cranebank/net/acquirer.py
+++ b/cranebank/net/acquirer.py
@@ -15,13 +15,13 @@
 from cranebank.net.door import Door
 from cranebank.net.engine import Call, Declined, Engine, Left, Served
 from cranebank.net.issuer import HttpAnswer, HttpRequest
-from cranebank.net.link import BODY_BYTES
 from cranebank.net.log import Log
 
 READY, COUNTERS = "/-/ready", "/-/counters"
 DEADLINE_MARGIN = 5_000  # the answer must be back before the client gives up: its way, both times
 PASSED_ON = ("X-Request-Id", "Idempotency-Key", "X-Class", "X-Tenant", "X-Retry", "X-Cost-Hint", "X-Extras",
              "Content-Type")
+BODY_BYTES = 64 << 10
 LINGER_S = 0.2  # an error is read, not a reset, by a client that sends on for so long
 _ID = re.compile(r"[!-~]{1,200}")
 _TARGET = re.compile(r"/([!-.0->@-~]+)(?:[/?][!-~]*)?")  # the class, and what follows
@@ -70,6 +70,7 @@
             return web.Response(status=400, text=f"{error}\n")
         except web.HTTPRequestEntityTooLarge as error:
             self._counters.add("requests_malformed")
+            self._log.line("request", error.text or "")
             return web.Response(status=413, text=error.text)
         self.door.taken(request.protocol)
         return await self._answer(call, request.headers["X-Request-Id"])
--- a/cranebank/net/config.py
+++ b/cranebank/net/config.py
@@ -26,6 +26,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory: int  # bytes
     settings: api.Settings
     classes: tuple[str, ...]
     tenants: tuple[str, ...]
@@ -92,6 +93,7 @@
         discovery=discovery,
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         sockets=int((told.get("limits") or {}).get("sockets", 1024)),
+        memory=int((told.get("limits") or {}).get("memory_mb", 64)) << 20,
         settings=settings_from(flatten(settings)),
         classes=_names(settings, "Lanes"),
         tenants=_names(settings, "Realms"),
--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -34,8 +34,9 @@
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
         # Of the descriptors 7/16 are for clients, who need a third, as many for the hosts; the rest is spare.
         share = config.sockets * 7 // 16
-        self._links = Links(share, span_us(max(100.0, settings.idle_after - IDLE_MARGIN_MS)),
-                            settings.connect_timeout / 1000.0, clock, self.counters)
+        idle = span_us(max(100.0, settings.idle_after - IDLE_MARGIN_MS))
+        self._links = Links(share, config.memory // 8, idle, settings.connect_timeout / 1000.0, clock,
+                            self.counters)
         self._engine = Engine(settings, config.seed, clock, self.counters, log)
 
         def make(host: Host) -> Issuer:
--- a/cranebank/net/link.py
+++ b/cranebank/net/link.py
@@ -16,9 +16,9 @@
 from cranebank.net.clock import Clock
 from cranebank.net.counters import Counters
 
-BODY_BYTES = 64 << 10
+ANSWER_BYTES = 1 << 20  # the protocol says 64 KiB, but good answers of 400 KB were seen
 HEAD_BYTES = 32 << 10  # till the head is whole, with the 1xx answers ahead of it
-WIRE_BYTES = 256 << 10  # all of it: a body may come in many small chunks
+WIRE_BYTES = 2 * ANSWER_BYTES  # all of it: a body may come in many small chunks
 REST = 5_000  # before a connection is used again: what belongs to no answer comes right behind it
 SWEEP_S = 1.0
 
@@ -44,11 +44,18 @@
     body: bytes
 
 
+class Room:
+    """The memory for answers on their way in, over all connections."""
+
+    def __init__(self, most: int) -> None:
+        self.left = most
+
+
 class Link(asyncio.Protocol):
     """One connection to an issuer host."""
 
-    def __init__(self, host: str) -> None:
-        self.host = host
+    def __init__(self, host: str, room: Room) -> None:
+        self.host, self._room = host, room
         self.sent = self.clean = False  # the request's last byte is out; fit for another request
         self.idle_from = 0
         self._transport: asyncio.Transport
@@ -60,7 +67,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._status = self._wire = 0
         self._headers: dict[str, str] = {}
-        self._body = b""
+        self._body: list[bytes] = []
+        self._size = 0
         self._head = self._whole = self._keep = self._spare = False
         self._on_sent, self.sent, self.clean = sent, True, False
         try:
@@ -73,6 +81,7 @@
             return await self._answer
         finally:
             self._answer = None
+            self._room.left += self._size
             if not self.clean:
                 self.close()
 
@@ -126,7 +135,7 @@
             self._fail(Spoilt(str(error.__context__ or error)))
         if self._whole and not self._answer.done():
             self.clean = self._keep and self.sent and not self._spare
-            self._answer.set_result(HostAnswer(self._status, self._headers, self._body))
+            self._answer.set_result(HostAnswer(self._status, self._headers, b"".join(self._body)))
         elif self._wire > (WIRE_BYTES if self._head else HEAD_BYTES):
             self._fail(Spoilt("an answer without end"))
 
@@ -159,15 +168,18 @@
         length = self._headers.get("content-length")
         if length is None and "transfer-encoding" not in self._headers and self._status not in (204, 304):
             raise Spoilt("neither a length nor chunks: nothing would tell the whole from a part")
-        if length is not None and int(length) > BODY_BYTES:
-            raise Spoilt("a body over 64 KiB")
+        if length is not None and int(length) > ANSWER_BYTES:
+            raise Spoilt(f"a body of {length} bytes")
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
-        if not self._whole:
-            self._body += body
-            if len(self._body) > BODY_BYTES:
-                raise Spoilt("a body over 64 KiB")
+        if self._whole:
+            return
+        self._body.append(body)
+        self._size += len(body)
+        self._room.left -= len(body)
+        if self._size > ANSWER_BYTES or self._room.left < 0:
+            raise Spoilt("a body that is too large, or too many at once")
 
     def on_message_complete(self) -> None:
         """The answer is whole, or one ahead of it (1xx)."""
@@ -180,7 +192,9 @@
 class Links:
     """All connections to issuer hosts, with one limit: hosts come and go, descriptors do not grow."""
 
-    def __init__(self, most: int, idle: int, dial_s: float, clock: Clock, counters: Counters) -> None:
+    def __init__(self, most: int, memory: int, idle: int, dial_s: float, clock: Clock,
+                 counters: Counters) -> None:
+        self._room = Room(memory)
         self._most, self._idle_for, self._dial_s = most, idle, dial_s
         self._clock, self._counters = clock, counters
         self._open = 0  # with those that are being dialled
@@ -207,7 +221,7 @@
             name, _, port = address.rpartition(":")
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self._dial_s):
-                _, link = await loop.create_connection(lambda: Link(host), name, int(port))
+                _, link = await loop.create_connection(lambda: Link(host, self._room), name, int(port))
         except BaseException as error:
             self._open -= 1
             if isinstance(error, TimeoutError):
