--- a/cranebank/balance.py
+++ b/cranebank/balance.py
@@ -24,6 +24,7 @@
 GAIN = 0.25  # weight of a new observation about one server: two failures in a row stand out
 OUTLIER = 0.4  # failure share above the others' that takes a server off the ready list
 PATIENCE = 5.0  # an answer is overdue after so many mean times: 0.7% of exponential ones
+SECOND = 3.0  # a second copy goes out after so many mean times: 5% of exponential ones
 FURTHER = 0.2  # further attempts as a share of first ones: 1.2 per tier, 1.7 over three
 EACH = 8.0  # calls out at each server, over all copies, that are never too many
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
@@ -397,8 +398,21 @@
         patience = PATIENCE * self.latency[request.kind] or self.aim
         if self.now + patience < request.deadline:
             self._timer(self.now + patience, f"{len(request.attempts) - 1}.{request.name}")
+        second = SECOND * self.latency[request.kind]
+        if self.settings.second_copies and second and len(request.attempts) == 1:
+            self._timer(self.now + second, "second." + request.name)
         return True
 
+    def _second(self, request: Held) -> None:
+        """A second copy of a call that is out for long, where the class and the budget allow one."""
+        kind, first = self.settings.classes[request.kind], request.attempts[0]
+        harmless = kind.effect is Effect.SAFE or (
+            kind.effect is Effect.KEYED and kind.group is Group.ALL
+            and self.now < first.sent + kind.repeat_window - self.settings.tick)
+        calm = self.part < 1.5 * self.idle and 2 * self.out < self.limit  # or it feeds a jam
+        if harmless and calm and self._may_repeat(request) and (server := self._pick(request)):
+            self._send_to(request, server)
+
     def _hold(self, request: Held) -> bool:
         """Keep a request while it can still make its aim, else answer it early; it is not sent either way."""
         in_time = request.aim_at - self.latency[request.kind]
@@ -470,6 +484,8 @@
             took, far = event.took, server.entry.zone != self.settings.zone
             server.time += GAIN * (took - server.time) if server.time else took
             self.zone_time[far] += (took - self.zone_time[far]) / 16 if self.zone_time[far] else took
+        elif outcome is Outcome.CANCELLED and len(request.attempts) > 1:
+            server.time += max(0.0, GAIN * (event.took - server.time))  # it would have taken longer yet
         if outcome is Outcome.OK:
             server.heard = self.now
             if self.links and not server.linked_until:
@@ -525,6 +541,9 @@
             self.actions.append(Watch())
         elif request is None or request.closed:
             return
+        elif seq == "second":
+            if len(request.attempts) == request.open == 1:
+                self._second(request)
         elif seq in ("deadline", "hold"):
             if self.now >= (request.give_up if request.waiting else request.deadline):
                 self._answer(request)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -342,3 +342,38 @@
         ends.append(d.balancer.limit)
     assert ends[0] > 6.0
     assert ends[1] < 60.0
+
+
+@pytest.mark.parametrize(("index", "changes", "jammed", "goes"), [
+    (0, {}, False, True), (1, {}, False, True), (2, {}, False, False), (0, {}, True, False),
+    (0, {"second_copies": False}, False, False), (0, {"max_attempts": 1}, False, False),
+], ids=["safe", "keyed", "unsafe", "jam", "not allowed", "no attempt left"])
+def test_a_call_that_is_out_for_long_gets_a_second_copy_where_that_is_harmless(
+        drive: Drive, index: int, changes: dict[str, object], jammed: bool, goes: bool) -> None:
+    d = drive(**{"second_copies": True, **changes})
+    d.listed(SERVERS)
+    d.serve(100)
+    d.balancer.latency = [20.0] * 3
+    stuck, actions = d.request(index)
+    timers = [a for a in actions if isinstance(a, SetTimer) and a.name == f"second.{stuck}"]
+    d.now += 61.0
+    d.balancer.part *= 4 if jammed else 1
+    before = d.balancer.servers[d.sent[stuck][0]].time
+    for timer in timers * 2:  # a second, no third
+        d.do(TimerFired(timer.name))
+    assert len(set(d.sent[stuck])) == len(d.sent[stuck]) == 1 + goes
+    if goes:
+        assert Cancel(stuck, 0) in d.result(stuck)
+        d.result(stuck, Outcome.CANCELLED, attempt=0, took=81.0, finished=True)
+        assert d.balancer.servers[d.sent[stuck][0]].time > before  # the silent one does not pass for quick
+        assert d.balancer.out == 0
+
+
+def test_a_keyed_call_gets_no_second_copy_once_its_repeats_may_not_be_dropped(drive: Drive) -> None:
+    d = drive(second_copies=True)
+    d.listed(SERVERS)
+    d.serve(100)
+    stuck, _ = d.request(1)
+    d.now += 700.0  # the class's window
+    d.do(TimerFired(f"second.{stuck}"))
+    assert len(d.sent[stuck]) == 1
