--- a/tests/peers.py
+++ b/tests/peers.py
@@ -40,6 +40,7 @@
     spare_after: float = 0.0
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
+    ended: int = 0
     closed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def talk(self, reader: Reader, writer: Writer) -> None:
@@ -57,6 +58,7 @@
                 if told == b"" or b"Connection: close" in (told or b""):
                     break
         writer.close()
+        self.ended += 1
         self.closed.set()
 
 
