--- a/cranebank/net/acquirer.py
+++ b/cranebank/net/acquirer.py
@@ -35,7 +35,7 @@
     """Reads requests, hands them to the engine and writes its answers."""
 
     def __init__(self, engine: Engine, settings: Settings, classes: tuple[str, ...], tenants: tuple[str, ...],
-                 connections: int, clock: Clock, counters: Counters, log: Log,
+                 connections: Callable[[], int], clock: Clock, counters: Counters, log: Log,
                  ready: Callable[[], bool]) -> None:
         self._engine, self._settings = engine, settings
         self._classes = {name: index for index, name in enumerate(classes)}
@@ -51,8 +51,9 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; cancelled when the client leaves."""
         response = await self._respond(request)
-        if self.closing or response.status in (400, 413):
-            response.force_close()  # whatever follows a request that could not be read is not to be trusted
+        # Whatever follows a request that could not be read is not to be trusted.
+        if self.closing or self.door.filling or response.status in (400, 413):
+            response.force_close()
         self.door.answered(request.protocol)
         return response
 
--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -23,6 +23,7 @@
 
 LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
 IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
+SPARE = 32  # the interpreter's own, the listener, discovery, and what is accepted before the door sees it
 ACCEPTS, BACKLOG = 16, 512  # taken in one turn of the loop; kept by the kernel until their turn
 
 
@@ -32,11 +33,9 @@
     def __init__(self, config: Config, log: Log) -> None:
         self._config, self.counters = config, Counters()
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
-        # Of the descriptors 7/16 are for clients, who need a third, as many for the hosts; the rest is spare.
-        share = config.sockets * 7 // 16
         idle = span_us(max(100.0, settings.idle_after - IDLE_MARGIN_MS))
-        self._links = Links(share, config.memory // 8, idle, settings.connect_timeout / 1000.0, clock,
-                            self.counters)
+        self._links = Links(self._links_at_most, config.memory // 8, idle, settings.connect_timeout / 1000.0,
+                            clock, self.counters)
         self._engine = Engine(settings, config.seed, clock, self.counters, log)
 
         def make(host: Host) -> Issuer:
@@ -46,12 +45,26 @@
         self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
                                    settings.watch_by_asking)
         self._engine.connect(self._issuers, self._table)
-        self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants, share, clock,
-                                  self.counters, log,
+        self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants,
+                                  self._clients_at_most, clock, self.counters, log,
                                   lambda: self._table.heard.is_set() and not self._acquirer.closing)
         self._door = self._acquirer.door
         self._listener: asyncio.Server
 
+    @property
+    def places_taken(self) -> int:
+        """Clients' connections that are open."""
+        return self._door.count
+
+    def _clients_at_most(self) -> int:
+        # They leave a sixth of the descriptors to the hosts, and always room for their connections to grow.
+        sockets = self._config.sockets
+        return sockets - SPARE - max(sockets // 6, self._links.open + sockets // 16)
+
+    def _links_at_most(self) -> int:
+        sockets = self._config.sockets
+        return min(sockets * 7 // 16, sockets - SPARE - self._door.count)
+
     async def start(self) -> tuple[str, int]:
         """Listen; return the address, which matters where port 0 was asked for."""
         sock = socket.create_server(self._config.listen)
--- a/cranebank/net/door.py
+++ b/cranebank/net/door.py
@@ -34,8 +34,9 @@
 class Door(web.Server):
     """Each connection is waited on for a request, has one open, or is idle; the open have no limit here."""
 
-    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], most: int,
-                 clock: Clock, counters: Counters, request_factory: Any, **options: Any) -> None:
+    def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+                 most: Callable[[], int], clock: Clock, counters: Counters, request_factory: Any,
+                 **options: Any) -> None:
         super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
         self._most, self._clock, self._counters, self._options = most, clock, counters, options
         self._transports: dict[web.RequestHandler, asyncio.Transport] = {}
@@ -44,6 +45,16 @@
         self._ahead: set[web.RequestHandler] = set()  # bytes of the next request came with one still open
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def count(self) -> int:
+        """Connections that are open."""
+        return len(self._transports)
+
+    @property
+    def filling(self) -> bool:
+        """Places run short: whoever has an answer should not stay; those turned away come back at once."""
+        return 4 * self.count > 3 * self._most()
+
     def __call__(self) -> web.RequestHandler:
         """The protocol of a new connection."""
         return Connection(self, **self._options)
@@ -54,7 +65,7 @@
         now = self._clock.now()
         self._transports[handler] = transport
         self._waited[handler] = now
-        if len(self._transports) > self._most:
+        if self.count > self._most():
             made = self._close_first(self._idle, now - KEPT_IDLE)
             made = made or self._close_first(self._waited, now - SETTLING)
             if not made:
@@ -86,6 +97,7 @@
         """The answer is given."""
         if handler not in self._transports:
             return  # the client has left
+        self._waited.pop(handler, None)  # it may never have been taken
         (self._waited if handler in self._ahead else self._idle)[handler] = self._clock.now()
         self._ahead.discard(handler)
 
@@ -96,7 +108,7 @@
 
     def _sweep(self) -> None:
         # One timer for all; input that is there already is read before it fires, so no request is overlooked.
-        now, crowded = self._clock.now(), 2 * len(self._transports) > self._most
+        now, crowded = self._clock.now(), 2 * self.count > self._most()
         while self._close_first(self._waited, now - REQUEST_TIME):
             self._counters.add("requests_unfinished")
         while self._close_first(self._idle, now - (KEPT_IDLE if crowded else MOST_IDLE)):
--- a/cranebank/net/link.py
+++ b/cranebank/net/link.py
@@ -192,12 +192,12 @@
 class Links:
     """All connections to issuer hosts, with one limit: hosts come and go, descriptors do not grow."""
 
-    def __init__(self, most: int, memory: int, idle: int, dial_s: float, clock: Clock,
+    def __init__(self, most: Callable[[], int], memory: int, idle: int, dial_s: float, clock: Clock,
                  counters: Counters) -> None:
         self._room = Room(memory)
         self._most, self._idle_for, self._dial_s = most, idle, dial_s
         self._clock, self._counters = clock, counters
-        self._open = 0  # with those that are being dialled
+        self.open = 0  # with those that are being dialled
         self._idle: dict[Link, None] = {}  # the longest idle first
         self._timer: asyncio.TimerHandle | None = None
 
@@ -212,18 +212,18 @@
                 self._counters.add("connections_reused")
                 return link
             self._close(link)
-        if self._open >= self._most:
+        if self.open >= self._most():
             if not self._idle:
                 raise NoRoom("all connections are in use")
             self._close(self._oldest())
-        self._open += 1
+        self.open += 1
         try:
             name, _, port = address.rpartition(":")
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self._dial_s):
                 _, link = await loop.create_connection(lambda: Link(host, self._room), name, int(port))
         except BaseException as error:
-            self._open -= 1
+            self.open -= 1
             if isinstance(error, TimeoutError):
                 raise ConnectionError("not up in time") from None
             raise
@@ -262,5 +262,5 @@
         return link
 
     def _close(self, link: Link) -> None:
-        self._open -= 1
+        self.open -= 1
         link.close()
