--- a/cranebank/net/daemon.py
+++ b/cranebank/net/daemon.py
@@ -57,9 +57,9 @@
         return self._door.count
 
     def _clients_at_most(self) -> int:
-        # They leave a sixth of the descriptors to the hosts, and always room for their connections to grow.
+        # They leave a sixth of the descriptors to the hosts and room for those to grow, but have a third.
         sockets = self._config.sockets
-        return sockets - SPARE - max(sockets // 6, self._links.open + sockets // 16)
+        return max(sockets // 3, sockets - SPARE - max(sockets // 6, self._links.open + sockets // 16))
 
     def _links_at_most(self) -> int:
         sockets = self._config.sockets
