--- a/cranebank/balance.py
+++ b/cranebank/balance.py
@@ -24,7 +24,7 @@
 GAIN = 0.25  # weight of a new observation about one server: two failures in a row stand out
 OUTLIER = 0.4  # failure share above the others' that takes a server off the ready list
 PATIENCE = 5.0  # an answer is overdue after so many mean times: 0.7% of exponential ones
-SECOND = 3.0  # a second copy goes out after so many mean times: 5% of exponential ones
+SECOND = 4.0  # a second copy goes out after so many mean times: 2% of exponential ones
 FURTHER = 0.2  # further attempts as a share of first ones: 1.2 per tier, 1.7 over three
 EACH = 8.0  # calls out at each server, over all copies, that are never too many
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
@@ -409,7 +409,7 @@
         harmless = kind.effect is Effect.SAFE or (
             kind.effect is Effect.KEYED and kind.group is Group.ALL
             and self.now < first.sent + kind.repeat_window - self.settings.tick)
-        calm = self.part < 1.5 * self.idle and 2 * self.out < self.limit  # or it feeds a jam
+        calm = self.part < 1.25 * self.idle and 2 * self.out < self.limit  # or it feeds a jam
         if harmless and calm and self._may_repeat(request) and (server := self._pick(request)):
             self._send_to(request, server)
 
