--- a/cranebank/__init__.py
+++ b/cranebank/__init__.py
@@ -1,5 +1,5 @@
 """cranebank: load-balancing decisions for services that call services."""
 
-from cranebank.balance import Balancer
+from cranebank.decisions.balance import Balancer
 
 __all__ = ["Balancer"]
--- a/cranebank/__main__.py
+++ b/cranebank/__main__.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-from cranebank.net.daemon import main
+from cranebank.daemon import main
 
 if __name__ == "__main__":
     sys.exit(main(os.environ))
--- /dev/null
+++ b/cranebank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. Nothing here is imported where the platform starts the proxy."""
--- a/cranebank/net/config.py
+++ b/cranebank/config/platform.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Any
 
-from cranebank import interface as api
-from cranebank.net.routing_table import Listing, ListReader
-from cranebank.wire import WireError, settings_from
+from cranebank.decisions import interface as api
+from cranebank.discovery.routing_table import Listing, ListReader
+from cranebank.simwire.wire import WireError, settings_from
 
 
 class ConfigError(ValueError):
--- a/cranebank/net/engine.py
+++ b/cranebank/core/engine.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from cranebank import interface as api
-from cranebank.balance import NEVER_RAN, Balancer
-from cranebank.net.clock import Clock, span_us
-from cranebank.net.counters import Counters
-from cranebank.net.log import Log
-from cranebank.net.mailbox import Mailbox
+from cranebank.core.clock import Clock, span_us
+from cranebank.core.counters import Counters
+from cranebank.core.log import Log
+from cranebank.core.mailbox import Mailbox
+from cranebank.decisions import interface as api
+from cranebank.decisions.balance import NEVER_RAN, Balancer
 
 
 @dataclass(slots=True, frozen=True)
--- a/cranebank/net/mailbox.py
+++ b/cranebank/core/mailbox.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-from cranebank.net.log import Log
+from cranebank.core.log import Log
 
 M = TypeVar("M")
 
--- a/cranebank/net/daemon.py
+++ b/cranebank/daemon.py
@@ -11,15 +11,15 @@
 import sys
 from collections.abc import Mapping
 
-from cranebank.net.acquirer import Acquirer
-from cranebank.net.clock import Clock, span_us
-from cranebank.net.config import Config, ConfigError, load
-from cranebank.net.counters import Counters
-from cranebank.net.engine import Engine, Host
-from cranebank.net.issuer import Directory, Issuer
-from cranebank.net.link import Links
-from cranebank.net.log import Handler, Log
-from cranebank.net.routing_table import RoutingTable
+from cranebank.config.platform import Config, ConfigError, load
+from cranebank.core.clock import Clock, span_us
+from cranebank.core.counters import Counters
+from cranebank.core.engine import Engine, Host
+from cranebank.core.log import Handler, Log
+from cranebank.discovery.routing_table import RoutingTable
+from cranebank.http.acquirer import Acquirer
+from cranebank.http.issuer import Directory, Issuer
+from cranebank.http.link import Links
 
 LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
 IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
--- a/cranebank/balance.py
+++ b/cranebank/decisions/balance.py
@@ -1,4 +1,4 @@
-"""The decisions of cranebank. Settings, events, actions: cranebank/interface.py. Records: cranebank/state.py.
+"""The decisions of cranebank. Settings, events, actions: cranebank/decisions/interface.py; records: state.py.
 
 Every request takes the (1+beta) process: two uniform draws from the ready list, the lower last reported
 figure with probability beta, else the first draw. All else decides who is ready and what to do on failure.
@@ -11,12 +11,12 @@
 from random import Random
 from typing import Any
 
-from cranebank.interface import (
+from cranebank.decisions.interface import (
     Action, AttemptResult, Cancel, Effect, Event, Fail, Group, ListKind, Outcome, Probe, ProbeResult, Refuse,
     ReportSource, Request, RequestGone, Send, ServerList, ServerState, SetTimer, Settings, StreamStarted,
     TimerFired, Watch,
 )
-from cranebank.state import Attempt, Held, Server
+from cranebank.decisions.state import Attempt, Held, Server
 
 # Dimensionless constants, each argued for in docs/design.md.
 DRAWS = 8  # a refused draw is redrawn so often: at half the list not ready, 0.4% of calls find nobody
--- a/cranebank/state.py
+++ b/cranebank/decisions/state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from cranebank.interface import ServerEntry
+from cranebank.decisions.interface import ServerEntry
 
 
 class Server:
--- /dev/null
+++ b/cranebank/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Where the routing table comes from."""
--- a/cranebank/net/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -11,11 +11,11 @@
 
 import aiohttp
 
-from cranebank import interface as api
-from cranebank.net.counters import Counters
-from cranebank.net.engine import Host, TableNews
-from cranebank.net.log import Log
-from cranebank.net.mailbox import Mailbox
+from cranebank.core.counters import Counters
+from cranebank.core.engine import Host, TableNews
+from cranebank.core.log import Log
+from cranebank.core.mailbox import Mailbox
+from cranebank.decisions import interface as api
 
 _STATES = {
     "SERVING": api.ServerState.IN,
--- a/cranebank/net/acquirer.py
+++ b/cranebank/http/acquirer.py
@@ -9,13 +9,13 @@
 from aiohttp import web
 from multidict import CIMultiDictProxy
 
-from cranebank.interface import Effect, Settings
-from cranebank.net.clock import Clock, span_us
-from cranebank.net.counters import Counters
-from cranebank.net.door import Door
-from cranebank.net.engine import Call, Declined, Engine, Left, Served
-from cranebank.net.issuer import HttpAnswer, HttpRequest
-from cranebank.net.log import Log
+from cranebank.core.clock import Clock, span_us
+from cranebank.core.counters import Counters
+from cranebank.core.engine import Call, Declined, Engine, Left, Served
+from cranebank.core.log import Log
+from cranebank.decisions.interface import Effect, Settings
+from cranebank.http.door import Door
+from cranebank.http.issuer import HttpAnswer, HttpRequest
 
 READY, COUNTERS = "/-/ready", "/-/counters"
 DEADLINE_MARGIN = 5_000  # the answer must be back before the client gives up: its way, both times
--- a/cranebank/net/door.py
+++ b/cranebank/http/door.py
@@ -8,8 +8,8 @@
 
 from aiohttp import web
 
-from cranebank.net.clock import Clock
-from cranebank.net.counters import Counters
+from cranebank.core.clock import Clock
+from cranebank.core.counters import Counters
 
 REQUEST_TIME = 2_300_000  # to send a whole request, from connecting or from its first byte
 KEPT_IDLE = 2_000_000  # a connection without a request is never closed sooner
--- a/cranebank/net/issuer.py
+++ b/cranebank/http/issuer.py
@@ -8,14 +8,14 @@
 from math import isfinite
 from typing import Any
 
-from cranebank import interface as api
-from cranebank.net.clock import Clock
-from cranebank.net.counters import Counters
-from cranebank.net.engine import Host, Leg, LegEnded, Message, Probed, TableNews
-from cranebank.net.link import Broke, HostAnswer, Links, NoRoom, Spoilt
-from cranebank.net.log import Log
-from cranebank.net.mailbox import Mailbox
-from cranebank.wire import LOAD_NAMES
+from cranebank.core.clock import Clock
+from cranebank.core.counters import Counters
+from cranebank.core.engine import Host, Leg, LegEnded, Message, Probed, TableNews
+from cranebank.core.log import Log
+from cranebank.core.mailbox import Mailbox
+from cranebank.decisions import interface as api
+from cranebank.http.link import Broke, HostAnswer, Links, NoRoom, Spoilt
+from cranebank.simwire.wire import LOAD_NAMES
 
 PASSED_BACK = ("Content-Type", "Content-Encoding")
 _NAMES = LOAD_NAMES | {name: name for name in LOAD_NAMES.values()}  # the settings' names, and the header's
--- a/cranebank/net/link.py
+++ b/cranebank/http/link.py
@@ -13,8 +13,8 @@
 
 import httptools
 
-from cranebank.net.clock import Clock
-from cranebank.net.counters import Counters
+from cranebank.core.clock import Clock
+from cranebank.core.counters import Counters
 
 ANSWER_BYTES = 1 << 20  # the protocol says 64 KiB, but good answers of 400 KB were seen
 HEAD_BYTES = 32 << 10  # till the head is whole, with the 1xx answers ahead of it
--- a/cranebank/wire.py
+++ b/cranebank/simwire/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from cranebank import interface as api
+from cranebank.decisions import interface as api
 
 T = TypeVar("T")
 
--- a/cranebank/wirehost.py
+++ b/cranebank/simwire/wirehost.py
@@ -1,7 +1,7 @@
-"""Hosts the balancer instances of one process on the wire: ``python -m cranebank.wirehost``.
+"""Hosts the balancer instances of one process on the wire: ``python -m cranebank.simwire.wirehost``.
 
 Reads batches from standard input and writes one reply for each to standard
-output. Knows nothing of the decisions; those are in ``cranebank.balance``.
+output. Knows nothing of the decisions; those are in ``cranebank.decisions.balance``.
 """
 
 from __future__ import annotations
@@ -9,9 +9,9 @@
 import sys
 from typing import TextIO
 
-from cranebank import wire
-from cranebank.balance import Balancer
-from cranebank.interface import Event, ServerEntry
+from cranebank.decisions.balance import Balancer
+from cranebank.decisions.interface import Event, ServerEntry
+from cranebank.simwire import wire
 
 
 class Host:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from cranebank.balance import Balancer
-from cranebank.interface import (
+from cranebank.decisions.balance import Balancer
+from cranebank.decisions.interface import (
     Action,
     AttemptResult,
     Effect,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,9 +12,9 @@
 
 import aiohttp
 
-from cranebank.net.config import load
-from cranebank.net.daemon import Proxy
-from cranebank.net.log import Log
+from cranebank.config.platform import load
+from cranebank.core.log import Log
+from cranebank.daemon import Proxy
 
 Reader: TypeAlias = asyncio.StreamReader
 Writer: TypeAlias = asyncio.StreamWriter
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cranebank import wire
+from cranebank.simwire import wire
 
 SETTINGS = "\t".join([
     "Balancers=2", "Discovery=push", "FamilyInfo.PassesDeadline=true", "Lanes.count=1", "Lanes.0.Aim=400.0",
@@ -20,8 +20,8 @@
 
 
 def run(lines: list[str]) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "cranebank.wirehost"], text=True, timeout=60, check=False,
-                          input="".join(x + "\n" for x in lines), capture_output=True)
+    return subprocess.run([sys.executable, "-m", "cranebank.simwire.wirehost"], text=True, timeout=60,
+                          check=False, input="".join(x + "\n" for x in lines), capture_output=True)
 
 
 def start(node: int, ref: int = 0) -> list[str]:
@@ -83,7 +83,7 @@
 
 
 def test_an_exception_in_the_decisions_is_reported_as_broken() -> None:
-    code = ("import sys\nfrom cranebank import wirehost\n"
+    code = ("import sys\nfrom cranebank.simwire import wirehost\n"
             "def fail(self, now, event):\n    raise IndexError('out of\\nrange')\n"
             "wirehost.Balancer.handle = fail\nsys.exit(wirehost.main())")
     lines = ["BEGIN_BATCH\t10", *roster(0, "s:1"), *start(1), "COMMIT"]
--- a/tests/test_blend.py
+++ b/tests/test_blend.py
@@ -8,8 +8,8 @@
 import pytest
 from conftest import Driver
 
-from cranebank.balance import beta
-from cranebank.interface import Outcome
+from cranebank.decisions.balance import beta
+from cranebank.decisions.interface import Outcome
 
 
 @pytest.mark.parametrize("n", [2, 3, 10, 50])
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -22,8 +22,8 @@
 ], ids=["silent", "head", "body", "chunks"])
 def test_a_request_that_does_not_end_in_time_is_closed_on(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
-    monkeypatch.setattr("cranebank.net.door.REQUEST_TIME", 300_000)
-    monkeypatch.setattr("cranebank.net.door.MOST_IDLE", 300_000)
+    monkeypatch.setattr("cranebank.http.door.REQUEST_TIME", 300_000)
+    monkeypatch.setattr("cranebank.http.door.MOST_IDLE", 300_000)
 
     async def story(s: Story) -> None:
         for before in (b"", WHOLE):  # on a fresh connection, and on one that has had an answer
@@ -79,7 +79,7 @@
 
 def test_a_flood_takes_no_more_than_the_clients_share_and_the_usual_clients_are_served(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cranebank.net.door.SETTLING", 0)
+    monkeypatch.setattr("cranebank.http.door.SETTLING", 0)
 
     async def story(s: Story) -> None:
         flood = [await connected(s) for _ in range(60)]
@@ -94,7 +94,7 @@
 
 def test_clients_that_ask_once_and_stay_are_closed_on_when_room_is_short(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cranebank.net.door.KEPT_IDLE", 100_000)
+    monkeypatch.setattr("cranebank.http.door.KEPT_IDLE", 100_000)
 
     async def story(s: Story) -> None:
         kept = []
--- a/tests/test_many_copies.py
+++ b/tests/test_many_copies.py
@@ -7,7 +7,7 @@
 import pytest
 from conftest import Driver, make_settings
 
-from cranebank.interface import (
+from cranebank.decisions.interface import (
     ListKind,
     Outcome,
     ReportSource,
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -16,7 +16,8 @@
 
 
 def test_the_module_stays_readable_aloud() -> None:
-    lines = (Path(__file__).parent.parent / "cranebank/balance.py").read_text(encoding="utf-8").splitlines()
+    module = Path(__file__).parent.parent / "cranebank/decisions/balance.py"
+    lines = module.read_text(encoding="utf-8").splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 590
     assert max(map(len, lines)) <= 110
-    assert "cranebank/interface.py" in lines[0]
+    assert "cranebank/decisions/interface.py" in lines[0]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranebank.interface import (
+from cranebank.decisions.interface import (
     AttemptResult,
     Cancel,
     Effect,
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -14,9 +14,9 @@
 from peers import OK, Discovery, IssuerHost, Story, answer, entry, play, until
 
 from cranebank import Balancer
-from cranebank.interface import Action, Event, Request
-from cranebank.net.issuer import read_load
-from cranebank.net.routing_table import ListReader
+from cranebank.decisions.interface import Action, Event, Request
+from cranebank.discovery.routing_table import ListReader
+from cranebank.http.issuer import read_load
 
 
 def test_method_target_body_and_key_pass_unchanged_and_the_answer_too(tmp_path: Path) -> None:
@@ -224,7 +224,7 @@
 @pytest.mark.parametrize("mode", ["push", "ask"])
 def test_a_silent_watch_is_left_and_asked_for_anew(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
                                                    mode: str) -> None:
-    monkeypatch.setattr("cranebank.net.routing_table.CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr("cranebank.discovery.routing_table.CALL_TIMEOUT_S", 0.2)
 
     async def story(s: Story) -> None:
         await until(lambda: len(s.discovery.watches) >= 2)
@@ -236,7 +236,7 @@
 @pytest.mark.parametrize("told", [answer(503), b"", None, b"rubbish\r\n\r\n", answer(200, b"x" * 99)])
 def test_while_discovery_is_down_the_old_list_serves_and_there_is_no_storm(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, told: bytes | None) -> None:
-    monkeypatch.setattr("cranebank.net.routing_table.CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr("cranebank.discovery.routing_table.CALL_TIMEOUT_S", 0.2)
     monkeypatch.setattr(Discovery, "talk", IssuerHost(lambda _: told).talk)
 
     async def story(s: Story) -> None:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -8,7 +8,7 @@
 import pytest
 from conftest import Driver
 
-from cranebank.interface import (
+from cranebank.decisions.interface import (
     Cancel,
     Effect,
     Group,
