One typed settings record with two readers, our own settings in layers, structured logs, a command line

SIGHUP applies what a running proxy can take over, names what needs a restart, keeps all if any is bad. structlog under plain print, limited per event, requests followed at debug by sampling. click: serve, config check|show|schema, completion, version.

--- a/cranebank/__main__.py
+++ b/cranebank/__main__.py
@@ -1,9 +1,18 @@
-"""The proxy as a program: ``python -m cranebank``."""
+"""The program: ``python -m cranebank``.
+
+With GW_CONFIG and no arguments, as the platform starts it, this is one proxy and nothing else is imported;
+with arguments it is the command line.
+"""
 
 import os
 import sys
 
-from cranebank.daemon import main
-
 if __name__ == "__main__":
-    sys.exit(main(os.environ))
+    if len(sys.argv) > 1:
+        from cranebank.cli.main import main
+
+        sys.exit(main())
+    else:
+        from cranebank.daemon import Started, serve
+
+        sys.exit(serve(Started(os.environ)))
--- /dev/null
+++ b/cranebank/config/own.py
@@ -0,0 +1,127 @@
+"""Our own settings: deploy/cranebank.toml and the like, in layers, each over the one before it.
+
+Defaults < the file that CRANEBANK_FILE (or ``--file``) names < variables CRANEBANK_TABLE_KEY < ``--set``.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from cranebank.config.checks import ConfigError, typed
+
+PREFIX, FILE = "CRANEBANK_", "CRANEBANK_FILE"
+FILE_BYTES = 4 << 20
+Seconds = Annotated[float, Meta(ge=0.0, le=3600.0)]
+
+
+class LogSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What is logged: ``burst`` lines of an event in ``period_s``; at debug, one request in ``sample``."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["text", "json"] = "text"
+    burst: Annotated[int, Meta(ge=1, le=10_000)] = 5
+    period_s: Annotated[float, Meta(ge=0.1, le=3600.0)] = 10.0
+    sample: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+    followed: Annotated[int, Meta(ge=1, le=100_000)] = 200  # requests followed in a period, at debug
+
+
+class DoorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Clients' connections: time for a whole request; how long an idle one is kept at least and at most."""
+
+    request_s: Annotated[float, Meta(ge=0.05, le=60.0)] = 2.3
+    kept_idle_s: Seconds = 2.0
+    most_idle_s: Annotated[float, Meta(ge=0.1, le=3600.0)] = 15.0
+
+    def __post_init__(self) -> None:
+        if self.kept_idle_s > self.most_idle_s:
+            raise ValueError(f"expected kept_idle_s ({self.kept_idle_s}) "
+                             f"to be at most most_idle_s ({self.most_idle_s})")
+
+
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """After SIGTERM: for how long new connections are still taken."""
+
+    linger_s: Annotated[float, Meta(ge=0.0, le=60.0)] = 0.5
+
+
+class Own(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """All of our own settings. What a running proxy takes over on SIGHUP is in ``RELOADABLE``."""
+
+    log: LogSettings = LogSettings()
+    door: DoorSettings = DoorSettings()
+    stop: StopSettings = StopSettings()
+
+
+RELOADABLE = ("log", "stop")
+
+
+@dataclass(slots=True, frozen=True)
+class Layered:
+    """The effective settings, and for each key that was set the layer that it came from."""
+
+    own: Own = field(default_factory=Own)
+    sources: Mapping[str, str] = field(default_factory=dict)
+
+
+def read_toml(path: str | Path) -> dict[str, Any]:
+    """Read a TOML file; whatever is wrong with it is a ``ConfigError``."""
+    try:
+        with open(path, "rb") as file:
+            text = file.read(FILE_BYTES + 1)
+        if len(text) > FILE_BYTES:
+            raise ConfigError(f"{path}: expected at most {FILE_BYTES} bytes")
+        return tomllib.loads(text.decode("utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ConfigError(f"{path}: expected TOML: {' '.join(str(error).split())[:160]}") from None
+
+
+def layered(environ: Mapping[str, str], file: str | None = None, flags: Sequence[str] = ()) -> Layered:
+    """Put the layers together; each is checked when it is laid, so that an error names its layer."""
+    told: dict[str, dict[str, Any]] = {}
+    sources: dict[str, str] = {}
+
+    def lay(table: str, key: str, value: Any, where: str) -> None:
+        told.setdefault(table, {})[key] = value
+        sources[f"{table}.{key}"] = where
+
+    if path := file or environ.get(FILE):
+        read = read_toml(path)
+        typed(read, Own, str(path))
+        for table, keys in read.items():
+            for key, value in keys.items():
+                lay(table, key, value, f"file {path}")
+    for name in sorted(environ):
+        if name.startswith(PREFIX) and name != FILE:
+            table, mark, key = name.removeprefix(PREFIX).lower().partition("_")
+            if not mark:
+                raise ConfigError(f"{name}: expected a name such as {PREFIX}LOG_LEVEL")
+            lay(table, key, environ[name], f"variable {name}")
+            typed(told, Own, name, strict=False)
+    for flag in flags:
+        path_of, mark, value = flag.partition("=")
+        table, dot, key = path_of.strip().partition(".")
+        if not (mark and dot):
+            raise ConfigError(f"--set {flag}: expected TABLE.KEY=VALUE")
+        lay(table, key, value.strip(), "--set")
+        typed(told, Own, f"--set {flag}", strict=False)
+    return Layered(typed(told, Own, "settings", strict=False), sources)
+
+
+def shown(settings: Layered) -> list[str]:
+    """One line a key: its path, its value as TOML and where it came from."""
+    lines = []
+    for table in settings.own.__struct_fields__:
+        for key, value in msgspec.to_builtins(getattr(settings.own, table)).items():
+            path = f"{table}.{key}"
+            told = f'"{value}"' if isinstance(value, str) else str(value).lower()
+            lines.append(f"{path} = {told}  # {settings.sources.get(path, 'default')}")
+    return lines
--- a/cranebank/config/platform.py
+++ b/cranebank/config/platform.py
@@ -1,102 +1,165 @@
-"""What a proxy is told at its start: GW_* variables and the JSON that GW_CONFIG names, as typed values."""
+"""The settings that the platform gives an instance, as one typed record with two readers.
+
+The JSON that GW_CONFIG names holds them nested; the simulator's START line holds them as path=value pairs
+(``cranebank.simwire.wire``). Both become ``Told`` and then ``Settings``. Names, units (milliseconds) and
+meanings are the platform's. New keys can show up, so unknown ones are passed over here, unlike in our files.
+"""
 
 from __future__ import annotations
 
-import json
-from collections.abc import Mapping
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Any
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
 
 from cranebank.decisions import interface as api
-from cranebank.discovery.routing_table import Listing, ListReader
-from cranebank.simwire.wire import WireError, settings_from
-
-
-class ConfigError(ValueError):
-    """The proxy can't start so; the message is one line that says why."""
-
-
-@dataclass(slots=True, frozen=True)
-class Config:
-    """All that one proxy is told."""
-
-    name: str
-    listen: tuple[str, int]
-    discovery: str
-    seed: int
-    sockets: int
-    memory: int  # bytes
-    settings: api.Settings
-    classes: tuple[str, ...]
-    tenants: tuple[str, ...]
-    reader: ListReader
-    known: Listing | None
-
-
-def flatten(value: Any, path: str = "") -> dict[str, str]:
-    """Nested settings as values by path, the form that the simulator's first message has."""
-    if isinstance(value, dict):
-        return {k: v for name, item in value.items()
-                for k, v in flatten(item, f"{path}.{name}" if path else str(name)).items()}
-    if isinstance(value, list) and any(isinstance(item, dict) for item in value):
-        items = {f"{path}.{i}": item for i, item in enumerate(value)}
-        return {f"{path}.count": str(len(value))} | {
-            k: v for at, item in items.items() for k, v in flatten(item, at).items()}
-    if isinstance(value, list):
-        return {path: ",".join(_plain(item).replace(",", "_") for item in value)}
-    return {} if value is None else {path: _plain(value)}
-
-
-def _plain(value: Any) -> str:
-    return str(value).lower() if isinstance(value, bool) else str(value)
-
-
-def _address(text: str, what: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ConfigError(f"{what}: expected ADDRESS:PORT, got {text!r}")
-    return host, int(port)
-
-
-def _names(settings: dict[str, Any], path: str) -> tuple[str, ...]:
-    return tuple(str(item["Name"]) for item in settings.get(path) or ())
-
-
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; whatever is wrong with it is a ``ConfigError``."""
-    if "GW_CONFIG" not in environ:
-        raise ConfigError("GW_CONFIG is not set: it names the proxy's JSON configuration")
-    try:
-        told = json.loads(Path(environ["GW_CONFIG"]).read_text(encoding="utf-8"))
-        return _typed(environ, told)
-    except ConfigError:
-        raise
-    except OSError as error:
-        raise ConfigError(f"GW_CONFIG: {error}") from None
-    except WireError as error:
-        raise ConfigError(f"GW_CONFIG: {error}") from None
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise ConfigError(f"GW_CONFIG: malformed: {type(error).__name__}: {error}") from None
-
-
-def _typed(environ: Mapping[str, str], told: dict[str, Any]) -> Config:
-    settings = told["settings"]
-    discovery = environ.get("GW_DISCOVERY") or told["discovery"]
-    _address(discovery, "GW_DISCOVERY")
-    seed = told.get("seed", 0)
-    reader = ListReader(tuple(map(str, settings.get("Zones") or ())))
-    known = reader.read(told["known"]) if told.get("known") else None
-    return Config(
-        name=environ.get("GW_NAME") or str(told["name"]),
-        listen=_address(environ.get("GW_LISTEN") or told["listen"], "GW_LISTEN"),
-        discovery=discovery,
-        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        sockets=int((told.get("limits") or {}).get("sockets", 1024)),
-        memory=int((told.get("limits") or {}).get("memory_mb", 64)) << 20,
-        settings=settings_from(flatten(settings)),
-        classes=_names(settings, "Lanes"),
-        tenants=_names(settings, "Realms"),
-        reader=reader,
-        known=known,
+
+Number = Annotated[float, Meta(ge=-1e15, le=1e15)]  # neither NaN nor infinite
+Span = Annotated[float, Meta(ge=0.0, le=1e12)]  # milliseconds
+Count = Annotated[int, Meta(ge=0)]
+
+LOAD_NAMES = {
+    "busy_reqs": "inflight",
+    "pending": "queue",
+    "cpu_share": "util",
+    "svc_ms": "latency_ms",
+    "served_ps": "qps",
+    "failed_ps": "eps",
+}
+_EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
+_SOURCES = {"inline": api.ReportSource.ANSWERS, "on_probe": api.ReportSource.PROBE,
+            "off": api.ReportSource.NONE}
+
+
+class Lane(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """A class of request."""
+
+    name: str = ""
+    aim: Number
+    deadline: Number
+    effect: Literal["retryable", "dedup", "fragile"]
+    group: Literal["all", "zone", "cell"]
+    late_worth: Number
+    repeat_window: Number
+    worth: Number
+    streaming: bool = False
+    aim_stretch: Number = 0.0
+
+
+class Realm(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """A tenant."""
+
+    name: str = ""
+    quota_per_s: Number
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """What the site allows."""
+
+    cancel: bool
+    max_attempts: Count
+    may_probe: bool
+    second_copies: bool
+    retry_after: bool = False
+    max_retry_after: Span = 0.0
+    dial_timeout: Span = 250.0
+    conn_idle: Span = 15000.0
+    streams_per_conn: Count = 100
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """Where load reports come from."""
+
+    source: Literal["inline", "on_probe", "off"]
+
+
+class Rules(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """The figures of the four rules."""
+
+    cold_from: Number
+    warm_after: Span
+    fall_multiple: Number
+    overload_for: Span
+    answer_slack: Span = 0.0
+    ask_within: Span = 10000.0
+    dropped_stay_open: bool = False
+
+
+class Prices(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """Points taken off."""
+
+    cross_zone: Number = 0.0
+    probe: Number = 0.0
+    waste: Number = 0.0
+    handshake: Number = 0.0
+
+
+class FamilyInfo(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """What kind of service it is."""
+
+    passes_deadline: bool = True
+
+
+class Told(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """The whole of the settings, as far as they are used."""
+
+    balancers: Count
+    zone: Count
+    quantum: Span
+    discovery: Literal["push", "ask"]
+    lanes: Annotated[tuple[Lane, ...], Meta(min_length=1)]
+    limits: Limits
+    report: Report
+    rules: Rules
+    realms: tuple[Realm, ...] = ()
+    layer: Count = 0
+    tiers: tuple[str, ...] = ("servers",)
+    zones: tuple[str, ...] = ()
+    family_info: FamilyInfo = FamilyInfo()
+    prices: Prices = Prices()
+    worth_by: str = "request"
+    over_share_worth: Number = 1.0
+
+
+def settings_of(told: Told) -> api.Settings:
+    """What the decision module is told, in its own names."""
+    limits, rules, prices = told.limits, told.rules, told.prices
+    return api.Settings(
+        classes=tuple(
+            api.RequestClass(
+                aim=lane.aim, deadline=lane.deadline, effect=_EFFECTS[lane.effect],
+                group=api.Group(lane.group), late_worth=lane.late_worth, repeat_window=lane.repeat_window,
+                streaming=lane.streaming, worth=lane.worth, aim_stretch=lane.aim_stretch)
+            for lane in told.lanes),
+        quotas=tuple(realm.quota_per_s for realm in told.realms),
+        copies=told.balancers,
+        zone=told.zone,
+        layer=told.layer,
+        layers=len(told.tiers),
+        watch_by_asking=told.discovery == "ask",
+        report_source=_SOURCES[told.report.source],
+        may_probe=limits.may_probe,
+        may_cancel=limits.cancel,
+        second_copies=limits.second_copies,
+        tells_retry_after=limits.retry_after,
+        max_retry_after=limits.max_retry_after,
+        max_attempts=limits.max_attempts,
+        passes_deadline=told.family_info.passes_deadline,
+        worth_by_work=told.worth_by == "work",
+        over_share_worth=told.over_share_worth,
+        cross_zone_price=prices.cross_zone,
+        probe_price=prices.probe,
+        waste_price=prices.waste,
+        handshake_price=prices.handshake,
+        tick=told.quantum,
+        connect_timeout=limits.dial_timeout,
+        answer_slack=rules.answer_slack,
+        ask_within=rules.ask_within,
+        cold_from=rules.cold_from,
+        warm_after=rules.warm_after,
+        fall_multiple=rules.fall_multiple,
+        overload_for=rules.overload_for,
+        only_draining_binds=rules.dropped_stay_open,
+        idle_after=limits.conn_idle,
+        shares_connections=limits.streams_per_conn > 1,
     )
--- a/cranebank/core/engine.py
+++ b/cranebank/core/engine.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import traceback
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Call:
-    """A request as the acquirer side took it; ``content`` is the protocol's own."""
+    """A request as the acquirer side took it; ``content`` is the protocol's own, ``name`` is for the log."""
 
     class_index: int
     tenant: int
@@ -31,6 +32,7 @@
     content: Any
     cost: float | None = None
     resubmitted: bool = False
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -128,7 +130,7 @@
     """Message: a timer is due that this balancer set; one from before a fault is nobody's."""
 
     name: str
-    balancer: Balancer
+    balancer: Decisions
 
 
 @dataclass(slots=True, frozen=True)
@@ -141,6 +143,12 @@
 Message = Arrived | Left | LegEnded | Probed | TableNews | Due | Overdue
 
 
+class Decisions(Protocol):
+    """The decision module, as the engine needs it."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
 class Issuers(Protocol):
     """The issuer hosts' side, as the engine needs it."""
 
@@ -165,6 +173,7 @@
     answer: asyncio.Future[Answer]
     deadline: int
     over: bool = False
+    followed: bool = False  # in the log, step by step
     overdue: asyncio.TimerHandle | None = None
     legs: list[Leg] = field(default_factory=list)
 
@@ -172,10 +181,11 @@
 class Engine:
     """Turns messages into the module's events and its actions into legs, answers, probes and timers."""
 
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters, log: Log) -> None:
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, counters: Counters, log: Log,
+                 make: Callable[[api.Settings, int], Decisions] = Balancer) -> None:
         self.settings, self._seed = settings, seed
-        self._clock, self._counters, self._log = clock, counters, log
-        self._balancer = Balancer(settings, seed)
+        self._clock, self._counters, self._log, self._make = clock, counters, log, make
+        self._balancer = make(settings, seed)
         self._mailbox: Mailbox[Message] = Mailbox(self._take, log)
         self.post = self._mailbox.post
         self._issuers: Issuers
@@ -230,7 +240,7 @@
             actions = self._balancer.handle(self._clock.module_ms(self._clock.now()), event)
         except Exception:  # guards every open request against a fault in the decisions
             self._counters.add("module_faults")
-            self._log.line("module", traceback.format_exc())
+            self._log.error("module_fault", trace=traceback.format_exc()[-400:])
             # A fault on the list itself would come back at once with the list: not in a tight loop.
             self._restart_module(1.0 if isinstance(event, api.ServerList) else 0.0)
             return
@@ -262,6 +272,8 @@
         call, at = message.call, message.at
         request = Open(next(self._names), call, message.answer, at + max(0, call.time_left))
         self._open[request.name] = self._by_answer[message.answer] = request
+        request.followed = self._log.follow()
+        self._follow(request, "taken", kind=call.class_index, tenant=call.tenant, left_us=call.time_left)
         # Guards the promise of one answer in time against a module that forgets the request.
         late = request.deadline + span_us(self.settings.answer_slack / 2)
         request.overdue = self._clock.call_at(late, self.post, Overdue(request.name))
@@ -281,6 +293,7 @@
             self._end_later(leg, api.Outcome.MOOT)
             return
         self._counters.add("legs_sent")
+        self._follow(request, "leg_sent", leg=leg.number, host=server, wait_us=deadline - now)
         leg.timer = self._clock.call_at(deadline, self._timed_out, leg)
         self._issuers.send(leg)
 
@@ -307,6 +320,8 @@
         if leg.timer is not None:
             leg.timer.cancel()
         self._counters.add(f"legs_{ended.outcome.name.lower()}")
+        self._follow(request, "leg_ended", leg=leg.number, host=leg.server, written=leg.written,
+                     outcome=ended.outcome.name.lower(), took_us=self._clock.now() - leg.sent_at)
         if ended.outcome is api.Outcome.OK and not request.over:
             self._answer(request, Served(ended.content))
         outcome = ended.outcome
@@ -318,6 +333,10 @@
                                      request.over, ended.load))
         self._forget(request)
 
+    def _follow(self, request: Open, event: str, **fields: Any) -> None:
+        if request.followed:
+            self._log.debug(event, request=request.call.name, **fields)
+
     def _decline(self, request: Open, retry_after: int) -> None:
         kind = self.settings.classes[request.call.class_index]
         harmless = kind.effect is api.Effect.SAFE or (
@@ -333,6 +352,7 @@
         if request.over:
             return
         self._counters.add(f"answers_{type(answer).__name__.lower()}")
+        self._follow(request, "answered", answer=type(answer).__name__.lower(), legs=len(request.legs))
         if not request.answer.done():
             request.answer.set_result(answer)
         self._close(request)
@@ -356,6 +376,7 @@
         if request is None:
             return  # it was answered a moment ago
         self._counters.add("clients_left")
+        self._follow(request, "client_left", legs=len(request.legs))
         self._close(request)
         self._tell(api.RequestGone(request.name))
         for leg in request.legs:  # where the module may not cancel, nobody waits for them all the same
@@ -366,7 +387,7 @@
         if request is None or request.over:
             return
         self._counters.add("answers_overdue")
-        self._log.line("overdue", "a request got no answer from the module in time")
+        self._log.error("answer_overdue", request=request.call.name)
         self._answer(request, Failed())
         self._tell(api.RequestGone(name))
 
@@ -385,7 +406,7 @@
     def _restart_module(self, pause: float) -> None:
         """After a fault nothing that the module remembers is to be trusted: answer all, start it anew."""
         self._seed += 1
-        self._balancer = Balancer(self.settings, self._seed)
+        self._balancer = self._make(self.settings, self._seed)
         for request in [r for r in self._open.values() if not r.over]:
             self._decline(request, 0)
         for leg in [leg for r in self._open.values() for leg in r.legs]:
--- a/cranebank/core/mailbox.py
+++ b/cranebank/core/mailbox.py
@@ -33,7 +33,7 @@
             try:
                 self._take(message)
             except Exception:  # an actor outlives a message that it could not handle
-                self._log.line("mailbox", traceback.format_exc())
+                self._log.error("mailbox_fault", trace=traceback.format_exc()[-400:])
             self._messages.popleft()
         if self._messages:
             self._loop.call_soon(self._drain)
--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -9,19 +9,23 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
-from cranebank.config.platform import Config, ConfigError, load
+from cranebank.config.checks import ConfigError
+from cranebank.config.load import Config, load
 from cranebank.core.clock import Clock, span_us
 from cranebank.core.counters import Counters
-from cranebank.core.engine import Engine, Host
+from cranebank.core.engine import Decisions, Engine, Host
 from cranebank.core.log import Handler, Log
+from cranebank.decisions import interface as api
+from cranebank.decisions.balance import Balancer
 from cranebank.discovery.routing_table import RoutingTable
 from cranebank.http.acquirer import Acquirer
+from cranebank.http.door import DoorTimes
 from cranebank.http.issuer import Directory, Issuer
 from cranebank.http.link import Links
 
-LINGER_S = 0.5  # new connections still come for 0.2 to 0.4 s after SIGTERM
 IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
 SPARE = 32  # the interpreter's own, the listener, discovery, and what is accepted before the door sees it
 ACCEPTS, BACKLOG = 16, 512  # taken in one turn of the loop; kept by the kernel until their turn
@@ -30,23 +34,28 @@
 class Proxy:
     """One proxy in one event loop; for embedding as well as for the program."""
 
-    def __init__(self, config: Config, log: Log) -> None:
-        self._config, self.counters = config, Counters()
+    def __init__(self, config: Config, log: Log,
+                 make: Callable[[api.Settings, int], Decisions] = Balancer) -> None:
+        self._config, self.counters, self._log = config, Counters(), log
+        self._linger = config.layers.own.stop.linger_s  # new connections still come for 0.2 to 0.4 s
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
+        door = config.layers.own.door
+        times = DoorTimes(round(door.request_s * 1e6), round(door.kept_idle_s * 1e6),
+                          round(door.most_idle_s * 1e6))
         idle = span_us(max(100.0, settings.idle_after - IDLE_MARGIN_MS))
         self._links = Links(self._links_at_most, config.memory // 8, idle, settings.connect_timeout / 1000.0,
                             clock, self.counters)
-        self._engine = Engine(settings, config.seed, clock, self.counters, log)
+        self._engine = Engine(settings, config.seed, clock, self.counters, log, make)
 
-        def make(host: Host) -> Issuer:
+        def issuer(host: Host) -> Issuer:
             return Issuer(host, settings, self._links, self._engine.post, clock, self.counters, log)
 
-        self._issuers = Directory(make, self._engine.post)
+        self._issuers = Directory(issuer, self._engine.post)
         self._table = RoutingTable(config.discovery, config.reader, self._engine.post, self.counters, log,
                                    settings.watch_by_asking)
         self._engine.connect(self._issuers, self._table)
         self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants,
-                                  self._clients_at_most, clock, self.counters, log,
+                                  self._clients_at_most, times, clock, self.counters, log,
                                   lambda: self._table.heard.is_set() and not self._acquirer.closing)
         self._door = self._acquirer.door
         self._listener: asyncio.Server
@@ -76,14 +85,17 @@
         address: tuple[str, int] = self._listener.sockets[0].getsockname()
         return address
 
-    def move(self, discovery: str) -> None:
-        """Watch discovery at another address; requests, legs and the list stay as they are."""
-        self._table.move(discovery)
+    def reload(self, told: Config) -> None:
+        """Take over what a running proxy can: the address of discovery (requests, legs and the list stay as
+        they are), the log's settings and the time to linger."""
+        self._table.move(told.discovery)
+        self._log.set(told.layers.own.log)
+        self._linger = told.layers.own.stop.linger_s
 
-    async def stop(self, linger: float = LINGER_S) -> None:
+    async def stop(self, linger: float | None = None) -> None:
         """Go on accepting for a moment, each answer the last on its connection; finish what was taken."""
         self._acquirer.closing = True
-        await asyncio.sleep(linger)
+        await asyncio.sleep(self._linger if linger is None else linger)
         self._listener.close()
         self._door.pre_shutdown()
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
@@ -96,30 +108,42 @@
         self._links.drop()
 
 
-def _reload(proxy: Proxy, environ: Mapping[str, str], log: Log) -> None:
-    """Read the configuration again; of what it says, the address of discovery takes effect."""
+@dataclass(slots=True, frozen=True)
+class Started:
+    """How the program was started; a reload reads the same again."""
+
+    environ: Mapping[str, str]
+    file: str | None = None
+    flags: Sequence[str] = ()
+    make: Callable[[api.Settings, int], Decisions] = Balancer
+
+
+def _reload(proxy: Proxy, running: Config, started: Started, log: Log) -> None:
+    """Read everything again; apply what can be, name what needs a restart, or keep all as it was."""
     try:
         # GW_DISCOVERY is from the start: it must not mask the address that the file names now.
-        told = load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+        environ = {name: value for name, value in started.environ.items() if name != "GW_DISCOVERY"}
+        told = load(environ, started.file, started.flags)
     except ConfigError as error:
-        log.line("reload", f"kept the old settings: {error}")
+        log.error("reload_refused", error=str(error), said="kept the old settings")
         return
-    proxy.move(told.discovery)
-    log.line("reload", f"discovery is at {told.discovery}")
+    proxy.reload(told)
+    later = running.needs_restart(told)
+    log.info("reloaded", discovery=told.discovery, **({"needs_restart": ",".join(later)} if later else {}))
 
 
-async def _run(config: Config, environ: Mapping[str, str]) -> None:
+async def _run(config: Config, started: Started) -> None:
     # Guards the descriptor limit: past it accepting pauses and dials fail, which are outcomes, not crashes.
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    log = Log(config.name)
+    log = Log(config.name, config.layers.own.log)
     logging.basicConfig(handlers=[Handler(log)], level=logging.WARNING)
-    proxy = Proxy(config, log)
+    proxy = Proxy(config, log, started.make)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, proxy, environ, log)
+    loop.add_signal_handler(signal.SIGHUP, _reload, proxy, config, started, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(proxy.counters.text(), file=sys.stderr, flush=True))
     host, port = await proxy.start()
     print(f"{config.name}: listening on {host}:{port}", file=sys.stderr, flush=True)
@@ -128,12 +152,12 @@
     print(proxy.counters.text(), file=sys.stderr, flush=True)
 
 
-def main(environ: Mapping[str, str]) -> int:
-    """Run one proxy as the environment tells; return the exit code."""
+def serve(started: Started) -> int:
+    """Run one proxy until SIGTERM or SIGINT; return the exit code: 0, or 2 where it can't start so."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
-        config = load(environ)
-        asyncio.run(_run(config, environ))
+        config = load(started.environ, started.file, started.flags)
+        asyncio.run(_run(config, started))
     except (ConfigError, OSError) as error:
         print(f"cranebank: {error}", file=sys.stderr)
         return 2
--- a/cranebank/discovery/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -6,76 +6,21 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
-from math import inf
-from typing import Any
 
 import aiohttp
 
 from cranebank.core.counters import Counters
-from cranebank.core.engine import Host, TableNews
+from cranebank.core.engine import TableNews
 from cranebank.core.log import Log
 from cranebank.core.mailbox import Mailbox
 from cranebank.decisions import interface as api
+from cranebank.discovery.listing import Listing, ListReader
 
-_STATES = {
-    "SERVING": api.ServerState.IN,
-    "DRAINING": api.ServerState.DRAINING,
-    "DELETED": api.ServerState.OUT,
-}
 CALL_TIMEOUT_S = 4.0  # discovery gives a call up after 3 s of waiting in its queue
 SILENCE_S = 3.5  # an empty line comes every 2 s; a change binds 6 s on, told or not, and asking takes time
 LINE_BYTES = 4 << 20
 
 
-@dataclass(slots=True, frozen=True)
-class Listing:
-    """One message of discovery's: the whole list or the entries changed, and how many could not be read."""
-
-    version: int
-    full: bool
-    hosts: tuple[Host, ...]
-    skipped: int = 0
-
-
-class ListReader:
-    """Reads discovery's JSON; needs the settings' zone names."""
-
-    def __init__(self, zones: tuple[str, ...]) -> None:
-        self._zones = {name: index for index, name in enumerate(zones)}
-
-    def read(self, told: Any) -> Listing:
-        """Read one message; an entry that is malformed is skipped, a message that is raises ValueError."""
-        if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
-            raise ValueError("expected an object with a list 'servers'")
-        version = told.get("version")
-        if not isinstance(version, int):
-            raise ValueError(f"expected a whole number as 'version', got {version!r}")
-        hosts, skipped = [], 0
-        for entry in told["servers"]:
-            try:
-                hosts.append(self._host(entry))
-            except (ValueError, TypeError, KeyError, AttributeError):
-                skipped += 1
-        return Listing(version, bool(told.get("full", False)), tuple(hosts), skipped)
-
-    def _host(self, entry: dict[str, Any]) -> Host:
-        state, server, address = _STATES[entry["state"]], entry["id"], entry.get("addr", "")
-        _, _, port = address.rpartition(":")
-        size, started = float(entry.get("weight") or 1.0), float(entry.get("started_ms") or 0.0)
-        if not isinstance(server, str) or not server or (state is api.ServerState.IN and not port.isdigit()):
-            raise ValueError("no id or no address")
-        if not (0.0 < size < inf and 0.0 <= started < inf):  # NaN would pass for a restart each time
-            raise ValueError("weight or start time out of range")
-        return Host(api.ServerEntry(
-            server=server,
-            zone=self._zones.get(entry.get("zone", ""), len(self._zones)),  # unknown: not the own zone
-            cell=int(entry.get("cell") or 0),
-            size=size,
-            state=state,
-            started=started,  # Unix time, and so is the module's clock
-        ), address)
-
-
 @dataclass(slots=True, frozen=True)
 class Wanted:
     """Message: the module wants news of the hosts, or none."""
@@ -162,7 +107,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_S) as limit:
                 async with self._session.get(url, params=params, allow_redirects=False) as response:
                     if response.status != 200:
-                        self._log.line("discovery", f"watch answered {response.status}")
+                        self._log.warning("watch_refused", status=response.status, at_address=self._address)
                         return
                     buffer = b""
                     async for chunk in response.content.iter_any():
@@ -172,11 +117,11 @@
                             raise ValueError("a line without end")
                         for line in whole:
                             self._line(line)
-            self._log.line("discovery", "watch ended")
+            self._log.warning("watch_ended", at_address=self._address)
         except TimeoutError:
-            self._log.line("discovery", "watch fell silent")
+            self._log.warning("watch_silent", at_address=self._address)
         except Exception as error:  # whatever discovery says, the engine must hear that the watch is over
-            self._log.line("discovery", f"watch broke: {type(error).__name__}: {error}")
+            self._log.warning("watch_broke", error=f"{type(error).__name__}: {error}")
 
     def _line(self, line: bytes) -> None:
         if not line.strip():
@@ -185,14 +130,14 @@
             listing = self._reader.read(json.loads(line))
         except (ValueError, RecursionError) as error:
             self._counters.add("list_lines_skipped")
-            self._log.line("discovery", f"skipped a malformed line: {error}: {line[:80]!r}")
+            self._log.warning("list_line_skipped", error=str(error), line=repr(line[:80]))
             return
         self._news(listing, api.ListKind.ALL if listing.full else api.ListKind.CHANGES)
 
     def _news(self, listing: Listing, kind: api.ListKind) -> None:
         if listing.skipped:
             self._counters.add("list_entries_skipped", listing.skipped)
-            self._log.line("discovery", f"skipped {listing.skipped} malformed entries")
+            self._log.warning("list_entries_skipped", count=listing.skipped)
         self._version = listing.version
         self._tell(TableNews(kind, listing.hosts))
         if listing.hosts or kind is not api.ListKind.REMEMBERED:
--- a/cranebank/http/acquirer.py
+++ b/cranebank/http/acquirer.py
@@ -14,7 +14,7 @@
 from cranebank.core.engine import Call, Declined, Engine, Left, Served
 from cranebank.core.log import Log
 from cranebank.decisions.interface import Effect, Settings
-from cranebank.http.door import Door
+from cranebank.http.door import Door, DoorTimes
 from cranebank.http.issuer import HttpAnswer, HttpRequest
 
 READY, COUNTERS = "/-/ready", "/-/counters"
@@ -35,7 +35,7 @@
     """Reads requests, hands them to the engine and writes its answers."""
 
     def __init__(self, engine: Engine, settings: Settings, classes: tuple[str, ...], tenants: tuple[str, ...],
-                 connections: Callable[[], int], clock: Clock, counters: Counters, log: Log,
+                 connections: Callable[[], int], times: DoorTimes, clock: Clock, counters: Counters, log: Log,
                  ready: Callable[[], bool]) -> None:
         self._engine, self._settings = engine, settings
         self._classes = {name: index for index, name in enumerate(classes)}
@@ -44,7 +44,7 @@
         self._ids: set[str] = set()  # of the requests that are open
         self.closing = False
         # Heads are held whole: 64 fields of 4 KiB at most.
-        self.door = Door(self.handle, connections, clock, counters, _request, access_log=None,
+        self.door = Door(self.handle, connections, times, clock, counters, _request, access_log=None,
                          keepalive_timeout=3600.0, lingering_time=LINGER_S, max_headers=64,
                          max_line_size=4096, max_field_size=4096, auto_decompress=False)
 
@@ -67,11 +67,11 @@
             call = self._call(request, await request.read())
         except Malformed as error:
             self._counters.add("requests_malformed")
-            self._log.line("request", str(error))
+            self._log.warning("request_malformed", error=str(error))
             return web.Response(status=400, text=f"{error}\n")
         except web.HTTPRequestEntityTooLarge as error:
             self._counters.add("requests_malformed")
-            self._log.line("request", error.text or "")
+            self._log.warning("request_too_large", error=error.text or "")
             return web.Response(status=413, text=error.text)
         self.door.taken(request.protocol)
         return await self._answer(call, request.headers["X-Request-Id"])
@@ -140,6 +140,7 @@
                                 body),
             cost=None if hint is None else hint / 1000.0,
             resubmitted=headers.get("X-Retry") == "1",
+            name=headers["X-Request-Id"],
         )
 
 
--- a/cranebank/http/door.py
+++ b/cranebank/http/door.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -11,13 +12,20 @@
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
 
-REQUEST_TIME = 2_300_000  # to send a whole request, from connecting or from its first byte
-KEPT_IDLE = 2_000_000  # a connection without a request is never closed sooner
-MOST_IDLE = 15_000_000  # nor kept for longer, however much room there is
 SETTLING = 100_000  # whoever connects and has said nothing for so long may go first when all places are taken
 SWEEP_S = 0.25
 
 
+@dataclass(slots=True, frozen=True)
+class DoorTimes:
+    """Microseconds: for a whole request, from connecting or from its first byte; a connection without a
+    request is never closed sooner than ``kept_idle``, nor kept for longer than ``most_idle``."""
+
+    request: int = 2_300_000
+    kept_idle: int = 2_000_000
+    most_idle: int = 15_000_000
+
+
 class Connection(web.RequestHandler):
     """One client's connection; tells the door when bytes come."""
 
@@ -35,10 +43,11 @@
     """Each connection is waited on for a request, has one open, or is idle; the open have no limit here."""
 
     def __init__(self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-                 most: Callable[[], int], clock: Clock, counters: Counters, request_factory: Any,
-                 **options: Any) -> None:
+                 most: Callable[[], int], times: DoorTimes, clock: Clock, counters: Counters,
+                 request_factory: Any, **options: Any) -> None:
         super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
-        self._most, self._clock, self._counters, self._options = most, clock, counters, options
+        self._most, self._times, self._clock = most, times, clock
+        self._counters, self._options = counters, options
         self._transports: dict[web.RequestHandler, asyncio.Transport] = {}
         self._waited: dict[web.RequestHandler, int] = {}  # since when, the longest first
         self._idle: dict[web.RequestHandler, int] = {}
@@ -66,7 +75,7 @@
         self._transports[handler] = transport
         self._waited[handler] = now
         if self.count > self._most():
-            made = self._close_first(self._idle, now - KEPT_IDLE)
+            made = self._close_first(self._idle, now - self._times.kept_idle)
             made = made or self._close_first(self._waited, now - SETTLING)
             if not made:
                 self._close(handler)
@@ -109,9 +118,10 @@
     def _sweep(self) -> None:
         # One timer for all; input that is there already is read before it fires, so no request is overlooked.
         now, crowded = self._clock.now(), 2 * self.count > self._most()
-        while self._close_first(self._waited, now - REQUEST_TIME):
+        while self._close_first(self._waited, now - self._times.request):
             self._counters.add("requests_unfinished")
-        while self._close_first(self._idle, now - (KEPT_IDLE if crowded else MOST_IDLE)):
+        idle = self._times.kept_idle if crowded else self._times.most_idle
+        while self._close_first(self._idle, now - idle):
             pass
         self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -8,6 +8,7 @@
 from math import isfinite
 from typing import Any
 
+from cranebank.config.platform import LOAD_NAMES
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
 from cranebank.core.engine import Host, Leg, LegEnded, Message, Probed, TableNews
@@ -15,7 +16,6 @@
 from cranebank.core.mailbox import Mailbox
 from cranebank.decisions import interface as api
 from cranebank.http.link import Broke, HostAnswer, Links, NoRoom, Spoilt
-from cranebank.simwire.wire import LOAD_NAMES
 
 PASSED_BACK = ("Content-Type", "Content-Encoding")
 _NAMES = LOAD_NAMES | {name: name for name in LOAD_NAMES.values()}  # the settings' names, and the header's
@@ -163,14 +163,14 @@
             ended = self._ended(leg, await self._exchange(head, request.body, sent))
         except NoRoom as error:
             ended = LegEnded(leg, api.Outcome.MOOT)  # never sent, and no fault of the host's
-            self._log.line("leg", str(error))
+            self._log.warning("leg_no_room", host=self._server, error=str(error))
         except OSError as error:
             ended = LegEnded(leg, api.Outcome.CONNECT_FAILED)
-            self._log.line("dial", f"{self._server}: {error}")
+            self._log.warning("dial_failed", host=self._server, error=str(error))
         except (Broke, Spoilt) as error:
-            self._log.line("leg", f"{self._server}: {type(error).__name__}: {error}")
+            self._log.warning("leg_broken", host=self._server, error=f"{type(error).__name__}: {error}")
         except Exception as error:  # whatever a peer can bring about, the leg has one outcome
-            self._log.line("leg", f"{self._server}: unforeseen {type(error).__name__}: {error}")
+            self._log.error("leg_fault", host=self._server, error=f"{type(error).__name__}: {error}")
         self._tell(ended)
 
     def _ended(self, leg: Leg, answer: HostAnswer) -> LegEnded:
@@ -189,7 +189,7 @@
         load = read_load(text)
         if load is None:
             self._counters.add("load_reports_skipped")
-            self._log.line("load", f"{self._server}: skipped a malformed report {text[:80]!r}")
+            self._log.warning("load_report_skipped", host=self._server, report=repr(text[:80]))
         return load
 
     async def _probe(self) -> None:
@@ -210,7 +210,7 @@
         except OSError:
             outcome = api.Outcome.CONNECT_FAILED
         except (Broke, Spoilt) as error:
-            self._log.line("probe", f"{self._server}: {type(error).__name__}: {error}")
+            self._log.warning("probe_broken", host=self._server, error=f"{type(error).__name__}: {error}")
         self._tell(Probed(self._server, outcome, self._clock.now() - sent, load))
 
 
--- a/cranebank/simwire/wire.py
+++ b/cranebank/simwire/wire.py
@@ -1,10 +1,12 @@
-"""The wire: text lines to events and actions to text lines. Parses and formats only."""
+"""The simulator's wire: text lines to events and actions to text lines. Parses and formats only."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
+from cranebank.config.checks import ConfigError, typed
+from cranebank.config.platform import LOAD_NAMES, Told, settings_of
 from cranebank.decisions import interface as api
 
 T = TypeVar("T")
@@ -14,128 +16,42 @@
     """A line that does not follow the wire; the message says what was expected."""
 
 
-_EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-_SOURCES = {
-    "inline": api.ReportSource.ANSWERS,
-    "on_probe": api.ReportSource.PROBE,
-    "off": api.ReportSource.NONE,
-}
 _STATES = {"IN": api.ServerState.IN, "LAME": api.ServerState.DRAINING, "OUT": api.ServerState.OUT}
 _KINDS = {kind.value: kind for kind in api.ListKind}
 _OUTCOMES = {str(int(outcome)): outcome for outcome in api.Outcome}
-_BOOLS = {"true": True, "false": False}
-LOAD_NAMES = {
-    "busy_reqs": "inflight",
-    "pending": "queue",
-    "cpu_share": "util",
-    "svc_ms": "latency_ms",
-    "served_ps": "qps",
-    "failed_ps": "eps",
-}
-
-
-class _Pairs:
-    """The settings by path; every lookup says which setting was at fault."""
-
-    def __init__(self, values: dict[str, str]) -> None:
-        self._values = values
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self._values.get(path, default)
-        if value is None:
-            raise WireError(f"setting {path} is missing")
-        return value
-
-    def number(self, path: str, default: float | None = None) -> float:
-        value = self.text(path, None if default is None else repr(default))
-        try:
-            return float(value)
-        except ValueError:
-            raise WireError(f"setting {path}: expected a number, got {value!r}") from None
-
-    def flag(self, path: str, default: bool | None = None) -> bool:
-        value = self.text(path, None if default is None else str(default).lower())
-        if value not in _BOOLS:
-            raise WireError(f"setting {path}: expected true or false, got {value!r}")
-        return _BOOLS[value]
-
-    def count(self, path: str, default: int | None = None) -> int:
-        value = self.number(path, default)
-        if value < 0 or value != int(value):
-            raise WireError(f"setting {path}: expected a whole number, got {value}")
-        return int(value)
-
-    def word(self, path: str, words: dict[str, T]) -> T:
-        value = self.text(path)
-        if value not in words:
-            raise WireError(f"setting {path}: expected one of {', '.join(words)}, got {value!r}")
-        return words[value]
+_LISTS = ("Tiers", "Zones")  # lists of plain values, joined with commas
 
 
 def parse_settings(pairs: list[str]) -> api.Settings:
-    """Turn the pairs of a START line into settings."""
-    values: dict[str, str] = {}
+    """Turn the path=value pairs of a START line into settings; unknown paths are passed over."""
+    tree: dict[str, Any] = {}
     for pair in pairs:
         path, mark, value = pair.partition("=")
         if not mark:
             raise WireError(f"expected path=value in the settings, got {pair!r}")
-        values[path] = value
-    return settings_from(values)
-
-
-def settings_from(values: dict[str, str]) -> api.Settings:
-    """Turn values by path into settings; unknown paths are ignored. The proxy's configuration too."""
-    at = _Pairs(values)
-    classes = tuple(
-        api.RequestClass(
-            aim=at.number(f"Lanes.{i}.Aim"),
-            deadline=at.number(f"Lanes.{i}.Deadline"),
-            effect=at.word(f"Lanes.{i}.Effect", _EFFECTS),
-            group=at.word(f"Lanes.{i}.Group", {group.value: group for group in api.Group}),
-            late_worth=at.number(f"Lanes.{i}.LateWorth"),
-            repeat_window=at.number(f"Lanes.{i}.RepeatWindow"),
-            streaming=at.flag(f"Lanes.{i}.Streaming", False),
-            worth=at.number(f"Lanes.{i}.Worth"),
-            aim_stretch=at.number(f"Lanes.{i}.AimStretch", 0.0),
-        )
-        for i in range(at.count("Lanes.count"))
-    )
-    if not classes:
-        raise WireError("setting Lanes.count: expected at least one class")
-    return api.Settings(
-        classes=classes,
-        quotas=tuple(at.number(f"Realms.{i}.QuotaPerS") for i in range(at.count("Realms.count", 0))),
-        copies=at.count("Balancers"),
-        zone=at.count("Zone"),
-        layer=at.count("Layer", 0),
-        layers=len(at.text("Tiers", "servers").split(",")),
-        watch_by_asking=at.word("Discovery", {"push": False, "ask": True}),
-        report_source=at.word("Report.Source", _SOURCES),
-        may_probe=at.flag("Limits.MayProbe"),
-        may_cancel=at.flag("Limits.Cancel"),
-        second_copies=at.flag("Limits.SecondCopies"),
-        tells_retry_after=at.flag("Limits.RetryAfter", False),
-        max_retry_after=at.number("Limits.MaxRetryAfter", 0.0),
-        max_attempts=at.count("Limits.MaxAttempts"),
-        passes_deadline=at.flag("FamilyInfo.PassesDeadline", True),
-        worth_by_work=at.text("WorthBy", "request") == "work",
-        over_share_worth=at.number("OverShareWorth", 1.0),
-        cross_zone_price=at.number("Prices.CrossZone", 0.0),
-        probe_price=at.number("Prices.Probe", 0.0),
-        waste_price=at.number("Prices.Waste", 0.0),
-        handshake_price=at.number("Prices.Handshake", 0.0),
-        tick=at.number("Quantum"),
-        connect_timeout=at.number("Limits.DialTimeout", 250.0),
-        answer_slack=at.number("Rules.AnswerSlack", 0.0),
-        ask_within=at.number("Rules.AskWithin", 10000.0),
-        cold_from=at.number("Rules.ColdFrom"),
-        warm_after=at.number("Rules.WarmAfter"),
-        fall_multiple=at.number("Rules.FallMultiple"),
-        overload_for=at.number("Rules.OverloadFor"),
-        only_draining_binds=at.flag("Rules.DroppedStayOpen", False),
-        idle_after=at.number("Limits.ConnIdle", 15000.0),
-        shares_connections=at.count("Limits.StreamsPerConn", 100) > 1,
-    )
+        *above, last = path.split(".")
+        node = tree
+        for step in above:
+            node = node.setdefault(step, {})
+            if not isinstance(node, dict):
+                raise WireError(f"setting {path}: {step} is a value, not a list or a table")
+        node[last] = value.split(",") if path in _LISTS else value
+    try:
+        return settings_of(typed(_nested(tree, ""), Told, "setting", strict=False))
+    except ConfigError as error:
+        raise WireError(str(error)) from None
+
+
+def _nested(value: Any, path: str) -> Any:
+    """Tables that hold a count are lists."""
+    if not isinstance(value, dict):
+        return value
+    if not isinstance(value.get("count"), str):
+        return {name: _nested(item, f"{path}{name}.") for name, item in value.items()}
+    count = integer(value["count"], f"setting {path}count")
+    if not 0 <= count <= len(value):  # guards against a list that is said to be endless
+        raise WireError(f"setting {path}count: expected as many as there are, got {count}")
+    return [_nested(value.get(str(i), {}), f"{path}{i}.") for i in range(count)]
 
 
 def _need(parts: list[str], count: int, what: str) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from cranebank.config.platform import load
+from cranebank.config.load import load
 from cranebank.core.log import Log
 from cranebank.daemon import Proxy
 
@@ -142,14 +142,17 @@
 
 @contextlib.asynccontextmanager
 async def running(path: Path, *hosts: IssuerHost, **limits: Any) -> AsyncIterator[Story]:
-    """A proxy in this loop, before scripted hosts s0, s1, ... that discovery has listed."""
+    """A proxy in this loop, before scripted hosts s0, s1, ... that discovery has listed; ``own`` holds
+    settings of our own as the command line takes them."""
     async with contextlib.AsyncExitStack() as stack:
         discovery = Discovery()
         asked = await stack.enter_async_context(listening(discovery.talk))
         at = [await stack.enter_async_context(listening(host.talk)) for host in hosts]
+        flags = limits.pop("own", ())
         told = configuration(asked, [entry(f"s{i}", address) for i, address in enumerate(at)], **limits)
         (path / "config.json").write_text(json.dumps(told), encoding="utf-8")
-        proxy = Proxy(load({"GW_CONFIG": str(path / "config.json")}), Log("p0"))
+        config = load({"GW_CONFIG": str(path / "config.json")}, flags=flags)
+        proxy = Proxy(config, Log(config.name, config.layers.own.log))
         listen, port = await proxy.start()
         client = await stack.enter_async_context(aiohttp.ClientSession(auto_decompress=False))
         yield Story(proxy, discovery, client, f"http://{listen}:{port}", at[0] if at else "")
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -21,9 +21,8 @@
     b"", HEAD, HEAD + b"Content-Length: 9\r\n\r\nhalf", HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nha",
 ], ids=["silent", "head", "body", "chunks"])
 def test_a_request_that_does_not_end_in_time_is_closed_on(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
-    monkeypatch.setattr("cranebank.http.door.REQUEST_TIME", 300_000)
-    monkeypatch.setattr("cranebank.http.door.MOST_IDLE", 300_000)
+        tmp_path: Path, said: bytes) -> None:
+    own = ("door.kept_idle_s=0.1", "door.request_s=0.3", "door.most_idle_s=0.3")
 
     async def story(s: Story) -> None:
         for before in (b"", WHOLE):  # on a fresh connection, and on one that has had an answer
@@ -36,7 +35,7 @@
         assert s.proxy.counters["requests_unfinished"] == (2 if said else 1)
         assert (await s.ask())[0] == 200
 
-    play(tmp_path, story, IssuerHost())
+    play(tmp_path, story, IssuerHost(), own=own)
 
 
 @pytest.mark.parametrize(("said", "status"), [
@@ -93,9 +92,7 @@
 
 
 def test_clients_that_ask_once_and_stay_are_closed_on_when_room_is_short(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("cranebank.http.door.KEPT_IDLE", 100_000)
-
+        tmp_path: Path) -> None:
     async def story(s: Story) -> None:
         kept = []
         for _ in range(40):
@@ -106,7 +103,7 @@
         await kept[0][0].read()  # the longest idle goes
         assert s.proxy.counters["requests_unfinished"] == 0
 
-    play(tmp_path, story, IssuerHost(), sockets=96)
+    play(tmp_path, story, IssuerHost(), sockets=96, own=("door.kept_idle_s=0.1",))
 
 
 def test_when_places_run_short_an_answer_is_the_last_on_its_connection(tmp_path: Path) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -86,8 +86,9 @@
 
 
 @pytest.mark.parametrize(("change", "word"), [
-    ({"settings": {}}, "Lanes.count is missing"), ({"listen": "nowhere"}, "GW_LISTEN: expected ADDRESS:PORT"),
-    ({"seed": "xyz"}, "malformed"), ({"known": {"servers": 3}}, "malformed"), (None, "GW_CONFIG"),
+    ({"settings": {}}, "settings.Balancers: missing, expected a whole number"),
+    ({"listen": "nowhere"}, "expected ADDRESS:PORT"), ({"seed": "xyz"}, "seed: expected hex digits"),
+    ({"known": {"servers": 3}}, "known: expected an object with a list"), (None, "GW_CONFIG"),
 ])
 def test_a_bad_configuration_is_one_line_and_a_failure(tmp_path: Path, change: Any, word: str) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -15,7 +15,7 @@
 
 from cranebank import Balancer
 from cranebank.decisions.interface import Action, Event, Request
-from cranebank.discovery.routing_table import ListReader
+from cranebank.discovery.listing import ListReader
 from cranebank.http.issuer import read_load
 
 
