--- a/cranebank/lab/scenario.py
+++ b/cranebank/lab/scenario.py
@@ -53,7 +53,8 @@
     try_part: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.6
     backoff_ms: Span = 60.0  # mean, doubled with each try
     honour: Part = 1.0  # so many heed Retry-After
-    notice_s: Span = 1.0  # until the front knows that a proxy is dead
+    notice_s: Span = 1.0  # until the front tries a dead proxy again
+    impatient: Part = 0.0  # so many tries are left before their time
 
 
 class Class(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -205,6 +206,7 @@
     size: Span = 0.0
     batch: Part = 0.2  # deploy: so much of the tier at a time
     drain_s: Span = 3.0  # deploy: from draining to gone
+    every_s: Positive = 2.0  # pause: a stall of ``size`` milliseconds so often
 
     def __post_init__(self) -> None:
         if self.what in HOST_FAULTS + PROXY_FAULTS and bool(self.part) == bool(self.hosts):
@@ -213,6 +215,8 @@
             raise ValueError(f"{self.what}: expected size, how many times slower, of at least 1")
         if self.what in ("discovery-late", "report-delay") and not self.size:
             raise ValueError(f"{self.what}: expected size, in seconds")
+        if self.what == "pause" and not 0.0 < self.size < 1000.0 * self.every_s:
+            raise ValueError("pause: expected size, milliseconds of each stall, under every_s")
         if self.what == "deploy" and not (self.part and self.batch):
             raise ValueError("deploy: expected part and batch above 0")
         if self.what not in ("cold", "proxy-restart", "kill") and not self.for_s:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -22,7 +22,7 @@
 ROOT = Path(__file__).parent.parent
 OWN = tomllib.loads((ROOT / "deploy/cranebank.toml").read_text(encoding="utf-8"))
 SCENARIO = tomllib.loads((ROOT / "scenarios/calm.toml").read_text(encoding="utf-8")) | {
-    "fault": [{"what": "pause", "at_s": 3.0, "for_s": 1.0, "part": 0.5}], "judge": {"slack_ms": 100.0}}
+    "fault": [{"what": "pause", "at_s": 3.0, "for_s": 1.0, "part": 0.5, "size": 200.0}], "judge": {"slack_ms": 100.0}}
 EXPERIMENT = {"name": "e", "scenarios": ["calm.toml"], "seeds": [1, 2],
               "grid": [{"path": "load.rate", "values": [10.0, 20.0]}]}
 PLATFORM = configuration("127.0.0.1:1", [entry("s0", "127.0.0.1:2")])
