Experiments, comparisons, reports and the commands demo, emulate, load and lab

Need: a question about behaviour should be a file and a command. Change: experiments run scenarios x settings x seeds, keep each finished run, go on after an end of any kind, compare with paired 95% intervals and write one HTML page; the command line plays the demo and scenarios, emulates a fleet for proxies started by hand and offers load.

--- a/cranebank/cli/config.py
+++ b/cranebank/cli/config.py
@@ -4,19 +4,19 @@
 
 import os
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import click
 import msgspec
 
-from cranebank.config.checks import typed
 from cranebank.config.load import File, config_of, read_file
 from cranebank.config.own import Layered, Own, layered, read_toml, shown
 
 KINDS = ("platform", "own", "scenario", "experiment")
 
 
-def _guess(path: str) -> str:
+def kind_of(path: str) -> str:
     """What kind of file it is, by what only that kind has."""
     if path.endswith(".json"):
         return "platform"
@@ -60,14 +60,20 @@
     Example: cranebank config check scenarios/calm.toml
     """
     for path in files:
-        found = kind or _guess(path)
+        found = kind or kind_of(path)
         if found == "platform":
             told = read_file(path)
             config_of(told, path, {"GW_NAME": told.name or "unnamed"}, Layered())
         elif found == "own":
             layered({}, path)
+        elif found == "scenario":
+            from cranebank.lab.plan import read_scenario  # noqa: PLC0415  (the proxy needs no laboratory)
+
+            read_scenario(Path(path))
         else:
-            typed(read_toml(path), _kind(found), path)
+            from cranebank.lab.experiment import read  # noqa: PLC0415
+
+            read(Path(path))
         click.echo(f"{path}: {found}: good")
 
 
--- /dev/null
+++ b/cranebank/cli/lab.py
@@ -0,0 +1,298 @@
+"""``cranebank demo``, ``emulate``, ``load`` and ``lab``: what the laboratory can do, from the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+
+from cranebank.config.checks import ConfigError
+
+if TYPE_CHECKING:
+    from cranebank.lab.load import Progress
+    from cranebank.lab.results import Result
+
+EXIT_FOUND = 1
+FOLDER = "lab-results"  # the folder that results go to where none is named
+
+
+class NotInstalled(click.ClickException):
+    """The laboratory's libraries are not there."""
+
+
+def needs_lab(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Say on one line what to install where the laboratory's libraries are missing."""
+    from functools import wraps  # noqa: PLC0415
+
+    @wraps(command)
+    def checked(*arguments: Any, **options: Any) -> Any:
+        try:
+            import cranebank.lab.experiment  # noqa: PLC0415
+            import cranebank.lab.report  # noqa: F401, PLC0415
+        except ModuleNotFoundError as error:
+            raise NotInstalled(f"{error.name} is not installed: pip install -r requirements-lab.txt") from None
+        return command(*arguments, **options)
+
+    return checked
+
+
+def _stamp() -> str:
+    return time.strftime("%Y%m%d-%H%M%S")
+
+
+def _table(title: str, head: Iterable[str], rows: Iterable[Iterable[object]]) -> None:
+    from rich.console import Console  # noqa: PLC0415
+    from rich.table import Table  # noqa: PLC0415
+
+    table = Table(title=title, title_justify="left", box=None, pad_edge=False)
+    for number, name in enumerate(head):
+        table.add_column(name, justify="left" if not number else "right", no_wrap=True)
+    for row in rows:
+        table.add_row(*map(str, row))
+    Console(width=None if os.isatty(1) else 160, highlight=False).print(table)
+
+
+def _tell(result: Result) -> None:
+    """Tables of one run, and what broke."""
+    from cranebank.lab.judge import RULES  # noqa: PLC0415
+    from cranebank.lab.report import class_table, tier_table  # noqa: PLC0415
+
+    for table in (class_table(result), tier_table(result)):
+        _table(table.title, table.head, table.rows)
+        click.echo()
+    click.echo(f"service {result.service:.4f}, in time {result.in_time:.4f}, "
+               f"{result.legs_per_request:.3f} legs a request, busiest: {result.busiest}")
+    for breach in result.verdict.breaches:
+        click.echo(f"RULE BROKEN {breach.rule} x{breach.count}: {RULES[breach.rule]}; {'; '.join(breach.examples)}")
+    if result.verdict.kept:
+        click.echo(f"no rule broke ({result.verdict.requests} requests, {result.verdict.legs} legs judged)")
+    if not result.usable:
+        click.echo(f"NO RESULT: {result.why_not}")
+
+
+def _progress(seconds: float) -> Callable[[Progress], None]:
+    def show(at: Progress) -> None:
+        click.echo(f"{at.at:5.1f} of {seconds:g} s: {at.offered} asked, {at.served} served, {at.unserved} not",
+                   err=True)
+    return show
+
+
+def _play(path: Path, out: Path, changes: dict[str, Any]) -> int:
+    """Play one scenario, tell and write what came of it; return the exit code."""
+    import msgspec  # noqa: PLC0415
+
+    from cranebank.lab import report  # noqa: PLC0415
+    from cranebank.lab.plan import read_scenario  # noqa: PLC0415
+    from cranebank.lab.run import RunError, play  # noqa: PLC0415
+
+    scenario = msgspec.structs.replace(read_scenario(path), **changes)
+    try:
+        result = play(scenario, out, path.parent, _progress(scenario.seconds))
+    except RunError as error:
+        raise click.ClickException(str(error)) from None
+    _tell(result)
+    page = out / "report.html"
+    report.write(page, report.run_page(scenario, result))
+    click.echo(f"report: {page}")
+    return 0 if result.verdict.kept and result.usable else EXIT_FOUND
+
+
+@click.command()
+@click.option("--small", is_flag=True, help="3 seconds and fewer hosts.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
+@needs_lab
+def demo(small: bool, seed: int, out: Path | None) -> int:
+    """Play a day in 20 s: three tiers, a rolling deploy, a shared slowdown. Exit code 1 if a rule broke.
+
+    Example: cranebank demo --seed 7
+    """
+    path = Path(__file__).parents[1] / "lab" / ("demo_small.toml" if small else "demo.toml")
+    return _play(path, out or Path(FOLDER) / f"demo-{_stamp()}", {"seed": seed})
+
+
+@click.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--seconds", type=click.FloatRange(1, 3600), default=60.0, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for configurations and records.")
+@needs_lab
+def emulate(scenario: Path, seconds: float, out: Path | None) -> int:
+    """Play only hosts and discovery, and print how to start the proxies in front of them. Ends by itself.
+
+    Example: cranebank emulate scenarios/calm.toml --seconds 120
+    """
+    from cranebank.lab.plan import read_scenario  # noqa: PLC0415
+    from cranebank.lab.run import Run  # noqa: PLC0415
+
+    folder = out or Path(FOLDER) / f"emulate-{_stamp()}"
+    asyncio.run(Run(read_scenario(scenario), folder, scenario.parent).emulate(seconds, click.echo))
+    return 0
+
+
+@click.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--to", "targets", multiple=True, metavar="ADDRESS:PORT", help="A proxy; may be given more than once.")
+@click.option("--trace", type=click.Path(path_type=Path), help="Write the arrivals as a trace.")
+@click.option("--out", type=click.Path(path_type=Path), help="Write a record of each try to this file.")
+@needs_lab
+def load(scenario: Path, targets: tuple[str, ...], trace: Path | None, out: Path | None) -> int:
+    """Offer a scenario's load to proxies that run already, on loopback. Exit code 1 if the generator was late.
+
+    Example: cranebank load scenarios/calm.toml --to 127.0.0.1:8000
+    """
+    from cranebank.lab import records, results  # noqa: PLC0415
+    from cranebank.lab.arrivals import arrivals, write_trace  # noqa: PLC0415
+    from cranebank.lab.exchange import now_us  # noqa: PLC0415
+    from cranebank.lab.judge import Verdict  # noqa: PLC0415
+    from cranebank.lab.load import Generator  # noqa: PLC0415
+    from cranebank.lab.plan import read_scenario  # noqa: PLC0415
+
+    told = read_scenario(scenario)
+    rows = arrivals(told, scenario.parent)
+    if trace is not None:
+        write_trace(trace, rows, told)
+        click.echo(f"{len(rows)} requests: {trace}")
+    if not targets:
+        if trace is None:
+            raise click.UsageError("expected --to or --trace")
+        return 0
+    proxies = {f"target-p{number}": _address(target) for number, target in enumerate(targets)}
+    found: list[records.Record] = []
+
+    async def offer() -> None:
+        generator = Generator(told, rows, proxies, found.append)
+        found.append(await generator.play(now_us() + 50_000))
+
+    asyncio.run(offer())
+    if out is not None:
+        writer = records.Writer(out)
+        for record in found:
+            writer.write(record)
+        writer.close()
+    result = results.summarise(told, found, Verdict((), 0, 0))
+    from cranebank.lab.report import class_table  # noqa: PLC0415
+
+    table = class_table(result)
+    _table(table.title, table.head, table.rows)
+    assert result.generator is not None
+    g = result.generator
+    click.echo(f"offered {g.offered / max(g.seconds, 1e-9):.0f} requests/s, late p50 {g.late_p50 / 1000:.2f} ms, "
+               f"p99 {g.late_p99 / 1000:.2f} ms, {g.cpu / max(g.seconds, 1e-9):.2f} of a core")
+    if not result.usable:
+        click.echo(f"NO RESULT: {result.why_not}")
+    return 0 if result.usable else EXIT_FOUND
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host.startswith("127.") or not port.isdigit() or not 0 < int(port) < 65536:
+        raise click.UsageError(f"--to {text}: expected ADDRESS:PORT with an address in 127.0.0.0/8")
+    return host, int(port)
+
+
+@click.group()
+def lab() -> None:
+    """Experiments: scenarios, settings to vary and seeds, run on sockets, kept and compared.
+
+    Example: cranebank lab run experiments/policies.toml
+    """
+
+
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
+@click.option("--resume", is_flag=True, help="Go on with the results that --out holds.")
+@click.option("--seed", type=click.IntRange(0), help="A scenario's seed, over the file's.")
+@needs_lab
+def run(file: Path, out: Path | None, resume: bool, seed: int | None) -> int:
+    """Run an experiment, or one scenario. Ctrl-C leaves what is finished, and --resume goes on.
+
+    Exit code 1: a rule broke, or a run can't be used.
+
+    Example: cranebank lab run experiments/policies.toml --out results/policies --resume
+    """
+    from cranebank.cli.config import kind_of  # noqa: PLC0415
+    from cranebank.lab import experiment  # noqa: PLC0415
+
+    if resume and out is None:
+        raise click.UsageError("--resume: expected --out, the folder to go on with")
+    folder = out or Path(FOLDER) / f"{file.stem}-{_stamp()}"
+    if kind_of(str(file)) == "scenario":
+        return _play(file, folder, {} if seed is None else {"seed": seed})
+    unusable = experiment.run(file, folder, resume, click.echo)
+    found = experiment.rows(folder)
+    click.echo(f"results: {folder}")
+    return EXIT_FOUND if unusable or any(not row.result.verdict.kept for row in found) else 0
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="The page; else report.html in the folder.")
+@needs_lab
+def report(folder: Path, out: Path | None) -> int:
+    """Write one self-contained HTML page of a folder of results.
+
+    Example: cranebank lab report results/policies
+    """
+    from cranebank.lab import experiment  # noqa: PLC0415
+    from cranebank.lab import report as pages  # noqa: PLC0415
+
+    found, _ = experiment.select(str(folder))
+    page = out or folder / "report.html"
+    told = experiment.scenarios_of(folder)
+    pages.write(page, pages.experiment_page(folder.name, found, told))
+    click.echo(f"report: {page}")
+    return 0
+
+
+@lab.command()
+@click.argument("a")
+@click.argument("b")
+@needs_lab
+def compare(a: str, b: str) -> int:
+    """Compare two folders of results, or two settings (FOLDER:path=value), paired by scenario, settings and seed.
+
+    Exit code 1 where B is surely worse (95%) in any figure.
+
+    Example: cranebank lab compare results/policies:policy=random results/policies:policy=cranebank
+    """
+    from cranebank.lab import experiment  # noqa: PLC0415
+
+    (left, drop), (right, other) = experiment.select(a), experiment.select(b)
+    found = experiment.compare(left, right, drop or other)
+    if not found:
+        raise ConfigError(f"{a}, {b}: no runs in common to compare")
+    rows = [(f"{d.scenario} {d.settings}".strip(), d.figure, f"{d.a:.4g}", f"{d.b:.4g}", f"{d.difference.mean:+.4g}",
+             f"[{d.difference.low:+.4g}, {d.difference.high:+.4g}]", d.difference.runs, "worse" if d.worse else "")
+            for d in found]
+    _table("B less A", ("run", "figure", "A", "B", "difference", "95% interval", "pairs", ""), rows)
+    return EXIT_FOUND if any(d.worse for d in found) else 0
+
+
+@lab.command(name="list")
+@click.argument("folder", type=click.Path(path_type=Path), default=Path(FOLDER))
+@needs_lab
+def list_(folder: Path) -> int:
+    """List the results in a folder.
+
+    Example: cranebank lab list results
+    """
+    from cranebank.lab import experiment  # noqa: PLC0415
+
+    if not folder.is_dir():
+        raise ConfigError(f"{folder}: expected a folder of results")
+    rows: list[tuple[object, ...]] = []
+    for path in sorted(p.parent for p in folder.glob("*/results.jsonl")):
+        found = experiment.rows(path)
+        service = experiment.figure(row.result.service for row in found if row.result.usable)
+        broken = sum(not row.result.verdict.kept for row in found)
+        rows.append((path.name, len(found), f"{service.mean:.4f}", broken))
+    for path in sorted(p.parent for p in folder.glob("*/result.json")):
+        rows.append((path.name, 1, "", ""))
+    _table(str(folder), ("results", "runs", "service", "broke a rule"), rows)
+    return 0
--- a/cranebank/cli/main.py
+++ b/cranebank/cli/main.py
@@ -13,6 +13,7 @@
 import click
 
 from cranebank.cli.config import config, own_settings
+from cranebank.cli.lab import demo, emulate, lab, load
 from cranebank.config.checks import ConfigError
 
 EXIT_FOUND, EXIT_UNUSABLE = 1, 2
@@ -73,6 +74,10 @@
 
 
 cli.add_command(config)
+cli.add_command(demo)
+cli.add_command(emulate)
+cli.add_command(load)
+cli.add_command(lab)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/cranebank/lab/experiment.py
@@ -0,0 +1,264 @@
+"""Experiments: scenarios x settings x seeds, run, kept, gone on with after an end of any kind, compared.
+
+A folder holds ``experiment.toml`` as it was, ``results.jsonl`` with one finished run a line, and a folder of
+records for each run. What is finished is readable at every moment; ``resume`` runs what is missing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import itertools
+from collections.abc import Callable, Iterable, Sequence
+from math import sqrt
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+from scipy import stats
+
+from cranebank.config.checks import ConfigError, typed
+from cranebank.config.own import read_toml
+from cranebank.lab.child import Part
+from cranebank.lab.plan import plan
+from cranebank.lab.results import Result
+from cranebank.lab.run import Run
+from cranebank.lab.scenario import Experiment, Scenario
+
+TRIES = 3  # a run whose generator was late is made again so often in all
+FIGURES: dict[str, Callable[[Result], float]] = {
+    "service": lambda r: r.service,
+    "in_time": lambda r: r.in_time,
+    "p50_ms": lambda r: _over_classes(r, "p50"),
+    "p99_ms": lambda r: _over_classes(r, "p99"),
+    "legs_per_request": lambda r: r.legs_per_request,
+    "breaches": lambda r: float(sum(b.count for b in r.verdict.breaches)),
+}
+BETTER_HIGH = ("service", "in_time")
+
+
+def _over_classes(result: Result, name: str) -> float:
+    """A quantile over the classes, each by how much it was asked."""
+    asked = sum(c.asked for c in result.classes) or 1
+    return sum(c.latency_ms[name] * c.asked for c in result.classes) / asked
+
+
+class Case(msgspec.Struct, frozen=True):
+    """One run that is to be made."""
+
+    id: str
+    scenario: Scenario
+    cell: dict[str, bool | int | float | str]
+    seed: int
+    beside: str
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One line of results."""
+
+    id: str
+    scenario: str
+    cell: dict[str, bool | int | float | str]
+    seed: int
+    result: Result
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """A mean over runs with its 95% confidence interval (Student's t)."""
+
+    mean: float
+    low: float
+    high: float
+    runs: int
+
+
+def set_path(told: dict[str, Any], path: str, value: Any) -> dict[str, Any]:
+    """A scenario as read, with one value set by its path, such as ``tier.0.proxies``."""
+    changed = copy.deepcopy(told)
+    node: Any = changed
+    *above, last = path.split(".")
+    try:
+        for step in above:
+            node = node[int(step)] if isinstance(node, list) else node.setdefault(step, {})
+        node[int(last) if isinstance(node, list) else last] = value
+    except (KeyError, IndexError, ValueError, TypeError, AttributeError):
+        raise ConfigError(f"{path}: no such key in the scenario") from None
+    return changed
+
+
+def read(path: Path) -> Experiment:
+    """Read and check an experiment, its scenarios under every setting of its grid included."""
+    experiment = typed(read_toml(path), Experiment, str(path))
+    cases(experiment, path)
+    return experiment
+
+
+def cases(experiment: Experiment, path: Path) -> list[Case]:
+    """Every run of an experiment, in order."""
+    found = []
+    grids = [[(cell.path, value) for value in cell.values] for cell in experiment.grid]
+    for name in experiment.scenarios:
+        file = path.parent / name
+        told = read_toml(file)
+        for cell in itertools.product(*grids):
+            changed = told
+            for key, value in cell:
+                try:
+                    changed = set_path(changed, key, value)
+                except ConfigError as error:
+                    raise ConfigError(f"{path}: grid: {error}") from None
+            settings = " ".join(f"{key}={value}" for key, value in cell)
+            where = f"{path}: {name}{f' with {settings}' if settings else ''}"
+            for seed in experiment.seeds:
+                scenario = typed(changed | {"seed": seed}, Scenario, where)
+                try:
+                    plan(scenario)
+                except ValueError as error:
+                    raise ConfigError(f"{where}: {error}") from None
+                id_ = "_".join([scenario.name, *(f"{key}={value}" for key, value in cell), f"seed={seed}"])
+                found.append(Case(id_, scenario, dict(cell), seed, str(file.parent)))
+    if len({case.id for case in found}) < len(found):
+        raise ConfigError(f"{path}: scenarios: expected scenarios whose names differ")
+    return found
+
+
+def rows(folder: Path) -> list[Row]:
+    """The finished runs of a folder; a torn last line is passed over."""
+    found = []
+    with contextlib.suppress(FileNotFoundError), open(folder / "results.jsonl", "rb") as file:
+        for line in file:
+            with contextlib.suppress(msgspec.DecodeError):
+                found.append(msgspec.json.decode(line, type=Row))
+    return found
+
+
+def run(path: Path, folder: Path, resume: bool, say: Callable[[str], None]) -> int:
+    """Run an experiment, or what is missing of it; return how many runs can't be used."""
+    experiment = read(path)
+    folder.mkdir(parents=True, exist_ok=True)
+    copied = folder / "experiment.toml"
+    text = path.read_bytes()
+    done = rows(folder)
+    if done and not resume:
+        raise ConfigError(f"{folder}: holds results; expected --resume, or another folder")
+    if done and copied.exists() and copied.read_bytes() != text:
+        raise ConfigError(f"{folder}: its results are of another experiment than {path}")
+    copied.write_bytes(text)
+    _mend(folder / "results.jsonl")
+    finished = {row.id for row in done}
+    wanted = [case for case in cases(experiment, path) if case.id not in finished]
+    say(f"{len(finished)} of {len(finished) + len(wanted)} runs are there")
+    return asyncio.run(_all(wanted, folder, experiment.at_once, say))
+
+
+def _mend(path: Path) -> None:
+    """Drop a line that an earlier end has torn, so that the next one stands alone."""
+    if path.exists():
+        text = path.read_bytes()
+        if text and not text.endswith(b"\n"):
+            path.write_bytes(text[:text.rfind(b"\n") + 1])
+
+
+async def _all(wanted: Sequence[Case], folder: Path, at_once: int, say: Callable[[str], None]) -> int:
+    room, unusable = asyncio.Semaphore(at_once), 0
+
+    async def one(case: Case) -> None:
+        nonlocal unusable
+        async with room:
+            for turn in range(TRIES):
+                result = await Run(case.scenario, folder / "runs" / case.id, Path(case.beside)).play()
+                if result.usable or turn == TRIES - 1:
+                    break
+                say(f"{case.id}: {result.why_not}; once more")
+            unusable += not result.usable
+            row = Row(case.id, case.scenario.name, case.cell, case.seed, result)
+            with open(folder / "results.jsonl", "ab") as file:
+                file.write(msgspec.json.encode(row) + b"\n")
+            told = "" if result.usable else f"  not usable: {result.why_not}"
+            broken = "".join(f"  {b.rule} x{b.count}" for b in result.verdict.breaches)
+            say(f"{case.id}: service {result.service:.4f}  in time {result.in_time:.4f}  "
+                f"legs {result.legs_per_request:.3f}{broken}{told}")
+
+    async with asyncio.TaskGroup() as group:
+        for case in wanted:
+            group.create_task(one(case))
+    return unusable
+
+
+def figure(values: Iterable[float]) -> Figure:
+    """Mean and 95% interval; without an interval where there is but one value."""
+    of = np.array(list(values), dtype=float)
+    if len(of) < 2:
+        mean = float(of.mean()) if len(of) else 0.0
+        return Figure(mean, mean, mean, len(of))
+    half = float(stats.t.ppf(0.975, len(of) - 1)) * float(of.std(ddof=1)) / sqrt(len(of))
+    return Figure(float(of.mean()), float(of.mean()) - half, float(of.mean()) + half, len(of))
+
+
+def groups(found: Iterable[Row]) -> dict[tuple[str, str], list[Row]]:
+    """Rows by scenario and settings; what can't be used is left out."""
+    by: dict[tuple[str, str], list[Row]] = {}
+    for row in found:
+        if row.result.usable:
+            settings = " ".join(f"{key}={value}" for key, value in row.cell.items())
+            by.setdefault((row.scenario, settings), []).append(row)
+    return by
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """B less A, paired by scenario, settings and seed, with its 95% interval; ``worse``: surely, for B."""
+
+    scenario: str
+    settings: str
+    figure: str
+    a: float
+    b: float
+    difference: Figure
+    worse: bool
+
+
+def compare(a: Sequence[Row], b: Sequence[Row], drop: str = "") -> list[Difference]:
+    """Paired differences; ``drop`` is the grid's path that tells A from B, where both are of one experiment."""
+    def key(row: Row) -> tuple[str, str, int]:
+        cell = {path: value for path, value in row.cell.items() if path != drop}
+        return row.scenario, " ".join(f"{path}={value}" for path, value in cell.items()), row.seed
+
+    left = {key(row): row.result for row in a if row.result.usable}
+    right = {key(row): row.result for row in b if row.result.usable}
+    found = []
+    for scenario, settings in dict.fromkeys((s, c) for s, c, _ in left):
+        seeds = [k for k in left if k[:2] == (scenario, settings) and k in right]
+        if not seeds:
+            continue
+        for name, of in FIGURES.items():
+            ours, theirs = [of(left[k]) for k in seeds], [of(right[k]) for k in seeds]
+            gap = figure(y - x for x, y in zip(ours, theirs, strict=True))
+            worse = gap.runs > 1 and (gap.high < 0 if name in BETTER_HIGH else gap.low > 0)
+            found.append(Difference(scenario, settings, name, figure(ours).mean, figure(theirs).mean, gap, worse))
+    return found
+
+
+def scenarios_of(folder: Path) -> dict[str, Scenario]:
+    """The scenarios of a folder's runs by name, as its parts hold them, for their faults."""
+    found: dict[str, Scenario] = {}
+    for path in sorted(folder.glob("runs/*/part-load.json")):
+        scenario = msgspec.json.decode(path.read_bytes(), type=Part).scenario
+        found.setdefault(scenario.name, scenario)
+    return found
+
+
+def select(source: str) -> tuple[list[Row], str]:
+    """The rows of ``FOLDER``, or of ``FOLDER:path=value`` those with that setting."""
+    folder, _, setting = source.partition(":")
+    found = rows(Path(folder))
+    if not found:
+        raise ConfigError(f"{folder}: expected a folder with results.jsonl that holds finished runs")
+    if not setting:
+        return found, ""
+    path, _, value = setting.partition("=")
+    kept = [row for row in found if str(row.cell.get(path)) == value]
+    if not kept:
+        raise ConfigError(f"{source}: no finished run has this setting")
+    return kept, path
