--- a/cranebank/lab/experiment.py
+++ b/cranebank/lab/experiment.py
@@ -52,6 +52,7 @@
     scenario: Scenario
     cell: dict[str, bool | int | float | str]
     seed: int
+    turn: int  # 0 for the first run with this seed
     beside: str
 
 
@@ -63,6 +64,7 @@
     cell: dict[str, bool | int | float | str]
     seed: int
     result: Result
+    turn: int = 0
 
 
 class Figure(msgspec.Struct, frozen=True):
@@ -117,8 +119,10 @@
                     plan(scenario)
                 except ValueError as error:
                     raise ConfigError(f"{where}: {error}") from None
-                id_ = "_".join([scenario.name, *(f"{key}={value}" for key, value in cell), f"seed={seed}"])
-                found.append(Case(id_, scenario, dict(cell), seed, str(file.parent)))
+                words = [scenario.name, *(f"{key}={value}" for key, value in cell), f"seed={seed}"]
+                for turn in range(experiment.repeats):
+                    id_ = "_".join([*words, f"turn={turn}"] if experiment.repeats > 1 else words)
+                    found.append(Case(id_, scenario, dict(cell), seed, turn, str(file.parent)))
     if len({case.id for case in found}) < len(found):
         raise ConfigError(f"{path}: scenarios: expected scenarios whose names differ")
     return found
@@ -173,7 +177,7 @@
                     break
                 say(f"{case.id}: {result.why_not}; once more")
             unusable += not result.usable
-            row = Row(case.id, case.scenario.name, case.cell, case.seed, result)
+            row = Row(case.id, case.scenario.name, case.cell, case.seed, result, case.turn)
             with open(folder / "results.jsonl", "ab") as file:
                 file.write(msgspec.json.encode(row) + b"\n")
             told = "" if result.usable else f"  not usable: {result.why_not}"
@@ -220,15 +224,16 @@
 
 
 def compare(a: Sequence[Row], b: Sequence[Row], drop: str = "") -> list[Difference]:
-    """Paired differences; ``drop`` is the grid's path that tells A from B, where both are of one experiment."""
-    def key(row: Row) -> tuple[str, str, int]:
+    """Differences paired by scenario, settings, seed and turn; ``drop`` is the path in the grid that tells A from
+    B, where both are of one experiment."""
+    def key(row: Row) -> tuple[str, str, int, int]:
         cell = {path: value for path, value in row.cell.items() if path != drop}
-        return row.scenario, " ".join(f"{path}={value}" for path, value in cell.items()), row.seed
+        return row.scenario, " ".join(f"{path}={value}" for path, value in cell.items()), row.seed, row.turn
 
     left = {key(row): row.result for row in a if row.result.usable}
     right = {key(row): row.result for row in b if row.result.usable}
     found = []
-    for scenario, settings in dict.fromkeys((s, c) for s, c, _ in left):
+    for scenario, settings in dict.fromkeys((s, c) for s, c, *_ in left):
         seeds = [k for k in left if k[:2] == (scenario, settings) and k in right]
         if not seeds:
             continue
--- a/cranebank/lab/scenario.py
+++ b/cranebank/lab/scenario.py
@@ -281,6 +281,7 @@
     name: Name
     scenarios: Annotated[tuple[str, ...], Meta(min_length=1)]  # files, beside the experiment's own
     seeds: Annotated[tuple[int, ...], Meta(min_length=1)] = (1, 2, 3)
+    repeats: Annotated[int, Meta(ge=1, le=1000)] = 1  # of each run with each seed
     grid: tuple[Cell, ...] = ()
     at_once: Annotated[int, Meta(ge=1, le=64)] = 1  # runs side by side; they share the machine
 
