--- a/cranebank/core/clock.py
+++ b/cranebank/core/clock.py
@@ -43,8 +43,3 @@
         """Call at a time of this clock: never before it, so that a timer never fires early."""
         delay = max(0, at - time.monotonic_ns() // 1000)
         return self._loop.call_later(delay / 1e6, do, *args)
-
-
-def span_us(ms: float) -> int:
-    """A duration of the settings or the module in microseconds."""
-    return round(ms * 1000.0)
--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -14,10 +14,11 @@
 
 from cranebank.config.checks import ConfigError
 from cranebank.config.load import Config, load
-from cranebank.core.clock import Clock, span_us
+from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
-from cranebank.core.engine import Decisions, Engine, Host
+from cranebank.core.engine import Engine
 from cranebank.core.log import Handler, Log
+from cranebank.core.rules import Decisions, Host, span_us
 from cranebank.decisions import interface as api
 from cranebank.decisions.balance import Balancer
 from cranebank.discovery.routing_table import RoutingTable
--- a/cranebank/discovery/listing.py
+++ b/cranebank/discovery/listing.py
@@ -6,7 +6,7 @@
 from math import inf
 from typing import Any
 
-from cranebank.core.engine import Host
+from cranebank.core.rules import Host
 from cranebank.decisions import interface as api
 
 _STATES = {
--- a/cranebank/discovery/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -10,9 +10,9 @@
 import aiohttp
 
 from cranebank.core.counters import Counters
-from cranebank.core.engine import TableNews
 from cranebank.core.log import Log
 from cranebank.core.mailbox import Mailbox
+from cranebank.core.rules import TableNews
 from cranebank.decisions import interface as api
 from cranebank.discovery.listing import Listing, ListReader
 
--- a/cranebank/http/acquirer.py
+++ b/cranebank/http/acquirer.py
@@ -9,10 +9,11 @@
 from aiohttp import web
 from multidict import CIMultiDictProxy
 
-from cranebank.core.clock import Clock, span_us
+from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
-from cranebank.core.engine import Call, Declined, Engine, Left, Served
+from cranebank.core.engine import Engine
 from cranebank.core.log import Log
+from cranebank.core.rules import Call, Declined, Left, Served, span_us
 from cranebank.decisions.interface import Effect, Settings
 from cranebank.http.door import Door, DoorTimes
 from cranebank.http.issuer import HttpAnswer, HttpRequest
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -11,9 +11,9 @@
 from cranebank.config.platform import LOAD_NAMES
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
-from cranebank.core.engine import Host, Leg, LegEnded, Message, Probed, TableNews
 from cranebank.core.log import Log
 from cranebank.core.mailbox import Mailbox
+from cranebank.core.rules import Host, Leg, LegEnded, Message, Probed, TableNews
 from cranebank.decisions import interface as api
 from cranebank.http.link import Broke, HostAnswer, Links, NoRoom, Spoilt
 
