--- a/cranebank/cli/lab.py
+++ b/cranebank/cli/lab.py
@@ -312,8 +312,9 @@
 @click.option("--runs", type=click.IntRange(1, 1000), default=20, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="One JSON list.")
 @click.option("--plots", type=click.Path(path_type=Path), help="Write the paper's two figures as a page to this file.")
+@click.option("--module", is_flag=True, help="The module's own gaps beside the processes', n = 1,000.")
 @needs_lab
-def paper(runs: int, as_json: bool, plots: Path | None) -> int:
+def paper(runs: int, as_json: bool, plots: Path | None, module: bool) -> int:
     """Play the paper's batched processes and print its table of gaps beside ours. Takes a few minutes.
 
     Exit code 1 where a cell is off by more than 5%.
@@ -325,6 +326,11 @@
     from cranebank.lab import report as pages  # noqa: PLC0415
     from cranebank.lab.simulated import paper as check  # noqa: PLC0415
 
+    if module:
+        rows = check.module_table()
+        _table("n = 1,000", ("b / n", "one-choice", "two-choice", "one-plus-beta", "cranebank"),
+               ((multiple, *(f"{gap:.1f}" for gap in gaps)) for multiple, gaps in rows))
+        return 0
     cells = check.table(runs=runs)
     if as_json:
         click.echo(msgspec.json.encode(cells).decode())
@@ -338,6 +344,24 @@
     return EXIT_FOUND if any(c.paper and abs(c.gap / c.paper - 1) > 0.05 for c in cells) else 0
 
 
+@lab.command()
+@click.option("--minutes", type=click.FloatRange(0.05, 600), default=30.0, show_default=True)
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="Seed of the first scenario.")
+@click.option("--out", type=click.Path(path_type=Path), help=f"Folder of what is found; else one in {FOLDER}/.")
+@needs_lab
+def hunt(minutes: float, first: int, out: Path | None) -> int:
+    """Draw scenarios in simulated time and keep those where the module loses most against who sees the truth.
+
+    Exit code 1 where the module broke a rule.
+
+    Example: cranebank lab hunt --minutes 30 --out results/hunt
+    """
+    from cranebank.lab.simulated.hunt import hunt as search  # noqa: PLC0415
+
+    found = search(minutes * 60, first, out or Path(FOLDER) / f"hunt-{_stamp()}", click.echo)
+    return EXIT_FOUND if any(f.breaches for f in found) else 0
+
+
 @lab.command(name="list")
 @click.argument("folder", type=click.Path(path_type=Path), default=Path(FOLDER))
 @needs_lab
--- /dev/null
+++ b/cranebank/lab/simulated/hunt.py
@@ -0,0 +1,154 @@
+"""Search for bad days: scenarios drawn at random, kept where the module loses most against who sees the truth.
+
+The loss is the service of the oracle (least strained host by its true state) less that of the module, on the same
+arrivals. What is kept is shrunk: faults, tiers, hosts, proxies and seconds are taken away as long as the loss stays.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+import tomli_w
+
+from cranebank.config.checks import ConfigError, typed
+from cranebank.lab.scenario import Scenario
+from cranebank.lab.simulated.world import play
+from cranebank.lab.streams import stream
+
+KEEP = 5
+STAYS = 0.8  # a smaller scenario must still show this part of the loss
+FAULTS: tuple[dict[str, Any], ...] = (
+    {"what": "kill"}, {"what": "stop"}, {"what": "half-open"}, {"what": "pause", "size": 250.0, "every_s": 1.5},
+    {"what": "slow", "size": 4.0}, {"what": "cold"}, {"what": "refuse"}, {"what": "reset", "size": 0.3},
+    {"what": "spoil", "size": 0.3}, {"what": "report-delay", "size": 3.0}, {"what": "shared-slow", "size": 1.8},
+    {"what": "deploy", "batch": 0.2, "drain_s": 3.0}, {"what": "discovery-down"}, {"what": "proxy-kill"},
+)
+
+
+class Found(msgspec.Struct, frozen=True):
+    """A scenario, and what the module loses on it."""
+
+    loss: float
+    module: float
+    oracle: float
+    breaches: tuple[str, ...]  # rules that the module's run broke
+    told: dict[str, Any]
+
+
+def draw(seed: int) -> dict[str, Any]:
+    """One scenario at random: 1 to 3 tiers, 4 to 16 hosts and 1 to 16 proxies each, 30% to 90% load, 0 to 2 faults."""
+    random = stream(seed, "hunt")
+    count, seconds = int(random.integers(1, 4)), float(random.integers(8, 15))
+    work_ms = float(random.uniform(30, 120))
+    tiers, names = [], ("one", "two", "three")[:count]
+    part = 1.0 / count
+    for name in names:
+        hosts = int(random.integers(4, 17))
+        tiers.append({"name": name, "work": part, "calls": 1.0, "proxies": int(random.integers(1, 17)),
+                      "kind": [{"name": "std", "count": hosts, "speed_cv": float(random.uniform(0, 0.3)),
+                                "slots": int(random.integers(8, 40)), "queue": int(random.integers(10, 60))}]})
+    capacity = min(t["kind"][0]["count"] for t in tiers) * 2 / (work_ms / 1000 * part)
+    faults = [_fault(random, names, seconds) for _ in range(int(random.integers(0, 3)))]
+    return {
+        "name": f"hunted-{seed}", "seconds": seconds, "warmup_s": 1.0, "seed": seed,
+        "load": {"rate": round(float(random.uniform(0.3, 0.9)) * capacity, 1)},
+        "class": [{"name": "look", "share": 0.6, "work_ms": work_ms, "aim_ms": 5 * work_ms, "deadline_ms": 12 * work_ms,
+                   "worth": 3.0, "late_worth": 0.5},
+                  {"name": "order", "share": 0.4, "work_ms": work_ms, "aim_ms": 6 * work_ms,
+                   "deadline_ms": 15 * work_ms, "worth": 2.0, "effect": "keyed", "window_ms": 3000.0}],
+        "tier": tiers, "fault": faults, "prices": {"probe": float(random.choice([0.0, 0.01]))},
+    }
+
+
+def _fault(random: np.random.Generator, names: tuple[str, ...], seconds: float) -> dict[str, Any]:
+    fault = dict(FAULTS[int(random.integers(len(FAULTS)))])
+    at = float(random.uniform(1.5, seconds / 2))
+    fault |= {"at_s": round(at, 2), "for_s": round(float(random.uniform(1.5, seconds - at)), 2),
+              "tier": str(random.choice(names))}
+    if fault["what"] not in ("shared-slow", "discovery-down"):
+        fault["part"] = round(float(random.uniform(0.1, 0.6 if fault["what"] != "deploy" else 1.0)), 2)
+    return fault
+
+
+def judge(told: dict[str, Any]) -> Found | None:
+    """Play a scenario with the module and with the oracle; None if it can't be played."""
+    try:
+        module = play(typed(told, Scenario, "drawn"))
+        oracle = play(typed(told | {"policy": "oracle"}, Scenario, "drawn"))
+    except (ConfigError, ValueError):
+        return None
+    breaches = tuple(b.rule for b in module.verdict.breaches)
+    return Found(oracle.service - module.service, module.service, oracle.service, breaches, told)
+
+
+def smaller(told: dict[str, Any]) -> Iterator[dict[str, Any]]:
+    """Scenarios with one thing taken away."""
+    for number in range(len(told["fault"])):
+        yield told | {"fault": told["fault"][:number] + told["fault"][number + 1:]}
+    for number, tier in enumerate(told["tier"]):
+        if len(told["tier"]) > 1 and all(f["tier"] != tier["name"] for f in told["fault"]):
+            yield told | {"tier": told["tier"][:number] + told["tier"][number + 1:]}
+    for number, tier in enumerate(told["tier"]):
+        for smaller_tier in (tier | {"proxies": tier["proxies"] // 2} if tier["proxies"] > 1 else None,
+                             tier | {"kind": [tier["kind"][0] | {"speed_cv": 0.0}]}
+                             if tier["kind"][0]["speed_cv"] else None):
+            if smaller_tier is not None:
+                yield told | {"tier": [*told["tier"][:number], smaller_tier, *told["tier"][number + 1:]]}
+    if told["seconds"] > 8.0:
+        yield told | {"seconds": told["seconds"] - 2.0}
+
+
+def shrink(found: Found, until: float) -> Found:
+    """The smallest scenario near by that still shows most of the loss; stops at ``until`` (monotonic seconds)."""
+    changed = True
+    while changed and time.monotonic() < until:
+        changed = False
+        for told in smaller(found.told):
+            tried = judge(told)
+            if tried is not None and tried.loss >= STAYS * found.loss and tried.loss > 0.0:
+                found, changed = msgspec.structs.replace(tried, loss=max(tried.loss, 0.0)), True
+                break
+            if time.monotonic() >= until:
+                break
+    return found
+
+
+def hunt(seconds: float, first: int, folder: Path, say: Callable[[str], None],
+         processes: int | None = None) -> list[Found]:
+    """Hunt for so long (a quarter of it for shrinking) and write what was found as scenario files."""
+    folder.mkdir(parents=True, exist_ok=True)
+    began, best, tried, broken = time.monotonic(), list[Found](), 0, list[Found]()
+    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
+        width = getattr(pool, "_max_workers", 4)
+        running: set[Future[Found | None]] = {pool.submit(judge, draw(first + n)) for n in range(width)}
+        seed = first + width
+        while running:
+            done, running = wait(running, return_when=FIRST_COMPLETED)
+            for one in done:
+                found = one.result()
+                tried += 1
+                if found is not None:
+                    broken += [found] if found.breaches else []
+                    best = sorted([*best, found], key=lambda f: -f.loss)[:KEEP]
+                if time.monotonic() - began < 0.75 * seconds:
+                    running.add(pool.submit(judge, draw(seed)))
+                    seed += 1
+        say(f"{tried} scenarios, worst losses: {', '.join(f'{f.loss:.3f}' for f in best)}; "
+            f"{len(broken)} broke a rule")
+        shrunk = list(pool.map(shrink, best, [began + seconds] * len(best)))
+    for number, found in enumerate(shrunk):
+        path = folder / f"{number}-{found.told['name']}.toml"
+        path.write_bytes(tomli_w.dumps(found.told).encode())
+        say(f"{path}: loss {found.loss:.3f} (module {found.module:.3f}, oracle {found.oracle:.3f}), "
+            f"faults {', '.join(f['what'] for f in found.told['fault']) or 'none'}")
+    for found in broken:
+        say(f"{found.told['name']}: the module broke {', '.join(found.breaches)}")
+        (folder / f"broke-{found.told['name']}.toml").write_bytes(tomli_w.dumps(found.told).encode())
+    return shrunk
--- a/cranebank/lab/simulated/paper.py
+++ b/cranebank/lab/simulated/paper.py
@@ -17,6 +17,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from cranebank.decisions import interface as api
+from cranebank.decisions.balance import Balancer
 from cranebank.lab.streams import stream
 
 Loads = NDArray[np.int64]
@@ -148,3 +150,42 @@
     "one-plus-beta:0.7 sqrt": lambda n, b: 0.7 * mixing(n, b),
     "one-plus-beta:sqrt": mixing,
 }
+
+
+def module_gap(n: int, multiple: int, batches: int, seed: int) -> float:
+    """The module's own largest gap, through its interface: n equal hosts, a board renewed every ``multiple`` x n calls.
+
+    Each call ends at once, so that nothing but the board tells hosts apart; the figure on it is the calls that a host
+    has had, as in the paper. One copy, reports by probe, and the board read by all at one moment.
+    """
+    kind = api.RequestClass(aim=1e9, deadline=1e10, effect=api.Effect.SAFE)
+    settings = api.Settings(classes=(kind,), may_probe=True, report_source=api.ReportSource.PROBE, probe_price=1.0)
+    module = Balancer(settings, seed)
+    names = [f"h{i}" for i in range(n)]
+    loads, now, largest = dict.fromkeys(names, 0), 1000.0, 0.0
+    module.handle(now, api.ServerList(api.ListKind.ALL, tuple(api.ServerEntry(name) for name in names)))
+    for batch in range(batches):
+        for name in names:
+            module.handle(now, api.ProbeResult(name, api.Outcome.OK, 1.0, {"inflight": float(loads[name])}))
+        for call in range(multiple * n):
+            now += 1.0
+            request = f"{batch}-{call}"
+            for action in module.handle(now, api.Request(request, 0, 1e10)):
+                if isinstance(action, api.Send):
+                    loads[action.server] += 1
+                    module.handle(now, api.AttemptResult(request, 0, action.server, api.Outcome.OK, 10.0, True))
+        largest = max(largest, max(loads.values()) - sum(loads.values()) / n)
+    return largest
+
+
+def _module_row(multiple: int, n: int, batches: int) -> tuple[int, tuple[float, ...]]:
+    gaps = [float(np.mean([gap(process, n, multiple * n, seed, batches) for seed in range(5)]))
+            for process in ("one-choice", "two-choice", "one-plus-beta")]
+    return multiple, (*gaps, module_gap(n, multiple, batches, 1))
+
+
+def module_table(n: int = 1000, multiples: tuple[int, ...] = (1, 2, 5, 10, 20, 50),
+                 batches: int = 8) -> list[tuple[int, tuple[float, ...]]]:
+    """By b/n: the gaps of One-Choice, Two-Choice, (1+beta) with the paper's constant, and of the module."""
+    with ProcessPoolExecutor() as pool:
+        return list(pool.map(partial(_module_row, n=n, batches=batches), multiples))
--- a/tests/test_lab_faults.py
+++ b/tests/test_lab_faults.py
@@ -28,9 +28,10 @@
 def beside(tmp_path: Path, fault: dict[str, Any], story: Callable[[SocketHost, Ask], Awaitable[None]],
            **changes: Any) -> list[records.Record]:
     """A stand-in host that suffers a fault from 0.15 to 0.65 s, and a way to ask it; its records."""
-    told: Scenario = scenario(
-        seconds=5.0, connections={"handshake_ms": 0.0, "cap": 4}, reports={"delay_ms": 0.0, "period_ms": 10.0},
-        fault=[{"at_s": FAULT_AT, "for_s": UNTIL - FAULT_AT, "hosts": ["front-std-0"]} | fault], **changes)
+    told: Scenario = scenario(**{
+        "seconds": 5.0, "connections": {"handshake_ms": 0.0, "cap": 4},
+        "reports": {"delay_ms": 0.0, "period_ms": 10.0},
+        "fault": [{"at_s": FAULT_AT, "for_s": UNTIL - FAULT_AT, "hosts": ["front-std-0"]} | fault]} | changes)
     path = tmp_path / "records.jsonl"
 
     async def whole() -> None:
@@ -140,6 +141,25 @@
     assert [r.host for r in found if isinstance(r, records.Started)] == ["front-std-0"]
 
 
+def test_reports_come_with_answers_where_the_scenario_says_so_and_refusals_say_that_nothing_ran(tmp_path: Path) -> None:
+    async def story(host: SocketHost, ask: Ask) -> None:
+        busy = [asyncio.ensure_future(ask(work=400_000, fresh=True)) for _ in range(2)]
+        await asyncio.sleep(0.05)
+        reader, writer = await asyncio.open_connection(*host.address)
+        for target, status, field in (("", b"503", b"X-Not-Run: 1"), ("", b"503", b"X-Load: TEXT inflight=2"),
+                                      ("/-/healthy", b"200", b"Content-Length: 0")):
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode() if target else request_bytes(
+                Wanted("q", "r", 0, 0, "", 1000, 1_000_000), host.stage.scenario))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert status in head and field in head
+        writer.close()
+        await asyncio.gather(*busy)
+
+    kinds = [{"name": "std", "count": 2, "slots": 1, "queue": 1}]
+    beside(tmp_path, {"what": "slow", "size": 1.0}, story, tier=[{"name": "front", "proxies": 1, "kind": kinds}],
+           reports={"source": "answers", "delay_ms": 0.0, "period_ms": 10.0})
+
+
 def test_work_is_called_off_with_its_connection_and_connections_have_a_cap(tmp_path: Path) -> None:
     async def story(host: SocketHost, ask: Ask) -> None:
         assert (await ask(work=5_000_000, wait=0.1, fresh=True)).trouble == "silent"
--- a/tests/test_lab_simulated.py
+++ b/tests/test_lab_simulated.py
@@ -171,3 +171,26 @@
     gaps = {process: np.mean([paper.gap(process, 2000, 40_000, seed) for seed in range(6)])
             for process in paper.PROCESSES}
     assert gaps["one-choice"] < gaps["one-plus-beta"] < gaps["quantile"] < gaps["two-choice"]
+
+
+def test_the_modules_own_gap_lies_between_one_choice_and_two_choice_in_large_batches() -> None:
+    ours = paper.module_gap(100, 20, 4, 1)
+    two = np.mean([paper.gap("two-choice", 100, 2000, seed, 4) for seed in range(8)])
+    assert 3.0 < ours < two
+
+
+def test_a_hunt_finds_shrinks_and_writes_what_can_be_played_again(tmp_path: Path) -> None:
+    from cranebank.lab.plan import read_scenario  # noqa: PLC0415
+    from cranebank.lab.simulated import hunt  # noqa: PLC0415
+
+    assert hunt.draw(3) == hunt.draw(3) != hunt.draw(4)
+    told = hunt.draw(7) | {"seconds": 8.0, "fault": [
+        {"what": "shared-slow", "size": 3.0, "at_s": 2.0, "for_s": 3.0, "tier": "one"}]}
+    variants = list(hunt.smaller(told))
+    assert {"fault": []}.items() <= variants[0].items()
+    said: list[str] = []
+    hunt.hunt(0.2, 11, tmp_path, said.append, processes=2)
+    files = sorted(tmp_path.glob("[0-9]-*.toml"))
+    assert files
+    assert all(read_scenario(path).seconds >= 8.0 for path in files)
+    assert "scenarios, worst losses" in said[0]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -71,12 +71,13 @@
                     (tmp_path / "config.json").write_text(text, encoding="utf-8")
                     process.send_signal(signal.SIGHUP)
                     assert b"kept the old settings" in await process.stderr.readline()
-                moved = json.dumps(told | {"discovery": after})
+                moved = json.dumps(told | {"discovery": after, "limits": told["limits"] | {"sockets": 777}})
                 (tmp_path / "config.json").write_text(moved, encoding="utf-8")
                 process.send_signal(signal.SIGHUP)
                 await until(lambda: len(new.watches) == 1)  # with the list's version, and at once
                 assert (len(old.watches), new.watches[0].endswith(b"from=1")) == (1, True)
-                assert after.encode() in await process.stderr.readline()
+                line = await process.stderr.readline()
+                assert after.encode() in line and b"needs_restart=sockets" in line
                 assert (await slow).status == 503  # the host keeps silent: answered all the same
             process.send_signal(signal.SIGTERM)
             await process.communicate()
