cranebank emulate brings no load of its own, as its help says

Cause: read against the issue, the runner started the clients' process for a fleet to try things on, and told it the start. Change: clients are started for runs only. Measured: the story of the fleet now fails where a load process was there.

--- a/cranebank/lab/run.py
+++ b/cranebank/lab/run.py
@@ -145,7 +145,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._writer = records.Writer(self._folder / "records-run.jsonl")
         try:
-            await self._prepare(EMULATED_PORT)
+            await self._prepare(EMULATED_PORT, clients=False)
             self._go()
             for proxy in self._proxies:
                 ip, port = proxy.address
@@ -154,18 +154,19 @@
         finally:
             await self._end()
 
-    async def _prepare(self, port_of_proxies: int) -> None:
-        """Start hosts, clients and discovery, and write each proxy's configuration."""
+    async def _prepare(self, port_of_proxies: int, clients: bool = True) -> None:
+        """Start hosts, clients if they are wanted, and discovery, and write each proxy's configuration."""
         scenario, plan_, hosts = self._scenario, self._plan, dict[str, Address]()
         shares = [(tier, share, t.processes) for tier, t in enumerate(scenario.tiers) for share in range(t.processes)]
         addresses = {host.name: (next(self._ips), 0) for host in plan_.hosts}
         parts = [self._child("hosts", f"hosts-{scenario.tiers[tier].name}-{share}", addresses=addresses, tier=tier,
                              share=share, of=of) for tier, share, of in shares]
-        parts.append(self._child("load", "load"))
         self._children += await asyncio.gather(*parts)
-        for child in self._children[:-1]:
+        for child in self._children:
             hosts |= {name: (ip, port) for name, (ip, port) in child.ready.items()}
         ports = {proxy.name: ("127.0.0.1", 0) for proxy in plan_.proxies}
+        if clients:
+            self._children.append(await self._child("load", "load"))
         discovery = await self._child("discovery", "discovery", addresses=hosts | ports)
         self._children.append(discovery)
         counts = [sum(p.tier == tier for p in plan_.proxies) for tier in range(len(scenario.tiers))]
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -138,6 +138,7 @@
     asked = [r for r in records.read([tmp_path / "asked.jsonl"]) if isinstance(r, records.Asked)]
     assert len(asked) > 60
     assert all(record.status == 200 for record in asked)
+    assert not (tmp_path / "out/records-load.jsonl").exists()  # a fleet to try things on brings no load of its own
     proxy.terminate()
     proxy.communicate()
     fleet.send_signal(signal.SIGINT)
