--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -52,7 +52,7 @@
         self.ready, self.linked = list[Server](), list[Server]()  # linked: with an open connection, if kept
         self.requests: dict[str, Held] = {}
         self.queue: list[tuple[float, float, int, Held]] = []
-        self.order = self.out = self.sent = 0
+        self.order = self.out = self.sent = self.there = 0
         self.aim = min(c.aim for c in settings.classes)
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
         self.mean_latency = self.part = self.slow_part = self.limit = self.gap = 0.0
@@ -133,9 +133,13 @@
         self.ready = [s for s in self.listed if s.barred_until <= self.now]
         self.off = [s for s in self.listed if s.barred_until > self.now]
         self.near = [s for s in self.ready if s.entry.zone == self.own]
+        there = len(self.listed) - sum(s.lost for s in self.off)  # others that are off may be back soon
         self.least_limit = max(1, len(self.ready)) * self.floor  # so many calls out are never too many
         if not self.answered:  # a fresh copy may be amid full traffic: half of its part of what is harmless
             self.limit = max(1.0, self.least_limit, EACH / 2 * len(self.ready) / self.settings.copies)
+        elif self.there and there:  # what so many carried is not laid on fewer, who would be crowded
+            self.limit = max(self.limit * there / self.there, self.least_limit)
+        self.there = there
         self.total_size = sum(s.entry.size for s in self.ready) or 1.0
         self.most_size = max((s.entry.size for s in self.ready), default=1.0)
         self.bad_sum = sum(s.bad for s in self.listed)
@@ -149,22 +153,32 @@
         self.bad_sum += step
         if not failed:
             server.trial, server.bar = False, 0.0
+            # Nobody listened there a while ago: whoever answers now has only just started, and is cold.
+            server.back, server.lost = (self.now if server.lost else server.back), False
             return
+        lost = sum(s.lost for s in self.off)
         others = (self.bad_sum - server.bad) / max(1, len(self.servers) - 1)
-        # Trouble common to all lifts the others too and ejects nobody; half the servers always stay.
+        # Trouble common to all lifts the others too and ejects nobody; half of those that are there stay.
         # Called gone and silent as well, the one witness bears out the other: one failure is enough.
         stands_out = server.trial or server.gone or server.bad - others > OUTLIER
-        if stands_out and server.barred_until <= self.now and 2 * len(self.ready) >= len(self.servers) + 2:
+        some_stay = 2 * len(self.ready) >= len(self.servers) - lost + 2
+        if server.barred_until <= self.now and (server.lost or (stands_out and some_stay)):
             if server.gone and server.bar >= self.settings.warm_after:
                 del self.servers[server.entry.server]  # dead for good: forgotten, until a list names it anew
             server.bar = max(self.aim, min(2 * server.bar, self.settings.warm_after))
             server.barred_until, server.trial = self.now + server.bar, True
             self._rebuild()
 
+    def _failed(self, server: Server, outcome: Outcome, took: float) -> None:
+        if outcome is Outcome.CONNECT_FAILED and took < self.settings.connect_timeout / 2:
+            server.lost = True  # refused at once: one call is proof enough, more of them teach nothing
+        self._note(server, True)
+
     def _present_share(self, server: Server) -> float:
         """The least share of its capacity that a server can have by now: cold ones rise evenly."""
-        age, cold_from = max(0.0, self.now - server.entry.started), self.settings.cold_from
-        if server.entry.started <= 0 or age >= self.settings.warm_after:
+        started, cold_from = max(server.entry.started, server.back), self.settings.cold_from
+        age = max(0.0, self.now - started)
+        if started <= 0 or age >= self.settings.warm_after:
             return 1.0
         return cold_from + (1.0 - cold_from) * age / self.settings.warm_after
 
@@ -385,7 +399,7 @@
                 self.probe_turn = (self.probe_turn + 1) % len(self.listed)
                 self.actions.append(Probe(self.listed[self.probe_turn].entry.server))
         else:
-            self.spare -= 1.0
+            self.spare -= not request.attempts[-1].unreached
         request.attempts.append(Attempt(server, self.now, self._figure(server) if self.asks else 0.0))
         request.open += 1
         server.out += 1
@@ -443,7 +457,9 @@
         kind, ran = self.settings.classes[request.kind], request.may_have_run
         harmless = ran is None or kind.effect is Effect.SAFE or (
             kind.effect is Effect.KEYED and self.now < ran.sent + kind.repeat_window - self.settings.tick)
-        return harmless and len(request.attempts) < self.settings.max_attempts and self.spare >= 1.0
+        # Who was not even reached did no work, and another try adds none: nothing that could feed a jam.
+        paid = self.spare >= 1.0 or (bool(request.attempts) and request.attempts[-1].unreached)
+        return harmless and paid and len(request.attempts) < self.settings.max_attempts
 
     def _answer(self, request: Held) -> None:
         """The final answer: refused where that is harmless, each told its time to come back, else failed."""
@@ -500,7 +516,8 @@
         elif outcome is Outcome.FULL:
             server.rest_until = self.now + self.mean_latency
         elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not attempt.counted:
-            self._note(server, True)
+            attempt.unreached = outcome is Outcome.CONNECT_FAILED
+            self._failed(server, outcome, event.took)
         if self.asks and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT):
             failed, was = outcome is not Outcome.OK, server.fails.get(request.kind, 0.0)
             server.fails = server.fails | {request.kind: was + GAIN * (failed - was)}
@@ -559,6 +576,6 @@
         if server is not None and event.outcome is Outcome.OK:
             self._report(server, event.load)
         elif server is not None and event.outcome is not Outcome.FULL:
-            self._note(server, True)
+            self._failed(server, event.outcome, event.took)
         for request in self.asking.pop(event.server, []):
             self._told(server, request, event.outcome is Outcome.OK)
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -12,8 +12,8 @@
 class Server:
     """What this copy knows of one server. With slots: 10,000 servers at 200 copies are two million of these."""
 
-    __slots__ = ("bad", "bar", "barred_until", "entry", "fails", "figure", "figure_at", "gone", "heard", "linked_until",
-                 "out", "out_at_report", "rest_until", "time", "tokens", "tokens_at", "trial")
+    __slots__ = ("back", "bad", "bar", "barred_until", "entry", "fails", "figure", "figure_at", "gone", "heard",
+                 "linked_until", "lost", "out", "out_at_report", "rest_until", "time", "tokens", "tokens_at", "trial")
 
     def __init__(self, entry: ServerEntry, tokens: float = 0.0) -> None:
         self.entry = entry
@@ -23,6 +23,8 @@
         self.bad = self.time = 0.0  # recent share of calls failed or silent; mean time of own calls
         self.barred_until = self.bar = self.rest_until = 0.0  # off the ready list: as an outlier, as full
         self.trial = False
+        self.lost = False  # a connection was refused at once: nobody listens there
+        self.back = 0.0  # when it first answered after that
         self.fails = NO_FAILS  # by class: recent share of its calls that failed here
         self.linked_until = 0.0  # a connection to it is surely open till then; 0 when not among the linked
         self.gone = False  # called gone by the list, where that alone binds nothing
@@ -40,6 +42,7 @@
     ahead: float = 0.0  # the server's figure just before, where it was asked
     done: bool = False
     overdue: bool = False  # out for longer than is usual, no longer counted in the copy's calls out
+    unreached: bool = False  # no connection came up
     counted: bool = False  # its silence has been held against the server
 
 
--- /dev/null
+++ b/tests/test_lost_hosts.py
@@ -0,0 +1,90 @@
+"""Hosts that refuse connections: many at once, as when a zone is lost. One refusal is proof and costs no budget."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from conftest import Driver
+
+from cranebank.decisions.interface import ListKind, Outcome, Refuse, ServerEntry, ServerState, TimerFired
+
+Drive = Callable[..., Driver]
+SERVERS = [f"s{i}" for i in range(12)]
+LOST, BAD = set(SERVERS[:6]), SERVERS[11]
+COPIES = pytest.mark.parametrize("copies", [1, 8, 40])
+
+
+def lose(server: str) -> Outcome:
+    return Outcome.CONNECT_FAILED if server in LOST else Outcome.OK
+
+
+@COPIES
+def test_half_the_servers_lost_at_once_cost_one_call_each_and_no_request(drive: Drive, copies: int) -> None:
+    d = drive(copies=copies, max_attempts=8)
+    d.listed(SERVERS)
+    d.serve(100, step=50.0)
+    before, names = len(d.sent), len(list(d.sent))
+    d.serve(60, lose, step=5.0)
+    after = list(d.sent.values())[names:]
+    assert len(after) == len(d.sent) - before == 60  # none turned away
+    assert all(lose(legs[-1]) is Outcome.OK for legs in after)
+    assert sum(server in LOST for legs in after for server in legs) <= len(LOST)
+
+
+def test_the_lost_leave_room_to_put_off_a_bad_one_as_well(drive: Drive) -> None:
+    """Half the servers always stay: half of those that are there at all."""
+    d = drive(copies=8, max_attempts=8)
+    d.listed(SERVERS)
+    d.serve(100, step=50.0)
+    d.serve(60, lambda s: Outcome.ERROR if s == BAD else lose(s), step=5.0)
+    assert {s.entry.server for s in d.balancer.off} == {*LOST, BAD}
+
+
+def test_another_try_after_a_refused_connection_needs_no_budget_one_after_an_error_does(drive: Drive) -> None:
+    for outcome, legs in ((Outcome.ERROR, 1), (Outcome.FULL, 1), (Outcome.CONNECT_FAILED, 2)):
+        d = drive(copies=500)
+        d.listed(SERVERS)
+        name, _ = d.request()
+        d.result(name, outcome, took=1.0)
+        assert len(d.sent[name]) == legs
+
+
+def test_who_refuses_everywhere_ends_all_attempts_and_is_tried_again(drive: Drive) -> None:
+    d = drive(copies=8, max_attempts=4)
+    d.listed(SERVERS[:2])
+    d.serve(20, lambda _: Outcome.CONNECT_FAILED, step=1.0)
+    name, actions = d.request()
+    assert name not in d.sent and not d.balancer.ready
+    d.now += 400.0
+    d.do(TimerFired("sweep"))
+    assert len(d.sent[name]) == 1
+    d.result(name, Outcome.OK)
+    assert not any(isinstance(a, Refuse) for a in actions)
+
+
+def test_who_answers_again_after_a_refusal_has_only_just_started(drive: Drive) -> None:
+    """The list tells of a restart late; till then its word on the start is of the process before."""
+    def taken(refused: bool) -> int:
+        d = drive(copies=8, overload_for=3000.0)
+        d.listed(SERVERS)
+        d.serve(200, step=20.0)
+        d.serve(40, lambda s: Outcome.CONNECT_FAILED if refused and s == "s0" else Outcome.OK, step=20.0)
+        d.now += 2000.0
+        d.do(TimerFired("sweep"))
+        return sum(d.serve(10, step=20.0).get("s0", 0) for _ in range(12))
+
+    assert 0 < taken(True) < 0.7 * taken(False)
+
+
+@COPIES
+def test_the_limit_of_calls_out_follows_the_ready_list(drive: Drive, copies: int) -> None:
+    """What twelve carried is not laid on four, and comes back with them."""
+    d = drive(copies=copies)
+    d.listed(SERVERS)
+    d.serve(50, step=20.0)
+    d.balancer.limit = before = 60.0
+    d.listed([ServerEntry(s, state=ServerState.OUT) for s in SERVERS[4:]], ListKind.CHANGES)
+    assert d.balancer.limit == pytest.approx(before / 3)
+    d.listed(SERVERS)
+    assert d.balancer.limit == pytest.approx(before)
