--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -27,6 +27,7 @@
 SECOND = 4.0  # a second copy goes out after so many mean times: 2% of exponential ones
 FURTHER = 0.2  # further attempts as a share of first ones: 1.2 per tier, 1.7 over three
 EACH = 8.0  # calls out at each server, over all copies, that are never too many
+NEAR = 0.9  # past EACH calls a server, the part of idle time in what answers may take (in logs, else the aim)
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -52,7 +53,7 @@
         self.ready, self.linked = list[Server](), list[Server]()  # linked: with an open connection, if kept
         self.requests: dict[str, Held] = {}
         self.queue: list[tuple[float, float, int, Held]] = []
-        self.order = self.out = self.sent = self.there = 0
+        self.order = self.out = self.sent = 0
         self.aim = min(c.aim for c in settings.classes)
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
         self.mean_latency = self.part = self.slow_part = self.limit = self.gap = 0.0
@@ -129,17 +130,15 @@
 
     def _rebuild(self) -> None:
         """Make the ready list anew; only on a change of the list or of a server's health."""
-        self.listed = list(self.servers.values())
+        self.listed, were = list(self.servers.values()), len(self.ready)
         self.ready = [s for s in self.listed if s.barred_until <= self.now]
         self.off = [s for s in self.listed if s.barred_until > self.now]
         self.near = [s for s in self.ready if s.entry.zone == self.own]
-        there = len(self.listed) - sum(s.lost for s in self.off)  # others that are off may be back soon
         self.least_limit = max(1, len(self.ready)) * self.floor  # so many calls out are never too many
         if not self.answered:  # a fresh copy may be amid full traffic: half of its part of what is harmless
             self.limit = max(1.0, self.least_limit, EACH / 2 * len(self.ready) / self.settings.copies)
-        elif self.there and there:  # what so many carried is not laid on fewer, who would be crowded
-            self.limit = max(self.limit * there / self.there, self.least_limit)
-        self.there = there
+        elif were and self.ready:  # what so many carried is not laid on fewer, who would be crowded
+            self.limit = max(self.limit * len(self.ready) / were, self.least_limit)
         self.total_size = sum(s.entry.size for s in self.ready) or 1.0
         self.most_size = max((s.entry.size for s in self.ready), default=1.0)
         self.bad_sum = sum(s.bad for s in self.listed)
@@ -365,7 +364,8 @@
         self.slow_part += (part - self.slow_part) / min(self.answered, max(4.0, min(64.0, 4 * self.limit)))
         # Copies at one latency would keep any split of the fleet, one of them starved: the bigger aims lower.
         fair = EACH * max(1, len(self.ready)) / self.settings.copies
-        target = min(self.idle, self.slow_part) ** self.nearness * (fair / self.limit) ** (EVEN * self.few)
+        near = self.nearness if self.limit <= max(1.0, fair) else NEAR
+        target = min(self.idle, self.slow_part) ** near * (fair / self.limit) ** (EVEN * self.few)
         if self.answered >= max(3.0, 64 * self.few):  # many copies: the first few find the fleet idle
             self.idle = min(self.idle, self.slow_part)
         if self.part > target or self.limit < max(4.0, 2 * self.out):
--- a/tests/test_lost_hosts.py
+++ b/tests/test_lost_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts that refuse connections: many at once, as when a zone is lost. One refusal is proof and costs no budget."""
+"""Hosts that refuse connections, many at once, as when a zone is lost. One refusal is proof and costs no budget."""
 
 from __future__ import annotations
 
@@ -88,3 +88,20 @@
     assert d.balancer.limit == pytest.approx(before / 3)
     d.listed(SERVERS)
     assert d.balancer.limit == pytest.approx(before)
+
+
+@pytest.mark.parametrize(("stretch", "rises"), [(1.0, True), (1.6, False)])
+def test_past_what_is_never_too_many_the_limit_rises_only_near_the_idle_time(
+        drive: Drive, stretch: float, rises: bool) -> None:
+    """Hosts that slow down when crowded do so late: what answers a little slower already is near the edge."""
+    d = drive(copies=4)
+    d.listed(SERVERS)
+    d.serve(300, step=20.0)
+    never = 8.0 * len(SERVERS) / 4
+    d.balancer.limit = 1.2 * never
+    for _ in range(20):
+        d.now += 20.0
+        names = [d.request()[0] for _ in range(int(never))]  # all that may be out are out
+        for name in names:
+            d.result(name, took=20.0 * stretch)
+    assert (d.balancer.limit > 1.3 * never) is rises
