--- a/cranebank/config/platform.py
+++ b/cranebank/config/platform.py
@@ -94,6 +94,13 @@
     handshake: Number = 0.0
 
 
+class ScoringMix(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
+    """Weights of the goal's parts, as far as they are used."""
+
+    whole: Number = 0.0
+    worst_class: Number = 0.0
+
+
 class FamilyInfo(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
     """What kind of service it is."""
 
@@ -118,6 +125,7 @@
     zones: tuple[str, ...] = ()
     family_info: FamilyInfo = FamilyInfo()
     prices: Prices = Prices()
+    scoring_mix: ScoringMix = ScoringMix()
     worth_by: str = "request"
     over_share_worth: Number = 1.0
 
@@ -149,6 +157,7 @@
         passes_deadline=told.family_info.passes_deadline,
         worth_by_work=told.worth_by == "work",
         over_share_worth=told.over_share_worth,
+        worst_class_share=told.scoring_mix.worst_class / told.scoring_mix.whole if told.scoring_mix.whole else 0.0,
         cross_zone_price=prices.cross_zone,
         probe_price=prices.probe,
         waste_price=prices.waste,
--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -55,6 +55,7 @@
         self.queue: list[tuple[float, float, int, Held]] = []
         self.order = self.out = self.sent = 0
         self.aim = min(c.aim for c in settings.classes)
+        self.asked, self.got = ([1.0] * len(settings.classes) for _ in range(2))  # first tries; worth served
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
         self.mean_latency = self.part = self.slow_part = self.limit = self.gap = 0.0
         self.idle, self.answered = float("inf"), 0
@@ -334,15 +335,33 @@
     def _arrive(self, event: Request) -> None:
         index, left = event.class_index, max(0.0, event.time_left)
         kind, groups = self.settings.classes[index], (index, len(self.settings.classes) + event.tenant)
-        value = kind.worth / (1.0 if self.settings.worth_by_work else max(1.0, self.latency[index]))
+        value = self._worth(index) / (1.0 if self.settings.worth_by_work else max(1.0, self.latency[index]))
         if self.settings.layer == 0 and self.settings.quotas and self._over_quota(event.tenant):
             value *= self.settings.over_share_worth
+        self.asked[index] += not event.resubmitted
+        if event.resubmitted:  # the client's aim has been running for a try or two
+            value *= kind.late_worth
         aim_at = self.now + min(kind.aim, left)
-        request = Held(event.request, index, aim_at, self.now + left, value, self.now + left / 2, groups)
+        request = Held(event.request, index, aim_at, self.now + left, value, self.now + left / 2, groups,
+                       again=event.resubmitted)
         self.requests[event.request] = request
         self._timer(request.deadline, "deadline." + request.name)
         self._dispatch(request)
 
+    def _worth(self, index: int) -> float:
+        """What one more answer adds to the goal: its worth, and more to the class that fares worst."""
+        kinds, share = self.settings.classes, self.settings.worst_class_share
+        fares = [got / asked for got, asked in zip(self.got, self.asked, strict=True)]
+        if not share or self.settings.layer or fares[index] > min(fares):
+            return kinds[index].worth
+        mean = sum(a * k.worth for a, k in zip(self.asked, kinds, strict=True))
+        return kinds[index].worth + share * mean / self.asked[index]
+
+    def _served(self, request: Held) -> None:
+        late = request.again or self.now > request.aim_at
+        worth = self.settings.classes[request.kind].late_worth if late else 1.0
+        self.got[request.kind] += worth * (not request.closed)
+
     def _over_quota(self, tenant: int) -> bool:
         """Whether a tenant has spent this copy's part of its share, refilled evenly."""
         rate = self.settings.quotas[tenant] / self.settings.copies / 1000.0
@@ -503,6 +522,7 @@
         elif outcome is Outcome.CANCELLED and len(request.attempts) > 1:
             server.time += max(0.0, GAIN * (event.took - server.time))  # it would have taken longer yet
         if outcome is Outcome.OK:
+            self._served(request)
             server.heard = self.now
             if self.links and not server.linked_until:
                 self.linked.append(server)
--- a/cranebank/decisions/interface.py
+++ b/cranebank/decisions/interface.py
@@ -101,6 +101,7 @@
     passes_deadline: bool = True
     worth_by_work: bool = False
     over_share_worth: float = 1.0
+    worst_class_share: float = 0.0  # of the goal: the class that fares worst, against the whole
     cross_zone_price: float = 0.0
     probe_price: float = 0.0
     waste_price: float = 0.0
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -57,6 +57,7 @@
     value: float
     half_at: float = float("inf")  # half of its time is gone: too late to be turned away unsent
     groups: tuple[int, ...] = ()  # its class and its tenant, among the groups whose times are kept
+    again: bool = False  # a client's repeat
     give_up: float = 0.0
     open: int = 0
     closed: bool = False
