--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -29,6 +29,7 @@
 EACH = 8.0  # calls out at each server, over all copies, that are never too many
 NEAR = 0.9  # past EACH calls a server, the part of idle time in what answers may take (in logs, else the aim)
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
+TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
 PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
@@ -69,6 +70,7 @@
         self.asks = self.probes and settings.probe_price <= PROBES / 20
         self.asking: dict[str, list[Held]] = {}  # who waits to hear from a server
         self.thin_from, self.thin_by = (1.5, 2.0) if self.asks else (1.0 + self.few, 4.0 - 3 * self.few)
+        self.held = self.own_held = 0.0  # means when reported: what servers hold, what of it is one's own
         self.usual = self.unit = 0.0  # means: figures told; time by calls found there, as part of the aim
         self.drags = [(0.0, 0.0)] * (len(settings.classes) + max(1, len(settings.quotas)))
         self.hold = self.aim / self.few  # how long evidence lasts: the longer, the less a copy sees
@@ -190,6 +192,11 @@
         server.tokens, server.tokens_at = min(burst, server.tokens + grown), self.now
         return server.tokens >= 1.0
 
+    def _copies(self) -> float:
+        """How many copies there are, by what servers hold and what of it is one's own, or as told."""
+        told = self.settings.copies
+        return min(4.0 * told, max(1.0, (self.held + TOLD * told) / (self.own_held + TOLD)))
+
     def _call_rate(self) -> float:
         return 1.0 / max(self.gap, self.now - self.sent_at, 1e-3) if self.sent else 0.0
 
@@ -382,7 +389,7 @@
         self.part += (part - self.part) / min(self.answered, max(4.0, min(16.0, 4 * self.limit)))
         self.slow_part += (part - self.slow_part) / min(self.answered, max(4.0, min(64.0, 4 * self.limit)))
         # Copies at one latency would keep any split of the fleet, one of them starved: the bigger aims lower.
-        fair = EACH * max(1, len(self.ready)) / self.settings.copies
+        fair = EACH * max(1, len(self.ready)) / self._copies()
         near = self.nearness if self.limit <= max(1.0, fair) else NEAR
         target = min(self.idle, self.slow_part) ** near * (fair / self.limit) ** (EVEN * self.few)
         if self.answered >= max(3.0, 64 * self.few):  # many copies: the first few find the fleet idle
@@ -560,6 +567,8 @@
         if figure is None or self.servers.get(server.entry.server) is not server:
             return
         self.usual += (figure / server.entry.size - self.usual) / (64 if self.usual else 1)
+        self.held += (figure - self.held) / 16
+        self.own_held += (server.out - self.own_held) / 16
         server.figure, server.figure_at, server.out_at_report = figure, self.now, server.out
 
     def _stream(self, event: StreamStarted) -> None:
--- a/tests/test_many_copies.py
+++ b/tests/test_many_copies.py
@@ -10,6 +10,7 @@
 from cranebank.decisions.interface import (
     ListKind,
     Outcome,
+    ProbeResult,
     ReportSource,
     Send,
     ServerEntry,
@@ -164,3 +165,53 @@
         assert sent <= 3.0 * share * full * 1.5
     assert hits, "a cold server must get something to do"
     assert max(hits.count(at) for at in set(hits)) <= len(hits) / 3, "a herd of first calls"
+
+
+def counted(drive: Drive, told: int, true: float, calls: int) -> float:
+    """Keep ``calls`` out at each host while reports say ``true`` times that; return the copies counted."""
+    d = drive(copies=told, report_source=ReportSource.PROBE, may_probe=True, probe_price=0.05)
+    d.listed(SERVERS)
+    d.balancer.limit = 1000.0
+    names = [d.request(2, left=60000.0)[0] for _ in range(calls * len(SERVERS))]
+    for _ in range(5):
+        for name in SERVERS:
+            held = true * d.balancer.servers[name].out
+            d.do(ProbeResult(name, Outcome.OK, 1.0, {"inflight": held}))
+    assert len(names) == sum(map(len, d.sent.values()))
+    return d.balancer._copies()
+
+
+@pytest.mark.parametrize("told", [4, 8, 16])
+@pytest.mark.parametrize("part", [0.5, 1.0, 2.0])
+def test_a_told_count_of_copies_that_is_wrong_by_two_is_seen_from_reports(
+        drive: Drive, told: int, part: float) -> None:
+    """Half of the callers vanish with their zone, or twice as many come: the told count stays."""
+    assert counted(drive, told, told * part, 3) == pytest.approx(told * part, rel=0.1)
+
+
+def test_a_copy_with_no_calls_out_believes_the_told_count(drive: Drive) -> None:
+    d = drive(copies=500, report_source=ReportSource.PROBE, may_probe=True, probe_price=0.05)
+    d.listed(SERVERS)
+    for name in SERVERS * 5:
+        d.do(ProbeResult(name, Outcome.OK, 1.0, {"inflight": 5.0}))
+    assert 500 <= d.balancer._copies() <= 700
+
+
+def test_who_is_left_of_the_copies_fills_the_hosts_that_the_others_held(drive: Drive) -> None:
+    def limit(true: float) -> float:
+        d = drive(copies=8, report_source=ReportSource.PROBE, may_probe=True, probe_price=0.05)
+        d.listed(SERVERS)
+        d.serve(300, step=20.0)
+        for _ in range(30):
+            for _ in range(int(d.balancer.limit)):
+                d.request()
+            d.now += 30.0
+            for name in SERVERS:
+                held = true * d.balancer.servers[name].out
+                d.do(ProbeResult(name, Outcome.OK, 1.0, {"inflight": held}))
+            for name in [name for name in d.sent if name in d.balancer.requests]:
+                d.result(name, took=30.0)  # half as long again as at idle
+        return d.balancer.limit
+
+    assert limit(8.0) < 1.3 * 8 * len(SERVERS) / 8
+    assert limit(2.0) > 2 * limit(8.0)
