--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -17,6 +17,9 @@
      "late_worth": 0.2, "effect": "keyed", "window_ms": 3000.0}]
 LOST = {"what": "lose-zone", "zone": "b", "at_s": 4.0, "for_s": 6.0}
 SILENT = {"what": "half-open", "tier": "one", "part": 0.4, "at_s": 4.0, "for_s": 4.0}
+HALF = [f"one-std-{number}" for number in range(0, 20, 2)]
+SILENT_THEN_COLD = [{"what": "half-open", "hosts": HALF, "at_s": 4.0, "for_s": 4.0},
+                    {"what": "cold", "hosts": HALF, "at_s": 8.0}]
 REPLACED = {"what": "deploy", "tier": "two", "at_s": 3.0, "for_s": 7.0, "part": 0.6, "batch": 0.15, "drain_s": 1.0}
 
 
@@ -40,11 +43,12 @@
     ([REPLACED, {"what": "discovery-down", "at_s": 4.0, "for_s": 3.0}], {}, 0.996),
     ([REPLACED, {"what": "discovery-late", "at_s": 4.0, "for_s": 5.0, "size": 2.0}], {}, 0.996),
     ([SILENT], {}, 0.9),
+    (SILENT_THEN_COLD, {}, 0.93),
     ([LOST], {"connections": {"cap": 12}}, 0.8),
     ([LOST], {"subset": {"told_copies": 2.0}}, 0.83),
     ([LOST], {"subset": {"told_copies": 0.5}}, 0.9),
 ], ids=["calm", "zone lost", "replaced", "release without discovery", "release with old news", "silent",
-        "few connections", "told twice the copies", "told half the copies"])
+        "silent, then cold", "few connections", "told twice the copies", "told half the copies"])
 def test_a_fleet_keeps_the_rules_and_serves(
         faults: list[dict[str, Any]], changes: dict[str, Any], least: float) -> None:
     """Drains, cold budget and repeats are the judge's; the share in time is over all proxies."""
