A reader of a fleet's logs: counts by second, one id followed; tallies off by default

Need: counts over the fleet (repeats, second copies, legs to cold hosts, CPU, ages of beliefs) were not in the logs, so no cause could be followed through 200 proxies. Bad lines are counted by file.

--- a/cranebank/cli/lab.py
+++ b/cranebank/cli/lab.py
@@ -384,3 +384,44 @@
         rows.append((path.name, 1, "", ""))
     _table(str(folder), ("results", "runs", "service", "broke a rule"), rows)
     return 0
+
+
+LOG_COLUMNS = ("requests_taken", "answers_served", "answers_declined", "answers_failed", "legs_sent", "legs_repeated",
+               "legs_second", "legs_to_cold", "legs_connect_failed", "probes_sent", "connections_opened",
+               "connections_closed", "watches_opened", "lost", "copies", "list_age_ms", "report_age_ms", "cpu_ms")
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--id", "name", help="Follow this request through every proxy (logged at debug).")
+@click.option("--columns", default=",".join(LOG_COLUMNS), help="Events, counters and beliefs, set apart by commas.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON value; with every column.")
+def logs(folder: Path, name: str | None, columns: str, as_json: bool) -> int:
+    """Read the logs of many proxies in FOLDER: over the fleet by second, or one request's way.
+
+    Counts need log.tally_s=1, a request's way log.level=debug. Exit code 1 where nothing could be read.
+
+    Example: cranebank lab logs results/logs --id 9b1f03aa5c7e2d41
+    """
+    import json  # noqa: PLC0415
+
+    from cranebank.lab import fleetlog  # noqa: PLC0415
+
+    if not folder.is_dir():
+        raise ConfigError(f"{folder}: expected a folder of logs")
+    found = fleetlog.read(folder)
+    lines = fleetlog.follow(found, name) if name else found.lines
+    if name:
+        rows = [(f"{line.at - lines[0].at:.6f}", line.proxy, line.event, " ".join(
+            f"{key}={value}" for key, value in line.fields.items() if key not in ("level", "request")))
+            for line in lines]
+        click.echo(json.dumps(rows)) if as_json else _table(name, ("s", "proxy", "event", "fields"), rows)
+    else:
+        seconds = fleetlog.by_second(lines)
+        shown = [column.strip() for column in columns.split(",")]
+        click.echo(json.dumps(seconds)) if as_json else _table(
+            f"{len({line.proxy for line in lines})} proxies, {len(lines)} lines", ("s", *shown),
+            ((second, *(f"{told.get(column, 0):g}" for column in shown)) for second, told in seconds))
+    for path, count in sorted(found.unread.items()):
+        click.echo(f"{path}: {count} lines that are none of a proxy's", err=True)
+    return 0 if lines else EXIT_FOUND
--- a/cranebank/config/own.py
+++ b/cranebank/config/own.py
@@ -23,7 +23,8 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """What is logged: ``burst`` lines of an event in ``period_s``; at debug, one request in ``sample``."""
+    """What is logged: ``burst`` lines of an event in ``period_s``;
+    at debug, one request in ``sample``; every ``tally_s`` a line with what was counted and believed (0: none)."""
 
     level: Literal["debug", "info", "warning", "error"] = "info"
     format: Literal["text", "json"] = "text"
@@ -31,6 +32,7 @@
     period_s: Annotated[float, Meta(ge=0.1, le=3600.0)] = 10.0
     sample: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
     followed: Annotated[int, Meta(ge=1, le=100_000)] = 200  # requests followed in a period, at debug
+    tally_s: Seconds = 0.0
 
 
 class DoorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/cranebank/core/counters.py
+++ b/cranebank/core/counters.py
@@ -16,6 +16,10 @@
         """Count one more of ``name``."""
         self._counts[name] += by
 
+    def copy(self) -> Counter[str]:
+        """All counts as they are now."""
+        return self._counts.copy()
+
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
--- a/cranebank/core/engine.py
+++ b/cranebank/core/engine.py
@@ -65,6 +65,10 @@
         self._idle.clear()
         return answer
 
+    def beliefs(self) -> dict[str, float]:
+        """What the module believes, and the answers owed; for the log."""
+        return self._rules.beliefs() | {"owed": self._owed}
+
     async def idle(self) -> None:
         """Wait until nothing that was taken is unanswered."""
         await self._idle.wait()
--- a/cranebank/core/log.py
+++ b/cranebank/core/log.py
@@ -92,8 +92,8 @@
         return True
 
     def _limit(self, _: Any, method: str, fields: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
-        if method == "debug":
-            return fields
+        if method == "debug" or fields["event"] == "tally":
+            return fields  # bounded by ``followed``, and by a timer
         event, now = str(fields["event"]), time.monotonic_ns() // 1000
         since, count = self._kinds.get(event, (now, 0))
         if now - since > self._period:
--- a/cranebank/core/rules.py
+++ b/cranebank/core/rules.py
@@ -290,6 +290,11 @@
         """Requests that are not answered yet."""
         return len(self._by_ticket)
 
+    def beliefs(self) -> dict[str, float]:
+        """What the module believes, for the log; nothing of one that does not say."""
+        told: dict[str, float] = getattr(self._balancer, "beliefs", dict)()
+        return told
+
     @property
     def open(self) -> int:
         """Requests that are not answered yet or have legs out."""
@@ -388,6 +393,12 @@
             self._next.append(LegEnded(leg, api.Outcome.MOOT))
             return
         self._counters.add("legs_sent")
+        if leg.number:
+            second = any(earlier.outcome is None for earlier in request.legs[:-1])
+            self._counters.add("legs_second" if second else "legs_repeated")
+        host = self._hosts.get(server)
+        if host is not None and self._time.module_ms(now) - host.entry.started < self.settings.warm_after:
+            self._counters.add("legs_to_cold")
         self._follow(request, "leg_sent", leg=leg.number, host=server, wait_us=deadline - now)
         self._orders.append(SetAlarm(deadline, alarm))
         self._orders.append(SendLeg(leg))
--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -19,6 +19,7 @@
 from cranebank.core.engine import Engine
 from cranebank.core.log import Handler, Log
 from cranebank.core.rules import Decisions, Host, span_us
+from cranebank.core.tally import Tally
 from cranebank.decisions import interface as api
 from cranebank.decisions.balance import Balancer
 from cranebank.discovery.routing_table import RoutingTable
@@ -67,12 +68,18 @@
                                   lambda: self._table.heard.is_set() and not self._acquirer.closing)
         self._door = self._acquirer.door
         self._listener: asyncio.Server
+        self._tally = Tally(self.counters, self._beliefs, log)
+        self._tally.every(config.layers.own.log.tally_s)
 
     @property
     def places_taken(self) -> int:
         """Clients' connections that are open."""
         return self._door.count
 
+    def _beliefs(self) -> dict[str, float]:
+        return self._engine.beliefs() | {
+            "list_age_ms": self._table.age_ms(), "clients": self._door.count, "links": self._links.open}
+
     def _clients_at_most(self) -> int:
         # They leave a sixth of the descriptors to the hosts and room for those to grow, but have a third.
         sockets = self._config.sockets
@@ -98,6 +105,7 @@
         they are), the log's settings and the time to linger."""
         self._table.move(told.discovery)
         self._log.set(told.layers.own.log)
+        self._tally.every(told.layers.own.log.tally_s)
         self._linger = told.layers.own.stop.linger_s
 
     async def stop(self, linger: float | None = None) -> None:
@@ -111,6 +119,7 @@
             await asyncio.wait_for(self._engine.idle(), longest)
         await self._door.shutdown(1.0)
         self._door.stop()
+        self._tally.every(0.0)
         await self._table.close()
         await self._issuers.close()
         self._links.drop()
--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -97,6 +97,15 @@
         self.handlers[type(event)](event)
         return self.actions
 
+    def beliefs(self) -> dict[str, float]:
+        """What this copy believes, for the log: counts, and the mean age of reports in milliseconds."""
+        ages = [self.now - s.figure_at for s in self.servers.values() if s.figure is not None]
+        return {
+            "listed": len(self.servers), "ready": len(self.ready), "queued": len(self.queue),
+            "lost": sum(s.lost for s in self.servers.values()), "copies": round(self._copies(), 1),
+            "unmet": sum(s.heard == 0.0 for s in self.servers.values()), "limit": round(self.limit, 1),
+            "out": self.out, "report_age_ms": round(sum(ages) / max(1, len(ages)))}
+
     def _timer(self, at: float, name: str) -> None:
         self.actions.append(SetTimer(at, name))
 
--- a/cranebank/discovery/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -46,6 +47,7 @@
         self._version: int | None = None
         self._task: asyncio.Task[None] | None = None
         self._wanted = False
+        self._heard_at: float | None = None
         self._mailbox: Mailbox[Wanted | Moved] = Mailbox(self._take, log)
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
@@ -65,6 +67,10 @@
         """Ask for the changes from now on, or no longer."""
         self._mailbox.post(Wanted(enable))
 
+    def age_ms(self) -> int:
+        """Milliseconds since discovery last wrote anything; -1 before the first time."""
+        return -1 if self._heard_at is None else round(1000 * (time.monotonic() - self._heard_at))
+
     def move(self, address: str) -> None:
         """Watch there from now on, and at once: the list stays, and the version from which news is asked."""
         self._mailbox.post(Moved(address))
@@ -111,6 +117,7 @@
                         return
                     buffer = b""
                     async for chunk in response.content.iter_any():
+                        self._heard_at = time.monotonic()
                         limit.reschedule(asyncio.get_running_loop().time() + SILENCE_S)
                         *whole, buffer = (buffer + chunk).split(b"\n")
                         if len(buffer) > LINE_BYTES:
