Tests: half-read requests at SIGTERM, a drain from a new discovery, old addresses, spoilt files

Added as stories over loopback; no line of the service touched. Each was seen to fail without its guard: the listener closed at once, an address of discovery not taken over, idle connections kept when an address changes hands.

--- /dev/null
+++ b/tests/test_hard_cases.py
@@ -0,0 +1,97 @@
+"""Restarts, new configurations and old addresses, each with requests under way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from peers import Discovery, IssuerHost, Reader, Story, Writer, entry, listening, play, request_headers, until
+
+from cranebank.config.load import load
+
+HEAD = "GET /look HTTP/1.1\r\nHost: x\r\n" + "".join(
+    f"{name}: {value}\r\n" for name, value in request_headers().items() if name != "X-Request-Id")
+
+
+async def connect(s: Story) -> tuple[Reader, Writer]:
+    """A client's connection, bare."""
+    return await asyncio.open_connection(*s.url.removeprefix("http://").split(":"))
+
+
+async def status(reader: Reader) -> int:
+    """The status of the next answer, its head read whole."""
+    return int((await reader.readuntil(b"\r\n\r\n")).split()[1])
+
+
+def test_requests_half_read_on_kept_connections_and_on_new_ones_are_answered_while_it_stops(tmp_path: Path) -> None:
+    async def story(s: Story) -> None:
+        half, kept = await connect(s), await connect(s)
+        kept[1].write(f"{HEAD}X-Request-Id: 1\r\n\r\n".encode())
+        assert await status(kept[0]) == 200
+        await kept[0].readexactly(2)
+        half[1].write(f"{HEAD}X-Req".encode())
+        await until(lambda: s.proxy.places_taken == 2)
+        stopping = asyncio.ensure_future(s.proxy.stop(linger=2.0))
+        await asyncio.sleep(0)
+        new = await connect(s)
+        kept[1].write(f"{HEAD}X-Request-Id: 2\r\n\r\n".encode())
+        half[1].write(b"uest-Id: 3\r\n\r\n")
+        new[1].write(f"{HEAD}X-Request-Id: 4\r\n\r\n".encode())
+        assert [await status(reader) for reader, _ in (kept, half, new)] == [200, 200, 200]
+        await stopping
+        counters = s.proxy.counters
+        assert counters["requests_taken"] == counters["answers_served"] == 4
+        for _, writer in (kept, half, new):
+            writer.close()
+
+    play(tmp_path, story, IssuerHost())
+
+
+def test_a_drain_told_by_the_new_discovery_is_kept_though_the_old_watch_was_open(tmp_path: Path) -> None:
+    drained, other, new = IssuerHost(), IssuerHost(), Discovery()
+
+    async def story(s: Story) -> None:
+        await until(lambda: len(s.discovery.watches) == 1)
+        async with listening(new.talk) as address:
+            path = tmp_path / "config.json"
+            told = json.loads(path.read_text(encoding="utf-8"))
+            path.write_text(json.dumps(told | {"discovery": address}), encoding="utf-8")
+            s.proxy.reload(load({"GW_CONFIG": str(path)}))
+            await until(lambda: len(new.watches) == 1)
+            change = {"version": 2, "full": False, "servers": [entry("s0", s.address, "DRAINING")]}
+            new.lines.put_nowait(json.dumps(change).encode())
+            await until(lambda: s.proxy.counters["lists_changes"] == 1)
+            before = len(drained.requests)
+            for number in range(8):
+                assert (await s.ask(changes={"X-Request-Id": str(number)}))[0] == 200
+            assert (len(drained.requests), len(other.requests)) == (before, 8)
+            new.lines.put_nowait(b"")
+
+    play(tmp_path, story, drained, other)
+
+
+@pytest.mark.parametrize("full", [True, False], ids=["a whole list", "changes"])
+def test_a_drain_a_return_and_a_new_id_under_an_old_address_told_at_once(tmp_path: Path, full: bool) -> None:
+    """What a list that was late for long tells: s0 drains, s1 has come back, s2 stands where s0 stood."""
+    hosts = IssuerHost(), IssuerHost()
+
+    async def story(s: Story) -> None:
+        back = entry("s1", s.address, started_ms=1)  # never at its own address any more
+        for number in range(6):
+            assert (await s.ask(changes={"X-Request-Id": str(number)}))[0] == 200
+        await asyncio.sleep(0.05)  # connections rest before they are used again
+        opened = hosts[0].connections
+        named = [entry("s0", s.address, "DRAINING"), back, entry("s2", s.address)]
+        s.discovery.lines.put_nowait(json.dumps({"version": 9, "full": full, "servers": named}).encode())
+        news = "lists_all" if full else "lists_changes"
+        await until(lambda: s.proxy.counters[news] == 1)
+        assert hosts[1].connections  # which stand idle, at an address that is another's now
+        before = len(hosts[0].requests), len(hosts[1].requests)
+        for number in range(6):
+            assert (await s.ask(changes={"X-Request-Id": f"b{number}"}))[0] == 200
+        assert (len(hosts[0].requests), len(hosts[1].requests)) == (before[0] + 6, before[1])
+        assert hosts[0].connections > opened  # nothing goes over what was opened to the host that drains
+
+    play(tmp_path, story, *hosts)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -67,7 +67,7 @@
                 headers = request_headers() | {"X-Deadline-Ms": "6000"}
                 slow = asyncio.ensure_future(client.get(url + "/look", headers=headers))
                 await until(lambda: len(old.watches) == len(host.requests) == 1)
-                for text in ("{half", json.dumps({})):
+                for text in ("", "{half", "[]", json.dumps({}), json.dumps(told | {"listen": 5})):
                     (tmp_path / "config.json").write_text(text, encoding="utf-8")
                     process.send_signal(signal.SIGHUP)
                     assert b"kept the old settings" in await process.stderr.readline()
