SIGTERM: idle connections end first, half-sent requests are taken to their answer

At fault: Proxy.stop closed the listener and, in the same turn, all kept connections (aiohttp's pre_shutdown): a request that crossed such an end was sent once more to a listener that was gone; and aiohttp reads nothing more of a connection once told to close, so a request half in was never taken.

Tests: five stories, each seen to fail without its line.

--- a/cranebank/core/engine.py
+++ b/cranebank/core/engine.py
@@ -49,8 +49,6 @@
         self._table: RoutingTable
         self._alarms: dict[int, asyncio.TimerHandle] = {}  # by the alarm's identity, those that can be dropped
         self._owed = 0  # answers owed, from the moment of taking: a request may still lie in the mailbox
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     def connect(self, issuers: Issuers, table: RoutingTable) -> None:
         """Name the two other sides; to be called before the first message."""
@@ -62,16 +60,16 @@
         self.post(rules.Arrived(call, answer, self._clock.now(), self._log.follow()))
         self._counters.add("requests_taken")
         self._owed += 1
-        self._idle.clear()
         return answer
 
     def beliefs(self) -> dict[str, float]:
         """What the module believes, and the answers owed; for the log."""
         return self._rules.beliefs() | {"owed": self._owed}
 
-    async def idle(self) -> None:
-        """Wait until nothing that was taken is unanswered."""
-        await self._idle.wait()
+    @property
+    def owed(self) -> int:
+        """Answers that are owed."""
+        return self._owed
 
     def _take(self, message: Message) -> None:
         if isinstance(message, rules.Overdue | rules.TimedOut):
@@ -80,8 +78,6 @@
         for order in self._rules.handle(self._clock.now(), message):
             self._do(order)
         self._owed -= owed - self._rules.owed
-        if not self._owed:
-            self._idle.set()
 
     def _do(self, order: rules.Order) -> None:
         match order:
--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -24,7 +24,7 @@
 from cranebank.decisions.balance import Balancer
 from cranebank.discovery.routing_table import RoutingTable
 from cranebank.http.acquirer import Acquirer
-from cranebank.http.door import DoorTimes
+from cranebank.http.door import DoorTimes, readable
 from cranebank.http.issuer import Directory, Issuer
 from cranebank.http.link import Links
 from cranebank.routing.subset import Subset, Wanted, slot_of
@@ -109,14 +109,24 @@
         self._linger = told.layers.own.stop.linger_s
 
     async def stop(self, linger: float | None = None) -> None:
-        """Go on accepting for a moment, each answer the last on its connection; finish what was taken."""
+        """Go on accepting for a moment, each answer the last on its connection; finish what was taken.
+
+        Idle connections end first, while a request that crosses their end finds the listener there for its second
+        try. Those with a request on its way in stay till it is answered or its time to come in is up: aiohttp would
+        drop what they still send (``pre_shutdown``).
+        """
+        self._log.info("stopping", clients=self._door.count, owed=self._engine.owed)
         self._acquirer.closing = True
+        self._door.dismiss()
         await asyncio.sleep(self._linger if linger is None else linger)
+        for _ in range(BACKLOG // ACCEPTS):  # whom the kernel has let in is let in here, too
+            if not any(map(readable, self._listener.sockets)):
+                break
+            await asyncio.sleep(0)
         self._listener.close()
-        self._door.pre_shutdown()
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._engine.idle(), longest)
+            await asyncio.wait_for(self._door.emptied(), longest)
         await self._door.shutdown(1.0)
         self._door.stop()
         self._tally.every(0.0)
--- a/cranebank/http/door.py
+++ b/cranebank/http/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -16,6 +17,13 @@
 SWEEP_S = 0.25
 
 
+def readable(sock: Any) -> bool:
+    """Whether bytes, an end or a new connection wait at a socket, without taking them."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 @dataclass(slots=True, frozen=True)
 class DoorTimes:
     """Microseconds: for a whole request, from connecting or from its first byte; a connection without a
@@ -53,6 +61,8 @@
         self._idle: dict[web.RequestHandler, int] = {}
         self._ahead: set[web.RequestHandler] = set()  # bytes of the next request came with one still open
         self._timer: asyncio.TimerHandle | None = None
+        self._empty = asyncio.Event()
+        self._empty.set()
 
     @property
     def count(self) -> int:
@@ -73,6 +83,7 @@
         super().connection_made(handler, transport)
         now = self._clock.now()
         self._transports[handler] = transport
+        self._empty.clear()
         self._waited[handler] = now
         if self.count > self._most():
             made = self._close_first(self._idle, now - self._times.kept_idle)
@@ -88,6 +99,8 @@
         for held in (self._transports, self._waited, self._idle):
             held.pop(handler, None)
         self._ahead.discard(handler)
+        if not self._transports:
+            self._empty.set()
 
     def stirred(self, handler: web.RequestHandler) -> None:
         """Bytes have come: an idle connection has a request on its way in and is not closed as idle."""
@@ -110,6 +123,16 @@
         (self._waited if handler in self._ahead else self._idle)[handler] = self._clock.now()
         self._ahead.discard(handler)
 
+    def dismiss(self) -> None:
+        """Close the connections that are idle, but for those on which a request has come that is not read yet."""
+        for handler in list(self._idle):
+            if not readable(self._transports[handler].get_extra_info("socket")):
+                self._close(handler)
+
+    async def emptied(self) -> None:
+        """Wait until no connection is open: all answers are out then, to the last byte."""
+        await self._empty.wait()
+
     def stop(self) -> None:
         """End the sweeping."""
         if self._timer is not None:
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -33,10 +33,10 @@
         await kept[0].readexactly(2)
         half[1].write(f"{HEAD}X-Req".encode())
         await until(lambda: s.proxy.places_taken == 2)
+        kept[1].write(f"{HEAD}X-Request-Id: 2\r\n\r\n".encode())  # there already, and not read yet
         stopping = asyncio.ensure_future(s.proxy.stop(linger=2.0))
         await asyncio.sleep(0)
         new = await connect(s)
-        kept[1].write(f"{HEAD}X-Request-Id: 2\r\n\r\n".encode())
         half[1].write(b"uest-Id: 3\r\n\r\n")
         new[1].write(f"{HEAD}X-Request-Id: 4\r\n\r\n".encode())
         assert [await status(reader) for reader, _ in (kept, half, new)] == [200, 200, 200]
@@ -49,6 +49,43 @@
     play(tmp_path, story, IssuerHost())
 
 
+def test_an_idle_connection_ends_at_sigterm_while_who_crosses_its_end_can_still_come_anew(tmp_path: Path) -> None:
+    """Ended with the listener, a request under way to it was lost: its second try found nobody."""
+    async def story(s: Story) -> None:
+        reader, writer = await connect(s)
+        writer.write(f"{HEAD}X-Request-Id: 1\r\n\r\n".encode())
+        assert await status(reader) == 200
+        await reader.readexactly(2)
+        stopping = asyncio.ensure_future(s.proxy.stop(linger=2.0))
+        assert await reader.read() == b""
+        again, its_writer = await connect(s)
+        its_writer.write(f"{HEAD}X-Request-Id: 2\r\n\r\n".encode())
+        assert await status(again) == 200
+        await stopping
+        for one in (writer, its_writer):
+            one.close()
+
+    play(tmp_path, story, IssuerHost())
+
+
+@pytest.mark.parametrize("sent", ["", f"{HEAD}X-Re", f"{HEAD}X-Request-Id: 1\r\n"],
+                         ids=["nothing", "half", "all but the end"])
+def test_a_request_whose_last_byte_comes_after_the_listener_has_closed_is_answered(tmp_path: Path, sent: str) -> None:
+    """Its connection was let in before: whatever is sent on it is taken."""
+    async def story(s: Story) -> None:
+        reader, writer = await connect(s)
+        writer.write(sent.encode())
+        await until(lambda: s.proxy.places_taken == 1)
+        stopping = asyncio.ensure_future(s.proxy.stop(linger=0.0))
+        await until(lambda: not s.proxy._listener.is_serving())
+        writer.write(f"{HEAD}X-Request-Id: 1\r\n\r\n".encode().removeprefix(sent.encode()))
+        assert await status(reader) == 200
+        await stopping
+        writer.close()
+
+    play(tmp_path, story, IssuerHost())
+
+
 def test_a_drain_told_by_the_new_discovery_is_kept_though_the_old_watch_was_open(tmp_path: Path) -> None:
     drained, other, new = IssuerHost(), IssuerHost(), Discovery()
 
