A host that ends or refuses a connection though it lives is neither lost nor cold

At fault: Balancer._failed, which went by the time alone. Three cases prove nothing: a host that ended a connection that was up, one that refuses while another of ours to it stands (of a death all are reset), and a leg that we gave up ourselves because its request had under 50 ms left.

It is a guard.

--- a/cranebank/core/rules.py
+++ b/cranebank/core/rules.py
@@ -102,13 +102,15 @@
 
 @dataclass(slots=True, frozen=True)
 class LegEnded:
-    """Message: how a leg ended; ``content`` came with OK; ``hopeless`` if the request itself is at fault."""
+    """Message: how a leg ended; ``content`` came with OK; ``hopeless`` if the request itself is at fault;
+    ``unproven`` if its connection failed and the host may listen all the same."""
 
     leg: Leg
     outcome: api.Outcome
     load: dict[str, float] | None = None
     content: Any = None
     hopeless: bool = False
+    unproven: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +121,7 @@
     outcome: api.Outcome
     took: int
     load: dict[str, float] | None = None
+    unproven: bool = False  # as for a leg
 
 
 @dataclass(slots=True, frozen=True)
@@ -317,9 +320,9 @@
             case Due(name, balancer):
                 if balancer is self._balancer:
                     self._tell(api.TimerFired(name))
-            case Probed(server, outcome, took, load):
+            case Probed(server, outcome, took, load, unproven):
                 self._counters.add(f"probes_{outcome.name.lower()}")
-                self._tell(api.ProbeResult(server, outcome, took / 1000.0, load))
+                self._tell(api.ProbeResult(server, outcome, took / 1000.0, load, unproven))
             case Left(ticket):
                 self._left(ticket)
             case TimedOut(leg):
@@ -407,7 +410,8 @@
         """Stop waiting for a leg that is still out."""
         if leg.outcome is None:
             self._orders.append(CancelLeg(leg))
-            self._next.append(LegEnded(leg, outcome))
+            # Guards a sound host against a request with little time left: it was we who stopped waiting.
+            self._next.append(LegEnded(leg, outcome, unproven=True))
 
     def _leg_ended(self, ended: LegEnded) -> None:
         leg = ended.leg
@@ -427,7 +431,7 @@
             outcome = api.Outcome.CANCELLED
         took = (self._now - leg.sent_at) / 1000.0
         self._tell(api.AttemptResult(leg.request, leg.number, leg.server, outcome, took,
-                                     request.over, ended.load))
+                                     request.over, ended.load, ended.unproven))
         self._forget(request)
 
     def _follow(self, request: Open, event: str, **fields: Any) -> None:
--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -180,8 +180,9 @@
             server.barred_until, server.trial = self.now + server.bar, True
             self._rebuild()
 
-    def _failed(self, server: Server, outcome: Outcome, took: float) -> None:
-        if outcome is Outcome.CONNECT_FAILED and took < self.settings.connect_timeout / 2:
+    def _failed(self, server: Server, event: AttemptResult | ProbeResult) -> None:
+        at_once = event.took < self.settings.connect_timeout / 2
+        if event.outcome is Outcome.CONNECT_FAILED and at_once and not event.unproven:
             server.lost = True  # refused at once: one call is proof enough, more of them teach nothing
         self._note(server, True)
 
@@ -553,7 +554,7 @@
             server.rest_until = self.now + self.mean_latency
         elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not attempt.counted:
             attempt.unreached = outcome is Outcome.CONNECT_FAILED
-            self._failed(server, outcome, event.took)
+            self._failed(server, event)
         if self.asks and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT):
             failed, was = outcome is not Outcome.OK, server.fails.get(request.kind, 0.0)
             server.fails = server.fails | {request.kind: was + GAIN * (failed - was)}
@@ -614,6 +615,6 @@
         if server is not None and event.outcome is Outcome.OK:
             self._report(server, event.load)
         elif server is not None and event.outcome is not Outcome.FULL:
-            self._failed(server, event.outcome, event.took)
+            self._failed(server, event)
         for request in self.asking.pop(event.server, []):
             self._told(server, request, event.outcome is Outcome.OK)
--- a/cranebank/decisions/interface.py
+++ b/cranebank/decisions/interface.py
@@ -170,7 +170,10 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptResult:
-    """Event: the one outcome of an attempt. ``load`` holds the report's known figures."""
+    """Event: the one outcome of an attempt. ``load`` holds the report's known figures.
+
+    ``unproven``: a connection failed, and that is no proof that nobody listens (a wire that can't tell leaves it out).
+    """
 
     request: str
     attempt: int
@@ -179,16 +182,18 @@
     took: float
     finished: bool
     load: dict[str, float] | None = None
+    unproven: bool = False
 
 
 @dataclass(slots=True, frozen=True)
 class ProbeResult:
-    """Event: the result of a probe."""
+    """Event: the result of a probe; ``unproven`` as for an attempt."""
 
     server: str
     outcome: Outcome
     took: float
     load: dict[str, float] | None = None
+    unproven: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -15,7 +15,7 @@
 from cranebank.core.mailbox import Mailbox
 from cranebank.core.rules import Host, Leg, LegEnded, Message, Probed, TableNews
 from cranebank.decisions import interface as api
-from cranebank.http.link import Broke, HostAnswer, Links, NoRoom, Spoilt
+from cranebank.http.link import Broke, Ended, HostAnswer, Links, NoRoom, Spoilt
 
 PASSED_BACK = ("Content-Type", "Content-Encoding")
 _NAMES = LOAD_NAMES | {name: name for name in LOAD_NAMES.values()}  # the settings' names, and the header's
@@ -141,7 +141,7 @@
         except (Broke, Spoilt) as error:
             if link.sent:
                 raise
-            raise ConnectionError(str(error)) from error
+            raise Ended(str(error)) from error
         finally:
             self._links.give_back(link)
 
@@ -165,7 +165,7 @@
             ended = LegEnded(leg, api.Outcome.MOOT)  # never sent, and no fault of the host's
             self._log.warning("leg_no_room", host=self._server, error=str(error))
         except OSError as error:
-            ended = LegEnded(leg, api.Outcome.CONNECT_FAILED)
+            ended = LegEnded(leg, api.Outcome.CONNECT_FAILED, unproven=self._unproven(error))
             self._log.warning("dial_failed", host=self._server, error=str(error))
         except (Broke, Spoilt) as error:
             self._log.warning("leg_broken", host=self._server, error=f"{type(error).__name__}: {error}")
@@ -183,6 +183,13 @@
             return LegEnded(leg, api.Outcome.FULL, load)
         return LegEnded(leg, api.Outcome.ERROR, load, hopeless=400 <= answer.status < 500)
 
+    def _unproven(self, error: OSError) -> bool:
+        """Guards a host that lives from passing for lost, and for cold afterwards: it ended a connection that
+        was up (idle for too long, table full), or refuses a new one while another to it stands."""
+        unproven = isinstance(error, Ended) or self._links.standing(self._server)
+        self._counters.add("connects_unproven", unproven)
+        return unproven
+
     def _load(self, text: str | None) -> dict[str, float] | None:
         if not text:
             return None  # a host that has only just started may have none yet
@@ -194,7 +201,7 @@
 
     async def _probe(self) -> None:
         reports = self._settings.report_source is not api.ReportSource.NONE
-        sent, outcome, load = self._clock.now(), api.Outcome.RESET, None
+        sent, outcome, load, unproven = self._clock.now(), api.Outcome.RESET, None, False
         path = "/-/load" if reports else "/-/healthy"
         try:
             # Beside the dial, a probe waits as long again for its answer: an older figure is worth little.
@@ -207,11 +214,11 @@
             outcome = api.Outcome.FULL  # no fault of the host's
         except TimeoutError:
             outcome = api.Outcome.TIMEOUT
-        except OSError:
-            outcome = api.Outcome.CONNECT_FAILED
+        except OSError as error:
+            outcome, unproven = api.Outcome.CONNECT_FAILED, self._unproven(error)
         except (Broke, Spoilt) as error:
             self._log.warning("probe_broken", host=self._server, error=f"{type(error).__name__}: {error}")
-        self._tell(Probed(self._server, outcome, self._clock.now() - sent, load))
+        self._tell(Probed(self._server, outcome, self._clock.now() - sent, load, unproven))
 
 
 class Directory:
--- a/cranebank/http/link.py
+++ b/cranebank/http/link.py
@@ -31,6 +31,10 @@
     """The connection ended before the answer was whole."""
 
 
+class Ended(ConnectionError):
+    """The connection was up and ended before the request's last byte: nothing ran, yet somebody listened."""
+
+
 class NoRoom(Exception):
     """All connections that there may be are in use."""
 
@@ -98,6 +102,14 @@
             self.clean = not poll.poll(0)
         return self.clean
 
+    def stands(self) -> bool:
+        """It is up, and no end of it is under way: a process that dies resets all of its connections."""
+        if self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), 0)  # asks for POLLERR and POLLHUP alone
+        return not poll.poll(0)
+
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -199,6 +211,7 @@
         self._clock, self._counters = clock, counters
         self.open = 0  # with those that are being dialled
         self._idle: dict[Link, None] = {}  # the longest idle first
+        self._up: set[Link] = set()  # all of them, in use or idle; bounded by ``most``
         self._timer: asyncio.TimerHandle | None = None
 
     async def take(self, host: str, address: str) -> Link:
@@ -228,8 +241,13 @@
                 raise ConnectionError("not up in time") from None
             raise
         self._counters.add("connections_opened")
+        self._up.add(link)
         return link
 
+    def standing(self, host: str) -> bool:
+        """Whether another connection to ``host`` stands: one refused then tells of a full table, not of a death."""
+        return any(link.host == host and link.stands() for link in self._up)
+
     def give_back(self, link: Link) -> None:
         """Keep a connection for its next request, or forget one that is not fit for any."""
         if not link.clean:
@@ -263,4 +281,5 @@
 
     def _close(self, link: Link) -> None:
         self.open -= 1
+        self._up.discard(link)
         link.close()
--- a/tests/test_lost_hosts.py
+++ b/tests/test_lost_hosts.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
-from conftest import Driver
+from conftest import Driver, make_settings
+from peers import OK, IssuerHost, Story, answer, play
+from test_subset import Time, news
 
+from cranebank.core import rules
+from cranebank.core.counters import Counters
+from cranebank.decisions.balance import Balancer
 from cranebank.decisions.interface import ListKind, Outcome, Refuse, ServerEntry, ServerState, TimerFired
+from cranebank.http.link import Links
 
 Drive = Callable[..., Driver]
 SERVERS = [f"s{i}" for i in range(12)]
@@ -105,3 +113,75 @@
         for name in names:
             d.result(name, took=20.0 * stretch)
     assert (d.balancer.limit > 1.3 * never) is rises
+
+
+@pytest.mark.parametrize(("unproven", "lost"), [(False, True), (True, False)])
+def test_a_connection_that_fails_without_proof_leaves_its_host_warm_and_ready(
+        drive: Drive, unproven: bool, lost: bool) -> None:
+    d = drive(copies=40)
+    d.listed(SERVERS)
+    name, _ = d.request()
+    (server,) = d.sent[name]
+    d.result(name, Outcome.CONNECT_FAILED, took=1.0, unproven=unproven)
+    assert d.balancer.servers[server].lost is lost
+    assert (server in {s.entry.server for s in d.balancer.off}) is lost
+
+
+@pytest.mark.parametrize("left", [1, 30, 49])
+def test_a_request_with_little_time_left_does_not_make_a_host_lost(left: int) -> None:
+    """Its leg ends unsent in less than half of the time to connect, as one refused at once does."""
+    made: list[Balancer] = []
+
+    def make(settings: Any, seed: int) -> Balancer:
+        made.append(Balancer(settings, seed))
+        return made[-1]
+
+    layer = rules.Rules(make_settings(copies=40, connect_timeout=100.0), 1, Time(), Counters(), make)
+    layer.handle(0, news(ListKind.ALL, *((name, ServerState.IN) for name in SERVERS)))
+    (leg,) = [order.leg for order in layer.handle(0, rules.Arrived(rules.Call(0, 0, left * 1000, None), "t", 0))
+              if isinstance(order, rules.SendLeg)]
+    layer.handle(left * 1000, rules.TimedOut(leg))
+    assert leg.outcome is Outcome.CONNECT_FAILED
+    assert not made[0].servers[leg.server].lost and not made[0].off
+
+
+@pytest.mark.parametrize(("first", "unproven"), [(OK, 1), (answer(200, b"ok", "Connection: close"), 0)],
+                         ids=["one stands", "none stands"])
+def test_a_refused_connection_proves_a_death_only_where_no_other_stands(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes, unproven: int) -> None:
+    """The host's table may be full, and what it has goes on. Of a death the others are reset as well."""
+    host = IssuerHost(lambda _: first)
+
+    async def story(s: Story) -> None:
+        assert (await s.ask())[0] == 200
+        whole = Links.take
+
+        async def refused(links: Links, _: str, __: str) -> Any:
+            return await whole(links, "none is open to it", "127.0.0.1:1")  # nobody listens there
+
+        monkeypatch.setattr(Links, "take", refused)
+        assert (await s.ask(changes={"X-Request-Id": "2"}))[0] in (502, 503)
+        assert s.proxy.counters["legs_connect_failed"] == 1
+        assert s.proxy.counters["connects_unproven"] == unproven
+
+    play(tmp_path, story, host)
+
+
+def test_a_host_that_ends_a_connection_before_the_request_is_not_lost(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was idle for too long, say, and the end came between the look at it and the use."""
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        whole = Links.take
+
+        async def ended(links: Links, server: str, address: str) -> Any:
+            link = await whole(links, server, address)
+            link._transport.close()
+            return link
+
+        monkeypatch.setattr(Links, "take", ended)
+        assert (await s.ask())[0] in (502, 503)
+        assert s.proxy.counters["legs_connect_failed"] == s.proxy.counters["connects_unproven"] == 1
+
+    play(tmp_path, story, host)
