What classes were served fades: they are compared over some 10,000 first tries

Now all sums are halved past RUN = 10,000 first tries, where chance alone moves a share by 1% (docs/design.md). Test: a class unserved long ago against one unserved lately, with and without the fading.

--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -30,6 +30,7 @@
 NEAR = 0.9  # past EACH calls a server, the part of idle time in what answers may take (in logs, else the aim)
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
+RUN = 10_000  # first tries by which classes are compared: chance alone moves a share of theirs by 1%
 PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
@@ -356,6 +357,8 @@
         if self.settings.layer == 0 and self.settings.quotas and self._over_quota(event.tenant):
             value *= self.settings.over_share_worth
         self.asked[index] += not event.resubmitted
+        if sum(self.asked) > RUN:  # who fared worst weeks ago must not go first for weeks
+            self.asked, self.got = ([n / 2 for n in told] for told in (self.asked, self.got))
         if event.resubmitted:  # the client's aim has been running for a try or two
             value *= kind.late_worth
         aim_at = self.now + min(kind.aim, left)
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -68,6 +68,26 @@
     assert served_first(d, (0, False), (2, False))[0] == first
 
 
+@pytest.mark.parametrize(("run", "first"), [(200, 1), (10**9, 0)])
+def test_what_a_class_was_served_long_ago_fades(
+        drive: Drive, monkeypatch: pytest.MonkeyPatch, run: int, first: int) -> None:
+    """Class 0 went unserved all of a first day, class 2 half of a second one; summed up from the start, 0 is worse."""
+    monkeypatch.setattr("cranebank.decisions.balance.RUN", run)
+    d = one_at_a_time(drive, worst_class_share=0.7)
+    for worse, better, unserved in ((0, 2, 300), (2, 0, 150)):
+        stuck, _ = d.request()
+        d.balancer.limit = 1.0
+        for _ in range(unserved):
+            d.request(worse, left=1.0)
+        d.result(stuck)
+        for _ in range(300):
+            d.now += 20.0
+            d.balancer.limit = 1.0
+            d.result(d.request(better)[0])
+    d.now += 2000.0
+    assert served_first(d, (0, False), (2, False))[0] == first
+
+
 def test_the_goal_is_read_from_the_settings() -> None:
     lane = {"Aim": 1.0, "Deadline": 2.0, "Effect": "retryable", "Group": "all", "LateWorth": 0.5, "RepeatWindow": 0.0,
             "Worth": 1.0}
