--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -30,6 +30,7 @@
 NEAR = 0.9  # past EACH calls a server, the part of idle time in what answers may take (in logs, else the aim)
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
+RUN = 10_000  # first tries by which classes are compared: chance alone moves a share of theirs by 1%
 PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
@@ -180,8 +181,9 @@
             server.barred_until, server.trial = self.now + server.bar, True
             self._rebuild()
 
-    def _failed(self, server: Server, outcome: Outcome, took: float) -> None:
-        if outcome is Outcome.CONNECT_FAILED and took < self.settings.connect_timeout / 2:
+    def _failed(self, server: Server, event: AttemptResult | ProbeResult) -> None:
+        at_once = event.took < self.settings.connect_timeout / 2
+        if event.outcome is Outcome.CONNECT_FAILED and at_once and not event.unproven:
             server.lost = True  # refused at once: one call is proof enough, more of them teach nothing
         self._note(server, True)
 
@@ -355,6 +357,8 @@
         if self.settings.layer == 0 and self.settings.quotas and self._over_quota(event.tenant):
             value *= self.settings.over_share_worth
         self.asked[index] += not event.resubmitted
+        if sum(self.asked) > RUN:  # who fared worst weeks ago must not go first for weeks
+            self.asked, self.got = ([n / 2 for n in told] for told in (self.asked, self.got))
         if event.resubmitted:  # the client's aim has been running for a try or two
             value *= kind.late_worth
         aim_at = self.now + min(kind.aim, left)
@@ -553,7 +557,7 @@
             server.rest_until = self.now + self.mean_latency
         elif outcome not in (Outcome.CANCELLED, Outcome.MOOT) and not attempt.counted:
             attempt.unreached = outcome is Outcome.CONNECT_FAILED
-            self._failed(server, outcome, event.took)
+            self._failed(server, event)
         if self.asks and outcome in (Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT):
             failed, was = outcome is not Outcome.OK, server.fails.get(request.kind, 0.0)
             server.fails = server.fails | {request.kind: was + GAIN * (failed - was)}
@@ -614,6 +618,6 @@
         if server is not None and event.outcome is Outcome.OK:
             self._report(server, event.load)
         elif server is not None and event.outcome is not Outcome.FULL:
-            self._failed(server, event.outcome, event.took)
+            self._failed(server, event)
         for request in self.asking.pop(event.server, []):
             self._told(server, request, event.outcome is Outcome.OK)
