--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -24,9 +24,10 @@
 from cranebank.decisions.balance import Balancer
 from cranebank.discovery.routing_table import RoutingTable
 from cranebank.http.acquirer import Acquirer
-from cranebank.http.door import DoorTimes, readable
+from cranebank.http.door import DoorTimes
 from cranebank.http.issuer import Directory, Issuer
 from cranebank.http.link import Links
+from cranebank.http.peek import readable
 from cranebank.routing.subset import Subset, Wanted, slot_of
 
 IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
--- a/cranebank/http/door.py
+++ b/cranebank/http/door.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,18 +11,12 @@
 
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
+from cranebank.http.peek import readable
 
 SETTLING = 100_000  # whoever connects and has said nothing for so long may go first when all places are taken
 SWEEP_S = 0.25
 
 
-def readable(sock: Any) -> bool:
-    """Whether bytes, an end or a new connection wait at a socket, without taking them."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 @dataclass(slots=True, frozen=True)
 class DoorTimes:
     """Microseconds: for a whole request, from connecting or from its first byte; a connection without a
--- a/cranebank/http/link.py
+++ b/cranebank/http/link.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,6 +14,7 @@
 
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
+from cranebank.http.peek import broken, readable
 
 ANSWER_BYTES = 1 << 20  # the protocol says 64 KiB, but good answers of 400 KB were seen
 HEAD_BYTES = 32 << 10  # till the head is whole, with the 1xx answers ahead of it
@@ -97,18 +97,12 @@
     def usable(self) -> bool:
         """Nothing has come since the last answer: no bytes, no end, not even unread ones."""
         if self.clean:
-            poll = select.poll()
-            poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-            self.clean = not poll.poll(0)
+            self.clean = not readable(self._transport.get_extra_info("socket"))
         return self.clean
 
     def stands(self) -> bool:
         """It is up, and no end of it is under way: a process that dies resets all of its connections."""
-        if self._transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), 0)  # asks for POLLERR and POLLHUP alone
-        return not poll.poll(0)
+        return not (self._transport.is_closing() or broken(self._transport.get_extra_info("socket")))
 
     # What asyncio calls.
 
