Settings: a list of nought is read from START; what can hold nowhere is refused by name

So a list without items comes as one value: its writer can't tell a list of tables from one of words (the whole line was not seen: the adapter's message cuts it). wire.parse_settings took that for a text, and for Tiers and Zones for a list of one empty name. Which keys are lists is now read off the settings' own types, and '' and '-' stand for absent, which is a list of nought there.

--- a/cranebank/config/platform.py
+++ b/cranebank/config/platform.py
@@ -16,6 +16,7 @@
 
 Number = Annotated[float, Meta(ge=-1e15, le=1e15)]  # neither NaN nor infinite
 Span = Annotated[float, Meta(ge=0.0, le=1e12)]  # milliseconds
+Wait = Annotated[float, Meta(gt=0.0, le=1e12)]  # milliseconds, of which there must be some
 Count = Annotated[int, Meta(ge=0)]
 
 LOAD_NAMES = {
@@ -35,8 +36,8 @@
     """A class of request."""
 
     name: str = ""
-    aim: Number
-    deadline: Number
+    aim: Wait  # all that is learnt of answers is measured by it
+    deadline: Span
     effect: Literal["retryable", "dedup", "fragile"]
     group: Literal["all", "zone", "cell"]
     late_worth: Number
@@ -110,7 +111,7 @@
 class Told(msgspec.Struct, frozen=True, kw_only=True, rename="pascal"):
     """The whole of the settings, as far as they are used."""
 
-    balancers: Count
+    balancers: Annotated[int, Meta(ge=1)]  # this one is among them
     zone: Count
     quantum: Span
     discovery: Literal["push", "ask"]
--- a/cranebank/simwire/wire.py
+++ b/cranebank/simwire/wire.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import msgspec
+from msgspec import inspect
+
 from cranebank.config.checks import ConfigError, typed
 from cranebank.config.platform import LOAD_NAMES, Told, settings_of
 from cranebank.decisions import interface as api
@@ -19,7 +22,9 @@
 _STATES = {"IN": api.ServerState.IN, "LAME": api.ServerState.DRAINING, "OUT": api.ServerState.OUT}
 _KINDS = {kind.value: kind for kind in api.ListKind}
 _OUTCOMES = {str(int(outcome)): outcome for outcome in api.Outcome}
-_LISTS = ("Tiers", "Zones")  # lists of plain values, joined with commas
+# By what each holds: plain values are joined with commas, tables counted. Read off the settings themselves.
+_LISTS = {field.encode_name: field.type for field in msgspec.structs.fields(Told)
+          if isinstance(inspect.type_info(field.type), inspect.VarTupleType)}
 
 
 def parse_settings(pairs: list[str]) -> api.Settings:
@@ -35,7 +40,11 @@
             node = node.setdefault(step, {})
             if not isinstance(node, dict):
                 raise WireError(f"setting {path}: {step} is a value, not a list or a table")
-        node[last] = value.split(",") if path in _LISTS else value
+        if value in ("", "-"):  # absent; a list of length nought has nothing to count or join
+            if path in _LISTS:
+                node[last] = []
+        else:
+            node[last] = value.split(",") if path in _LISTS else value
     try:
         return settings_of(typed(_nested(tree, ""), Told, "setting", strict=False))
     except ConfigError as error:
