Speeds of kinds of host are learnt from answers and count as size; probes by their price

Checked: which part is figures, which is speed, with sizes by kind alone, with true figures alone, with both. At fault: Balancer._resize's forerunner took every host for equal ('total_size = sum(entry.size)', 1 each), so that a call went to a slow host as often as to a fast one unless its answers took twice the mean; and probes were a tenth of the calls whatever they cost. Kinds are told by the list and were not read.

Now the mean time by kind, as parts of the class's usual time, gives the size; draws, figures, and the cold budget (never over the mean's) go by it.

--- a/cranebank/config/load.py
+++ b/cranebank/config/load.py
@@ -104,7 +104,7 @@
         raise ConfigError(f"{where}: name: missing, expected a text, here or in GW_NAME")
     discovery = environ.get("GW_DISCOVERY") or told.discovery
     _address(discovery, f"{where}: discovery (or GW_DISCOVERY)")
-    reader = ListReader(told.settings.zones)
+    reader = ListReader(told.settings.zones, told.settings.kinds)
     try:
         known = reader.read(told.known) if told.known else None
     except (ValueError, RecursionError) as error:
--- a/cranebank/config/platform.py
+++ b/cranebank/config/platform.py
@@ -124,6 +124,7 @@
     slot_no: Count | None = None
     tiers: tuple[str, ...] = ("servers",)
     zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
     family_info: FamilyInfo = FamilyInfo()
     prices: Prices = Prices()
     scoring_mix: ScoringMix = ScoringMix()
--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -16,6 +16,7 @@
     ReportSource, Request, RequestGone, Send, ServerList, ServerState, SetTimer, Settings, StreamStarted,
     TimerFired, Watch,
 )
+from cranebank.decisions.speeds import Speeds
 from cranebank.decisions.state import Attempt, Held, Server
 
 # Dimensionless constants, each argued for in docs/design.md.
@@ -31,7 +32,8 @@
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
 RUN = 10_000  # first tries by which classes are compared: chance alone moves a share of theirs by 1%
-PROBES = 0.1  # probes as a share of calls: the price of a probe stays a tenth of a call's
+PROBES = 0.1  # probes as a share of calls: the work of a probe stays a tenth of a call's
+PAID = 0.002  # of a request's worth, what each of its calls may cost in probes
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
@@ -66,9 +68,10 @@
         blind = (1.0 - self.few) * (max(c.late_worth for c in settings.classes) == 0.0)
         self.nearness, self.floor = 0.6 + 0.2 * blind, self.few * (1.0 - blind / 2)
         self.spare = self.few / FURTHER  # further attempts: what many copies save up is a storm when spent
-        self.probe_turn = 0
+        self.probe_turn, self.speeds = 0, Speeds()
         self.probes = settings.may_probe and settings.report_source is ReportSource.PROBE
         self.asks = self.probes and settings.probe_price <= PROBES / 20
+        self.probe_share = PAID / max(settings.probe_price, PAID / PROBES)
         self.asking: dict[str, list[Held]] = {}  # who waits to hear from a server
         self.thin_from, self.thin_by = (1.5, 2.0) if self.asks else (1.0 + self.few, 4.0 - 3 * self.few)
         self.held = self.own_held = 0.0  # means when reported: what servers hold, what of it is one's own
@@ -147,14 +150,22 @@
         self.ready = [s for s in self.listed if s.barred_until <= self.now]
         self.off = [s for s in self.listed if s.barred_until > self.now]
         self.near = [s for s in self.ready if s.entry.zone == self.own]
+        self.bad_sum = sum(s.bad for s in self.listed)
         self.least_limit = max(1, len(self.ready)) * self.floor  # so many calls out are never too many
         if not self.answered:  # a fresh copy may be amid full traffic: half of its part of what is harmless
             self.limit = max(1.0, self.least_limit, EACH / 2 * len(self.ready) / self.settings.copies)
         elif were and self.ready:  # what so many carried is not laid on fewer, who would be crowded
             self.limit = max(self.limit * len(self.ready) / were, self.least_limit)
-        self.total_size = sum(s.entry.size for s in self.ready) or 1.0
-        self.most_size = max((s.entry.size for s in self.ready), default=1.0)
-        self.bad_sum = sum(s.bad for s in self.listed)
+        self._resize()
+
+    def _resize(self) -> None:
+        """Sizes as told, by what was learnt of each kind's speed against the mean of those that are listed."""
+        sizes = [s.entry.size * self.speeds.size(s.entry.kind) for s in self.listed]
+        common = sum(s.entry.size for s in self.listed) / (sum(sizes) or 1.0)
+        for server, size in zip(self.listed, sizes, strict=True):
+            server.size = size * common
+        self.total_size = sum(s.size for s in self.ready) or 1.0
+        self.most_size = max((s.size for s in self.ready), default=1.0)
 
     def _note(self, server: Server, failed: bool) -> None:
         """Weigh one piece of evidence on a server, against what the others show at the same time."""
@@ -197,7 +208,8 @@
 
     def _cold_budget(self, server: Server, share: float) -> bool:
         """Guards against pushing a cold server over: this copy's part of what it can do, and no more."""
-        fair = self._call_rate() / max(1, len(self.servers))
+        kinds = min(1.0, server.size / server.entry.size)  # one of a slow kind bears less
+        fair = self._call_rate() / max(1, len(self.servers)) * kinds
         burst = max(1.0, fair * share * self.settings.overload_for / 2)
         grown = (self.now - server.tokens_at) * fair * share * self.settings.fall_multiple / 2
         server.tokens, server.tokens_at = min(burst, server.tokens + grown), self.now
@@ -235,17 +247,18 @@
 
     def _has_room(self, server: Server, request: Held) -> bool:
         """Whether a server takes this copy's call; by chance where it can take part of a full share."""
-        room = ceil(CROWD * (self.out + 1) / self.total_size * server.entry.size)
+        room = ceil(CROWD * (self.out + 1) / self.total_size * server.size)
         if (server.out >= (1 if server.trial else room) or server.rest_until > self.now
                 or any(a.server is server for a in request.attempts)):
             return False
         share = self._present_share(server)
-        least = share * server.entry.size / self.most_size
+        least = share * server.size / self.most_size
         # Guards against servers that fail one class and serve the others: drawn less for that class alone.
         failing = server.fails.get(request.kind, 0.0) - self.fails[request.kind]
         least *= min(1.0, max(GAIN / 8, 1.0 - failing / GAIN))
         # Slow beyond the mean by own times: drawn less; more so where copies are many and figures old.
-        excess = server.time / (self.mean_latency or 1.0) / self.thin_from
+        kinds = min(1.0, server.size / server.entry.size)  # its kind's slowness is in its size already
+        excess = server.time / (self.mean_latency or 1.0) / self.thin_from * kinds
         if excess > 1.0:
             least /= 2 * excess if self.few >= 1.0 else excess ** self.thin_by
         return (least >= 1.0 or self.random.random() < least) and (
@@ -267,7 +280,7 @@
         if self.random.random() >= beta(len(self.ready), self._call_rate() * self.settings.copies * age):
             return pair[0]
         # Ties at random, but for a connection that is open where the other's must be opened and paid.
-        one, two = ((self._figure(s), self.links and s.linked_until <= self.now, self.random.random())
+        one, two = ((self._figure(s) + 1.0 / s.size, self.links and s.linked_until <= self.now, self.random.random())
                     for s in pair)
         return pair[0] if one < two else pair[1]
 
@@ -326,7 +339,7 @@
         """The last reported figure by size, moved by own calls since; without one, the others' mean."""
         if server.figure is None:
             return self.usual
-        return max(0.0, server.figure + server.out - server.out_at_report) / server.entry.size
+        return max(0.0, server.figure + server.out - server.out_at_report) / server.size
 
     def _pool(self, request: Held) -> tuple[list[Server], bool]:
         """Who may be drawn for a request, and whether the own zone comes first."""
@@ -434,7 +447,7 @@
             self.part_sent = self.now
         if not request.attempts:  # refused requests earn nothing: the budget must not grow with a jam
             self.spare = min(max(1.0, self.few / FURTHER), self.spare + FURTHER)
-            if self.probes and not self.asks and self.random.random() < PROBES:  # each in turn
+            if self.probes and not self.asks and self.random.random() < self.probe_share:  # each in turn
                 self.probe_turn = (self.probe_turn + 1) % len(self.listed)
                 self.actions.append(Probe(self.listed[self.probe_turn].entry.server))
         else:
@@ -535,10 +548,7 @@
         if jam and server.time <= 2 * self.mean_latency:  # who is known as slow speaks for itself
             self._steer(1.0)  # the few answers that come through a jam do not show it
         if outcome in (Outcome.OK, Outcome.TIMEOUT):
-            self._weigh(request, attempt, event.took, outcome is Outcome.OK)
-            took, far = event.took, server.entry.zone != self.settings.zone
-            server.time += GAIN * (took - server.time) if server.time else took
-            self.zone_time[far] += (took - self.zone_time[far]) / 16 if self.zone_time[far] else took
+            self._time(request, attempt, event.took, outcome is Outcome.OK)
         elif outcome is Outcome.CANCELLED and len(request.attempts) > 1:
             server.time += max(0.0, GAIN * (event.took - server.time))  # it would have taken longer yet
         if outcome is Outcome.OK:
@@ -575,11 +585,20 @@
             self.requests.pop(request.name, None)
         self._serve_queue()
 
+    def _time(self, request: Held, attempt: Attempt, took: float, answered: bool) -> None:
+        """Learn from how long a call took: of its class or tenant, the host's kind, the host, its zone."""
+        server = attempt.server
+        self._weigh(request, attempt, took, answered)
+        self.speeds.learn(server.entry.kind, took / (self.latency[request.kind] or took or 1.0))
+        server.time += GAIN * (took - server.time) if server.time else took
+        far = server.entry.zone != self.settings.zone
+        self.zone_time[far] += (took - self.zone_time[far]) / 16 if self.zone_time[far] else took
+
     def _report(self, server: Server, load: dict[str, float] | None) -> None:
         figure = None if load is None else load.get("inflight", load.get("queue"))
         if figure is None or self.servers.get(server.entry.server) is not server:
             return
-        self.usual += (figure / server.entry.size - self.usual) / (64 if self.usual else 1)
+        self.usual += (figure / server.size - self.usual) / (64 if self.usual else 1)
         self.held += (figure - self.held) / 16
         self.own_held += (server.out - self.own_held) / 16
         server.figure, server.figure_at, server.out_at_report = figure, self.now, server.out
@@ -595,6 +614,8 @@
             self._timer(self.now + self.aim / 8, "sweep")
             if any(s.barred_until <= self.now for s in self.off):  # time off is up
                 self._rebuild()
+            if self.speeds.take_over():
+                self._resize()
             self._serve_queue()
         elif seq == "watch":
             self.actions.append(Watch())
@@ -614,8 +635,7 @@
                 self._note(attempt.server, True)
 
     def _probed(self, event: ProbeResult) -> None:
-        server = self.servers.get(event.server)
-        if server is not None and event.outcome is Outcome.OK:
+        if (server := self.servers.get(event.server)) is not None and event.outcome is Outcome.OK:
             self._report(server, event.load)
         elif server is not None and event.outcome is not Outcome.FULL:
             self._failed(server, event)
--- a/cranebank/decisions/interface.py
+++ b/cranebank/decisions/interface.py
@@ -129,6 +129,7 @@
     size: float = 1.0
     state: ServerState = ServerState.IN
     started: float = 0.0
+    kind: int = 0  # of machine, by the settings' names; a number beyond them where the list tells another
 
 
 @dataclass(slots=True, frozen=True)
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -13,10 +13,11 @@
     """What this copy knows of one server. With slots: 10,000 servers at 200 copies are two million of these."""
 
     __slots__ = ("back", "bad", "bar", "barred_until", "entry", "fails", "figure", "figure_at", "gone", "heard",
-                 "linked_until", "lost", "out", "out_at_report", "rest_until", "time", "tokens", "tokens_at", "trial")
+                 "linked_until", "lost", "out", "out_at_report", "rest_until", "size", "time", "tokens", "tokens_at",
+                 "trial")
 
     def __init__(self, entry: ServerEntry, tokens: float = 0.0) -> None:
-        self.entry = entry
+        self.entry, self.size = entry, entry.size  # size: as told, and by what is learnt of its kind
         self.figure: float | None = None  # last reported calls in flight
         self.figure_at = self.heard = 0.0  # when it was reported; when the server last gave an answer
         self.out = self.out_at_report = 0  # own calls out now and then
--- a/cranebank/discovery/listing.py
+++ b/cranebank/discovery/listing.py
@@ -27,9 +27,10 @@
 
 
 class ListReader:
-    """Reads discovery's JSON; needs the settings' zone names."""
+    """Reads discovery's JSON; needs the settings' names of zones and kinds."""
 
-    def __init__(self, zones: tuple[str, ...]) -> None:
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...] = ()) -> None:
+        self._kinds = {name: index for index, name in enumerate(kinds)}
         self._zones = {name: index for index, name in enumerate(zones)}
 
     def read(self, told: Any) -> Listing:
@@ -61,5 +62,6 @@
             cell=int(entry.get("cell") or 0),
             size=size,
             state=state,
+            kind=self._kinds.get(entry.get("kind", ""), len(self._kinds)),  # unknown: one kind for all such
             started=started,  # Unix time, and so is the module's clock
         ), address)
--- a/cranebank/lab/settings.py
+++ b/cranebank/lab/settings.py
@@ -18,6 +18,7 @@
         "Balancers": max(1, round(copies * scenario.subset.told_copies)), "SlotNo": mine.slot,
         "Discovery": scenario.discovery.mode, "Layer": mine.tier, "Quantum": 1.0,
         "Tiers": [tier.name for tier in scenario.tiers], "Zone": mine.zone, "Zones": list(scenario.zones),
+        "Kinds": [kind.name for kind in scenario.tiers[mine.tier].kind],
         "WorthBy": "request", "OverShareWorth": prices.over_share_worth,
         "Lanes": [{"Name": c.name, "Aim": c.aim_ms, "Deadline": c.deadline_ms, "Effect": EFFECTS[c.effect],
                    "Group": "all", "LateWorth": c.late_worth, "RepeatWindow": c.window_ms, "Worth": c.worth,
--- a/cranebank/lab/simulated/world.py
+++ b/cranebank/lab/simulated/world.py
@@ -489,6 +489,7 @@
             for index, tier in enumerate(scenario.tiers)]
         self._tiers = {host.name: host.tier for host in world.plan.hosts} | phantoms(scenario)
         self._zones = {host.name: host.zone for host in world.plan.hosts}
+        self._kinds = {host.name: host.kind for host in world.plan.hosts}
         self._watching: dict[Proxy, int] = {}
         self._versions: dict[Proxy, int] = {}
         self._last: dict[Proxy, int] = {}  # a watch is one connection: what is told first arrives first
@@ -519,7 +520,8 @@
         if found is None:
             states = {"SERVING": api.ServerState.IN, "DRAINING": api.ServerState.DRAINING}
             found = self._made[name, state, started] = rules.Host(api.ServerEntry(
-                name, self._zones.get(name, 0), state=states.get(state, api.ServerState.OUT),
+                name, self._zones.get(name, 0), kind=self._kinds.get(name, 0),
+                state=states.get(state, api.ServerState.OUT),
                 started=(started + EPOCH) / 1000.0 if started else 0.0), "")
         return found
 
--- a/cranebank/simwire/wire.py
+++ b/cranebank/simwire/wire.py
@@ -96,6 +96,7 @@
         server=parts[7],
         zone=integer(parts[1], "RackZone"),
         cell=integer(parts[2], "Bay"),
+        kind=0 if parts[3] == "-" else integer(parts[3], "Type"),
         size=1.0 if parts[4] == "-" else _number(parts[4], "PowerHint"),
         state=_word(parts[5], _STATES, "State"),
         started=0.0 if parts[6] == "-" else _number(parts[6], "StartTime"),
