Where lists are pushed, the agent is asked again soon each time it was silent

Balancer._listed doubled the wait after each silence as it must where one service answers all ('min(watch_backoff * 2, ask_within / 2)'): after 12 s of silence up to 7.5 s passed before news was read that bound by then. Now only askers wait ever longer.

--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -114,8 +114,9 @@
         self.actions.append(SetTimer(at, name))
 
     def _listed(self, event: ServerList) -> None:
-        if event.kind is ListKind.REFUSED:  # ask again, ever later and never in step with the others
-            self.watch_backoff = min(self.watch_backoff * 2, self.settings.ask_within / 2)
+        if event.kind is ListKind.REFUSED:  # ask again, ever later and never in step; an own agent has no others
+            if self.settings.watch_by_asking:
+                self.watch_backoff = min(self.watch_backoff * 2, self.settings.ask_within / 2)
             self._timer(self.now + self.watch_backoff * (0.5 + self.random.random()), "watch")
             return
         self.watch_backoff = self.settings.ask_within / 16
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -275,6 +275,14 @@
     assert max(waits) < d.settings.ask_within
 
 
+def test_an_agent_of_ones_own_that_was_silent_is_asked_again_soon_each_time(drive: Drive) -> None:
+    d = drive(watch_by_asking=False)
+    d.listed(SERVERS)
+    waits = [a.at - d.now for _ in range(8) for a in d.do(ServerList(ListKind.REFUSED)) if isinstance(a, SetTimer)]
+    assert len(waits) == 8
+    assert max(waits) < d.settings.ask_within / 10  # what it has been sent counts as told: it must be read
+
+
 def test_probed_reports_are_asked_for_in_turn_and_cheaply(drive: Drive) -> None:
     d = drive(may_probe=True, report_source=ReportSource.PROBE, probe_price=0.01)
     d.listed(SERVERS)
