--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from math import ceil, exp, log, sqrt
+from math import ceil, log, sqrt
 from random import Random
 from typing import Any
 
@@ -16,6 +16,7 @@
     ReportSource, Request, RequestGone, Send, ServerList, ServerState, SetTimer, Settings, StreamStarted,
     TimerFired, Watch,
 )
+from cranebank.decisions.drags import Drags
 from cranebank.decisions.speeds import Speeds
 from cranebank.decisions.state import Attempt, Held, Server
 
@@ -75,9 +76,9 @@
         self.asking: dict[str, list[Held]] = {}  # who waits to hear from a server
         self.thin_from, self.thin_by = (1.5, 2.0) if self.asks else (1.0 + self.few, 4.0 - 3 * self.few)
         self.held = self.own_held = 0.0  # means when reported: what servers hold, what of it is one's own
-        self.usual = self.unit = 0.0  # means: figures told; time by calls found there, as part of the aim
-        self.drags = [(0.0, 0.0)] * (len(settings.classes) + max(1, len(settings.quotas)))
-        self.hold = self.aim / self.few  # how long evidence lasts: the longer, the less a copy sees
+        self.usual = 0.0  # mean of figures told
+        # Evidence lasts the longer, the less a copy sees.
+        self.drags = Drags(len(settings.classes), len(settings.quotas), self.aim / self.few)
         self.own = settings.zone if settings.cross_zone_price > 0 else None
         self.zone_time = [0.0, 0.0]  # mean time of calls to the own zone, and to others
         self.links = self.few < 1.0 and settings.handshake_price > 0  # many can't keep one to each server
@@ -311,31 +312,14 @@
         # Like a draw without room: a pair over half the usual is drawn again, at most as often as any draw.
         if (best is None or 2 * figure > self.usual) and 2 * request.rounds < DRAWS and self._ask(request):
             return
-        takes = self.unit * (figure + 1.0) * self.settings.classes[request.kind].aim * self._drag(request)
+        usual = self.drags.unit * (figure + 1.0) * self.settings.classes[request.kind].aim
+        takes = usual * self.drags.factor(self.now, request.groups)
         # Nothing is earned by queueing where the answer comes too late; an idle server can't be bettered.
         if figure > 0.0 and not request.attempts and self.now + takes > request.aim_at:
             self._hold(request)
         else:
             self._send_to(request, best or self._pick(request))
 
-    def _drag(self, request: Held) -> float:
-        """How many times the usual a class's or tenant's calls take at all servers; in a jam, all do."""
-        told = [excess * exp((at - self.now) / self.hold) for excess, at in self.drags]
-        kinds = (told[:len(self.latency)], told[len(self.latency):])  # what drags all is no group's doing
-        over = max(told[group] - min(kind) for group, kind in zip(request.groups, kinds, strict=True))
-        return 1.0 + over * (2 * self.unit < 1.0)
-
-    def _weigh(self, request: Held, attempt: Attempt, took: float, answered: bool) -> None:
-        """Guards against a class or tenant whose calls drag at every server: no evidence about any server."""
-        alone = took / self.settings.classes[request.kind].aim / (attempt.ahead + 1.0)
-        ratio = alone / (self.unit or alone or 1.0)
-        if answered:
-            self.unit += (alone / self._drag(request) - self.unit) / 16 if self.unit else alone
-        for group in request.groups:  # the seldomer seen, the more one call tells; never more than half
-            old = exp((self.drags[group][1] - self.now) / self.hold)
-            was, gain = self.drags[group][0] * old, min(2 * GAIN, 1.0 - old * old)
-            self.drags[group] = (max(0.0, was + gain * (ratio - 1.0 - was)), self.now)
-
     def _figure(self, server: Server) -> float:
         """The last reported figure by size, moved by own calls since; without one, the others' mean."""
         if server.figure is None:
@@ -427,7 +411,8 @@
 
     def _dispatch(self, request: Held) -> bool:
         """Send a request, once the servers drawn are heard where these are asked, or hold it for a time."""
-        drag, alone = self._drag(request), self.unit * self.settings.classes[request.kind].aim
+        drag = self.drags.factor(self.now, request.groups)
+        alone = self.drags.unit * self.settings.classes[request.kind].aim
         if drag > 2.0 and alone < request.aim_at - self.now < alone * drag and not request.attempts:
             self._answer(request)  # the like of it takes too long everywhere and only holds others' places
             return True
@@ -589,7 +574,8 @@
     def _time(self, request: Held, attempt: Attempt, took: float, answered: bool) -> None:
         """Learn from how long a call took: of its class or tenant, the host's kind, the host, its zone."""
         server = attempt.server
-        self._weigh(request, attempt, took, answered)
+        alone = took / self.settings.classes[request.kind].aim / (attempt.ahead + 1.0)
+        self.drags.weigh(self.now, request.groups, alone, answered)
         self.speeds.learn(server.entry.kind, took / (self.latency[request.kind] or took or 1.0))
         server.time += GAIN * (took - server.time) if server.time else took
         far = server.entry.zone != self.settings.zone
