SIGTERM: connections that clients have are served on until the time to finish is needed

Every request followed in the logs: all that the two front proxies took was answered, and from 17.9 to 19.1 s none took any: n1 stopped at 14.24 s and was up again at 19.12, as its SIGKILL comes 4.7 s after SIGTERM; n0 stopped at 17.24 s and had ended all connections half a second later. Ruled out: lists, the second SIGHUP, refusals (none).

Now the listener still closes after 0.5 s, but open connections are served for 0.6 of the time before SIGKILL may come (the longest deadline, at most 3 s, and 0.7 s more), the last half second with 'Connection: close'; whatever is taken meanwhile is answered before that time is over. The test speaks to the program and fails without.

--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -32,6 +32,9 @@
 
 IDLE_MARGIN_MS = 1000.0  # idle connections are dropped this much before the host's machine would
 SPARE = 32  # the interpreter's own, the listener, discovery, and what is accepted before the door sees it
+KILLED_S, KILLED_MOST_S = 0.7, 3.0  # SIGKILL follows SIGTERM by the longest deadline, at most so long, and so much more
+KEPT = 0.6  # of that time clients' connections are kept: what comes last still has two fifths of it for its answer
+FAREWELL_S = 0.5  # before they end, each answer tells its client so: few are left to be ended unasked
 CROSSING_S = 0.05  # a request that crosses the end of its connection comes anew within so long
 ACCEPTS, BACKLOG = 16, 512  # taken in one turn of the loop; kept by the kernel until their turn
 
@@ -44,6 +47,7 @@
         self._config, self.counters, self._log = config, Counters(), log
         self._linger = config.layers.own.stop.linger_s  # new connections still come for 0.2 to 0.4 s
         clock, settings = Clock(asyncio.get_running_loop()), config.settings
+        self._clock = clock
         door = config.layers.own.door
         times = DoorTimes(round(door.request_s * 1e6), round(door.kept_idle_s * 1e6),
                           round(door.most_idle_s * 1e6))
@@ -67,7 +71,7 @@
         self._engine.connect(self._issuers, self._table)
         self._acquirer = Acquirer(self._engine, settings, config.classes, config.tenants,
                                   self._clients_at_most, times, clock, self.counters, log,
-                                  lambda: self._table.heard.is_set() and not self._acquirer.closing)
+                                  lambda: self._table.heard.is_set() and self._acquirer.until is None)
         self._door = self._acquirer.door
         self._listener: asyncio.Server
         self._tally = Tally(self.counters, self._beliefs, log)
@@ -102,6 +106,13 @@
         address: tuple[str, int] = self._listener.sockets[0].getsockname()
         return address
 
+    async def _close_listener(self) -> None:
+        for _ in range(BACKLOG // ACCEPTS):  # whom the kernel has let in is let in here, too
+            if not any(map(readable, self._listener.sockets)):
+                break
+            await asyncio.sleep(0)
+        self._listener.close()
+
     def reload(self, told: Config) -> None:
         """Take over what a running proxy can: the address of discovery (requests, legs and the list stay as
         they are), the log's settings and the time to linger."""
@@ -110,24 +121,33 @@
         self._tally.every(told.layers.own.log.tally_s)
         self._linger = told.layers.own.stop.linger_s
 
-    async def stop(self, linger: float | None = None) -> None:
-        """Go on accepting for a moment, each answer the last on its connection; finish what was taken.
+    async def stop(self, linger: float | None = None, keep: bool = False) -> None:
+        """Go on accepting for a moment; finish what was taken.
 
-        Then idle connections end, a moment before the listener: a request that crosses their end finds it there for
-        its second try. Those with a request on its way in stay till it is answered or its time to come in is up:
-        aiohttp would drop what they still send (``pre_shutdown``).
+        ``keep``: clients go on using the connections that they have for as long as these stay open (PROTOCOL), and
+        where the other proxies of their zone are just starting there is nobody else: they are served until the rest
+        of the time before SIGKILL is needed for the last answers. Otherwise each answer is the last on its connection
+        from now on, and idle ones end a moment before the listener: a request that crosses their end finds it there
+        for its second try. Connections with a request on its way in stay till it is answered or its time to come in
+        is up: aiohttp would drop what they still send (``pre_shutdown``).
         """
         self._log.info("stopping", clients=self._door.count, owed=self._engine.owed)
-        self._acquirer.closing = True
-        await asyncio.sleep(self._linger if linger is None else linger)
-        self._door.dismiss()
-        await asyncio.sleep(CROSSING_S)
-        for _ in range(BACKLOG // ACCEPTS):  # whom the kernel has let in is let in here, too
-            if not any(map(readable, self._listener.sockets)):
-                break
-            await asyncio.sleep(0)
-        self._listener.close()
+        linger = self._linger if linger is None else linger
         longest = max(kind.deadline for kind in self._config.settings.classes) / 1000.0
+        killed = min(longest, KILLED_MOST_S) + KILLED_S
+        self._acquirer.until = self._clock.now() + round((killed - CROSSING_S) * 1e6)
+        self._acquirer.closing = not keep
+        await asyncio.sleep(linger)
+        if keep:
+            await self._close_listener()
+            await asyncio.sleep(KEPT * killed - linger - FAREWELL_S)
+            self._acquirer.closing = True
+            await asyncio.sleep(FAREWELL_S)
+            self._door.dismiss()
+        else:
+            self._door.dismiss()
+            await asyncio.sleep(CROSSING_S)
+            await self._close_listener()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._door.emptied(), longest)
         await self._door.shutdown(1.0)
@@ -178,7 +198,7 @@
     host, port = await proxy.start()
     print(f"{config.name}: listening on {host}:{port}", file=sys.stderr, flush=True)
     await stop.wait()
-    await proxy.stop()
+    await proxy.stop(keep=True)
     print(proxy.counters.text(), file=sys.stderr, flush=True)
 
 
--- a/cranebank/http/acquirer.py
+++ b/cranebank/http/acquirer.py
@@ -41,9 +41,10 @@
         self._engine, self._settings = engine, settings
         self._classes = {name: index for index, name in enumerate(classes)}
         self._tenants = {name: index for index, name in enumerate(tenants)}
-        self._counters, self._log, self._ready = counters, log, ready
+        self._counters, self._log, self._ready, self._clock = counters, log, ready, clock
         self._ids: set[str] = set()  # of the requests that are open
-        self.closing = False
+        self.closing = False  # no more of these connections is wanted: each answer is the last on its own
+        self.until: int | None = None  # microseconds of the clock by which all must be answered, once it stops
         # Heads are held whole: 64 fields of 4 KiB at most.
         self.door = Door(self.handle, connections, times, clock, counters, _request, access_log=None,
                          keepalive_timeout=3600.0, lingering_time=LINGER_S, max_headers=64,
@@ -133,6 +134,8 @@
         hint = _whole(headers, "X-Cost-Hint")
         longest = span_us(kind.deadline)  # whatever a client says: nothing is held for longer
         wait = longest if deadline is None else min(deadline * 1000, longest)
+        if self.until is not None:  # who comes while the program stops is answered before it may be killed
+            wait = min(wait, max(0, self.until - self._clock.now()))
         return Call(
             class_index=index,
             tenant=self._tenants.get(headers.get("X-Tenant", ""), 0),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 
 import aiohttp
 import pytest
-from peers import Discovery, IssuerHost, configuration, entry, listening, request_headers, until
+from peers import OK, Discovery, IssuerHost, configuration, entry, listening, request_headers, until
 
 
 async def program(path: Path, told: dict[str, Any], **environ: str) -> tuple[asyncio.subprocess.Process, str]:
@@ -55,6 +55,54 @@
     asyncio.run(story())
 
 
+def test_after_sigterm_kept_connections_are_served_till_the_time_to_finish_is_needed(tmp_path: Path) -> None:
+    """Where the zone's other proxies are only just starting, nobody else serves; new connections come no more."""
+    async def story() -> None:
+        host = IssuerHost(lambda n: None if n > 1 and host.requests[-1].startswith(b"POST") else OK)
+        async with listening(host.talk) as address, listening(Discovery().talk) as discovery:
+            process, url = await program(tmp_path, configuration(discovery, [entry("s0", address)]))
+            at = url.removeprefix("http://").split(":")
+            reader, writer = await asyncio.open_connection(*at)
+            last, told = await asyncio.open_connection(*at)
+
+            async def ask(kind: str, number: int) -> bytes:
+                fields = request_headers(kind) | {"X-Request-Id": f"r{number}", "X-Deadline-Ms": "30000"}
+                method, body = ("GET", "") if kind == "look" else ("POST", "Content-Length: 0\r\n")
+                to, back = (writer, reader) if kind == "look" else (told, last)
+                to.write((f"{method} /{kind} HTTP/1.1\r\nHost: x\r\n{body}" + "".join(
+                    f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode())
+                head = await back.readuntil(b"\r\n\r\n")
+                if kind == "look":
+                    await back.readexactly(2)
+                return head
+
+            assert b" 200 " in await ask("look", 0)
+            process.send_signal(signal.SIGTERM)
+            with pytest.raises(ConnectionRefusedError):
+                while True:
+                    (await asyncio.open_connection(*at))[1].close()
+                    await asyncio.sleep(0.05)
+            head, number = await ask("look", 1), 2
+            assert b" 200 " in head
+            assert b"Connection: close" not in head
+            # The host is silent to this one, and its client would wait for 30 s: answered before SIGKILL may come.
+            late = asyncio.ensure_future(ask("pay", 999))
+            while b"Connection: close" not in head:
+                head, number = await ask("look", number), number + 1
+                assert b" 200 " in head
+                await asyncio.sleep(0.01)
+            assert b" 502 " in await late
+            assert await reader.read() == b""
+            _, errors = await process.communicate()
+            writer.close()
+            told.close()
+        assert process.returncode == 0
+        counted = json.loads(errors.decode().splitlines()[-1])
+        assert counted["requests_taken"] == counted["answers_served"] + 1 == number + 1
+
+    asyncio.run(story())
+
+
 def test_on_sighup_it_moves_to_the_discovery_in_the_file_and_keeps_what_it_has(tmp_path: Path) -> None:
     async def story() -> None:
         host, old, new = IssuerHost(lambda _: None), Discovery(), Discovery()
