--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -134,6 +134,15 @@
     asyncio.run(story())
 
 
+def test_a_proxy_does_without_tls(tmp_path: Path) -> None:
+    """ssl and its certificates would be a sixteenth of the memory that it starts with."""
+    told = "import runpy, sys; sys.argv = ['x']; runpy.run_module('cranebank', run_name='__main__', alter_sys=True)"
+    code = f"import atexit, sys\natexit.register(lambda: print('_ssl' in sys.modules))\n{told}"
+    done = subprocess.run([sys.executable, "-c", code], env=os.environ | {"GW_CONFIG": str(tmp_path / "none")},
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert (done.returncode, done.stdout) == (2, "False\n")
+
+
 @pytest.mark.parametrize(("change", "word"), [
     ({"settings": {}}, "settings.Balancers: missing, expected a whole number"),
     ({"listen": "nowhere"}, "expected ADDRESS:PORT"), ({"seed": "xyz"}, "seed: expected hex digits"),
