Hosts that stand still no longer hold back those that serve

Tallies by second: both front proxies with limit=18.6, out=1, queued=92, ready=4; of the front hosts' four proxies three got no calls at all at 46 and 50 s (their hosts stood still), the fourth up to 60 a second. So requests were held though the limit had room. Ruled out: the limit (16 to 23 all along), lists, new connections, cold hosts. At fault: Balancer._has_room, 'ceil(CROWD * (self.out + 1) / total_size * size)': out leaves out the overdue, which keep their places in server.out, so with all calls but one overdue the fair share of every host was one call, also of the one host that served. The overdue are counted again there.

--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -59,7 +59,7 @@
         self.ready, self.linked = list[Server](), list[Server]()  # linked: with an open connection, if kept
         self.requests: dict[str, Held] = {}
         self.queue: list[tuple[float, float, int, Held]] = []
-        self.order = self.out = self.sent = 0
+        self.order = self.out = self.overdue = self.sent = 0  # overdue: out for so long that they count no more
         self.aim = min(c.aim for c in settings.classes)
         self.asked, self.got = ([1.0] * len(settings.classes) for _ in range(2))  # first tries; worth served
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
@@ -251,7 +251,8 @@
 
     def _has_room(self, server: Server, request: Held) -> bool:
         """Whether a server takes this copy's call; by chance where it can take part of a full share."""
-        room = ceil(CROWD * (self.out + 1) / self.total_size * server.size)
+        # With the overdue: they stay where they are, and who has none must not be held to a share of the few others.
+        room = ceil(CROWD * (self.out + self.overdue + 1) / self.total_size * server.size)
         if (server.out >= (1 if server.trial else room) or server.rest_until > self.now
                 or any(a.server is server for a in request.attempts)):
             return False
@@ -533,6 +534,7 @@
         request.open -= 1
         server.out -= 1
         self.out -= not attempt.overdue
+        self.overdue -= attempt.overdue
         jam = outcome is Outcome.TIMEOUT or (outcome is Outcome.FULL and self.few < 1.0)
         if jam and server.time <= 2 * self.mean_latency:  # who is known as slow speaks for itself
             self._steer(1.0)  # the few answers that come through a jam do not show it
@@ -620,6 +622,7 @@
         elif not (attempt := request.attempts[int(seq)]).done:  # out for longer than is usual
             attempt.overdue = True  # one stuck call must not take the whole limit of a copy with few
             self.out -= 1
+            self.overdue += 1
             if attempt.server.heard < attempt.sent:
                 attempt.counted = True  # silent to others too: evidence about the server
                 self._note(attempt.server, True)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -269,6 +269,29 @@
     assert d.serve(100, step=5.0).get("s5", 0) <= 8  # an even share would be 17
 
 
+def test_hosts_that_stand_still_do_not_hold_back_the_one_that_serves(drive: Drive) -> None:
+    """Calls to three of four hosts are overdue; the fourth takes what there is, and not one call at a time."""
+    d = drive()
+    d.listed(SERVERS[:4])
+    d.serve(100)
+    d.balancer.limit = 16.0
+    for _ in range(12):
+        d.now += 2.0
+        d.request(2)
+    here = "s0"
+    for name in list(d.sent):
+        if d.sent[name][0] == here and name in d.balancer.requests:
+            d.result(name)
+    stuck = {name: d.sent[name][0] for name in d.sent if name in d.balancer.requests}
+    d.now += 200.0  # many mean times of 20 ms, and well before the deadline
+    for name in stuck:
+        d.do(TimerFired(f"0.{name}"))
+    assert d.balancer.out == 0
+    assert len(stuck) >= 8
+    sent = [d.request(2)[0] for _ in range(4)]
+    assert sum(d.sent.get(name, [""])[0] == here for name in sent) >= 2
+
+
 def test_restart_voids_what_was_known(drive: Drive) -> None:
     d = drive()
     d.listed(SERVERS)
