--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -32,7 +32,7 @@
 NEAR = 0.9  # past EACH calls a server, the part of idle time in what answers may take (in logs, else the aim)
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
-SLOWER = 4.0  # aims of time that are as bad as losing an answer: a quarter of the aim more loses one in sixteen
+SLOWER = 4.0  # aims of time as bad as losing an answer: a quarter of the aim more loses one in sixteen
 RUN = 10_000  # first tries by which classes are compared: chance alone moves a share of theirs by 1%
 PROBES = 0.1  # probes as a share of calls: the work of a probe stays a tenth of a call's
 PAID = 0.002  # of a request's worth, what each of its calls may cost in probes
@@ -59,7 +59,7 @@
         self.ready, self.linked = list[Server](), list[Server]()  # linked: with an open connection, if kept
         self.requests: dict[str, Held] = {}
         self.queue: list[tuple[float, float, int, Held]] = []
-        self.order = self.out = self.overdue = self.sent = 0  # overdue: out for so long that they count no more
+        self.order = self.out = self.overdue = self.sent = 0  # overdue: out for long, counted no more
         self.aim = min(c.aim for c in settings.classes)
         self.asked, self.got = ([1.0] * len(settings.classes) for _ in range(2))  # first tries; worth served
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
@@ -117,7 +117,7 @@
         self.actions.append(SetTimer(at, name))
 
     def _listed(self, event: ServerList) -> None:
-        if event.kind is ListKind.REFUSED:  # ask again, ever later and never in step; an own agent has no others
+        if event.kind is ListKind.REFUSED:  # ask again, ever later, not in step; an own agent has no others
             if self.settings.watch_by_asking:
                 self.watch_backoff = min(self.watch_backoff * 2, self.settings.ask_within / 2)
             self._timer(self.now + self.watch_backoff * (0.5 + self.random.random()), "watch")
@@ -163,7 +163,7 @@
         self._resize()
 
     def _resize(self) -> None:
-        """Sizes as told, by what was learnt of each kind's speed against the mean of those that are listed."""
+        """Sizes as told, by what was learnt of each kind's speed against the mean of those listed."""
         sizes = [s.entry.size * self.speeds.size(s.entry.kind) for s in self.listed]
         common = sum(s.entry.size for s in self.listed) / (sum(sizes) or 1.0)
         for server, size in zip(self.listed, sizes, strict=True):
@@ -251,7 +251,7 @@
 
     def _has_room(self, server: Server, request: Held) -> bool:
         """Whether a server takes this copy's call; by chance where it can take part of a full share."""
-        # With the overdue: they stay where they are, and who has none must not be held to a share of the few others.
+        # With the overdue: they stay where they are, and who has none takes more than a share of the others.
         room = ceil(CROWD * (self.out + self.overdue + 1) / self.total_size * server.size)
         if (server.out >= (1 if server.trial else room) or server.rest_until > self.now
                 or any(a.server is server for a in request.attempts)):
@@ -285,8 +285,8 @@
         if self.random.random() >= beta(len(self.ready), self._call_rate() * self.settings.copies * age):
             return pair[0]
         # Ties at random, but for a connection that is open where the other's must be opened and paid.
-        one, two = ((self._figure(s) + 1.0 / s.size, self.links and s.linked_until <= self.now, self.random.random())
-                    for s in pair)
+        one, two = ((self._figure(s) + 1.0 / s.size, self.links and s.linked_until <= self.now,
+                     self.random.random()) for s in pair)
         return pair[0] if one < two else pair[1]
 
     def _ask(self, request: Held) -> bool:
@@ -338,8 +338,8 @@
             zone, cell = ran.server.entry.zone, ran.server.entry.cell
             pool = [s for s in pool if s.entry.zone == zone
                     and (kind.group is Group.ZONE or s.entry.cell == cell)]
-        # A zone slower than the others by more than a crossing is worth is left, the more the slower; now and then
-        # anyway, to see the others.
+        # A zone slower than the others by more than a crossing is worth is left, the more the slower; now
+        # and then anyway, to see the others.
         near, far = max(0.0, self.zone_time[0] - self.worth_crossing), self.zone_time[1]
         stays = self.random.random() < min(1.0 - GAIN / 8, (far / near) ** 2 if near and far else 1.0)
         return pool, stays and pool is self.ready and len(self.near) > 1
