Tests: the stop midway is seen also where the tests run in the background

Seen: the same test hung in a second run of the suite, its 600 s run going on after SIGINT. Both runs had been started with '&' from a shell without job control, which ignores SIGINT for what it starts; Python then installs no handler, nor does asyncio. So it was never a race: the program took no notice. The test now sets the handler itself; started in the background it fails without that line and passes with it.

--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -65,9 +65,12 @@
     assert ("RULE BROKEN drain x2" in said, "NO RESULT" in said) == (not verdict.kept, bool(why_not))
 
 
-# Guards the stop against a run that ends before it: the second one is far too long to end by itself.
+# Guards the stop against a run that ends before it: the second one is far too long to end by itself. And against a
+# shell that starts the tests in the background: there SIGINT is ignored, by all that they start as well.
 ENDLESS = """
+import signal
 import sys
+signal.signal(signal.SIGINT, signal.default_int_handler)
 import msgspec
 from cranebank.cli.main import main
 from cranebank.lab import experiment
