--- a/cranebank/core/rules.py
+++ b/cranebank/core/rules.py
@@ -12,9 +12,11 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
+import msgspec
+from msgspec.structs import replace
+
 from cranebank.core.counters import Counters
 from cranebank.decisions import interface as api
 from cranebank.decisions.balance import NEVER_RAN, Balancer
@@ -23,8 +25,7 @@
 RELIST_AFTER = 1_000_000  # a fault of the module on the list itself would come back at once with the list
 
 
-@dataclass(slots=True, frozen=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """A request as the acquirer side took it; ``content`` is the protocol's own, ``name`` is for the log."""
 
     class_index: int
@@ -36,30 +37,26 @@
     name: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class Served:
+class Served(msgspec.Struct, frozen=True):
     """The answer of an issuer host, as the protocol on that side gave it."""
 
     content: Any
 
 
-@dataclass(slots=True, frozen=True)
-class Declined:
+class Declined(msgspec.Struct, frozen=True):
     """Refused: trying again is harmless, best after ``retry_after`` microseconds."""
 
     retry_after: int
 
 
-@dataclass(slots=True, frozen=True)
-class Failed:
+class Failed(msgspec.Struct, frozen=True):
     """Failed, with nothing promised about the effect."""
 
 
 Answer = Served | Declined | Failed
 
 
-@dataclass(slots=True, eq=False)
-class Leg:
+class Leg(msgspec.Struct, eq=False):
     """One attempt. ``written`` is set by the issuer's side once the last byte is out."""
 
     request: str
@@ -72,8 +69,7 @@
     outcome: api.Outcome | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class Host:
+class Host(msgspec.Struct, frozen=True):
     """One line of the routing table: what the module sees of it, and where it is reached."""
 
     entry: api.ServerEntry
@@ -83,8 +79,7 @@
 # Messages.
 
 
-@dataclass(slots=True, frozen=True)
-class Arrived:
+class Arrived(msgspec.Struct, frozen=True):
     """Message: a request was taken at ``at``, its last byte in; ``ticket`` names it to who brought it."""
 
     call: Call
@@ -93,15 +88,13 @@
     followed: bool = False  # in the log, step by step
 
 
-@dataclass(slots=True, frozen=True)
-class Left:
+class Left(msgspec.Struct, frozen=True):
     """Message: the client of this request went away."""
 
     ticket: Any
 
 
-@dataclass(slots=True, frozen=True)
-class LegEnded:
+class LegEnded(msgspec.Struct, frozen=True):
     """Message: how a leg ended; ``content`` came with OK; ``hopeless`` if the request itself is at fault;
     ``unproven`` if its connection failed and the host may listen all the same."""
 
@@ -113,8 +106,7 @@
     unproven: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Probed:
+class Probed(msgspec.Struct, frozen=True):
     """Message: what a probe found."""
 
     server: str
@@ -124,38 +116,33 @@
     unproven: bool = False  # as for a leg
 
 
-@dataclass(slots=True, frozen=True)
-class TableNews:
+class TableNews(msgspec.Struct, frozen=True):
     """Message: discovery's word on the issuer hosts."""
 
     kind: api.ListKind
     hosts: tuple[Host, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class Due:
+class Due(msgspec.Struct, frozen=True):
     """Message, and what an alarm is set for: a timer of the module's; one from before a fault is nobody's."""
 
     name: str
     balancer: Decisions
 
 
-@dataclass(slots=True, frozen=True)
-class Overdue:
+class Overdue(msgspec.Struct, frozen=True):
     """Message, and what an alarm is set for: a request is past its deadline, whatever the module makes of it."""
 
     request: str
 
 
-@dataclass(slots=True, frozen=True)
-class TimedOut:
+class TimedOut(msgspec.Struct, frozen=True):
     """Message, and what an alarm is set for: a leg's time is up."""
 
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True)
-class Relist:
+class Relist(msgspec.Struct, frozen=True):
     """Message, and what an alarm is set for: the list as it stands is told to a module that starts anew."""
 
 
@@ -166,66 +153,57 @@
 # Orders.
 
 
-@dataclass(slots=True, frozen=True)
-class SendLeg:
+class SendLeg(msgspec.Struct, frozen=True):
     """Order: send this leg."""
 
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True)
-class CancelLeg:
+class CancelLeg(msgspec.Struct, frozen=True):
     """Order: stop waiting for this leg."""
 
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True)
-class ProbeHost:
+class ProbeHost(msgspec.Struct, frozen=True):
     """Order: ask a host for its load or health."""
 
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True):
     """Order: the one final answer to a request."""
 
     ticket: Any
     answer: Answer
 
 
-@dataclass(slots=True, frozen=True)
-class SetAlarm:
+class SetAlarm(msgspec.Struct, frozen=True):
     """Order: bring ``alarm`` as a message at ``at``, never before."""
 
     at: int
     alarm: Alarm
 
 
-@dataclass(slots=True, frozen=True)
-class DropAlarm:
+class DropAlarm(msgspec.Struct, frozen=True):
     """Order: this alarm isn't wanted any more; bringing it all the same does no harm."""
 
     alarm: Alarm
 
 
-@dataclass(slots=True, frozen=True)
-class Watch:
+class Watch(msgspec.Struct, frozen=True):
     """Order: ask discovery for changes, or no longer."""
 
     enable: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Relisted:
+class Relisted(msgspec.Struct, frozen=True):
     """Order: discovery's word, for the issuers' side; comes before any order that follows from it."""
 
     news: TableNews
 
 
-@dataclass(slots=True, frozen=True)
-class Note:
+class Note(msgspec.Struct, frozen=True):
     """Order: a line for the log."""
 
     level: str  # debug, error
@@ -249,8 +227,7 @@
     def from_module_ms(self, at: float) -> int: ...
 
 
-@dataclass(slots=True, eq=False)
-class Open:
+class Open(msgspec.Struct, eq=False):
     """A request that was taken and is not answered yet, or has legs out."""
 
     name: str
@@ -260,8 +237,8 @@
     over: bool = False
     followed: bool = False
     overdue: Overdue | None = None
-    legs: list[Leg] = field(default_factory=list)
-    alarms: list[TimedOut] = field(default_factory=list)  # by leg
+    legs: list[Leg] = msgspec.field(default_factory=list)
+    alarms: list[TimedOut] = msgspec.field(default_factory=list)  # by leg
 
 
 def span_us(ms: float) -> int:
--- a/cranebank/decisions/interface.py
+++ b/cranebank/decisions/interface.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, IntEnum
 
+import msgspec
+
 
 class Effect(Enum):
     """How a class of request may be repeated."""
@@ -64,8 +65,7 @@
     NONE = "none"
 
 
-@dataclass(slots=True, frozen=True)
-class RequestClass:
+class RequestClass(msgspec.Struct, frozen=True):
     """A class of request and what it is worth."""
 
     aim: float
@@ -79,8 +79,7 @@
     aim_stretch: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Settings:
+class Settings(msgspec.Struct, frozen=True):
     """What an instance is told at its start."""
 
     classes: tuple[RequestClass, ...]
@@ -119,8 +118,7 @@
     shares_connections: bool = True  # several calls at once over one connection
 
 
-@dataclass(slots=True, frozen=True)
-class ServerEntry:
+class ServerEntry(msgspec.Struct, frozen=True):
     """One line of the server list; ``started`` is 0 for long past."""
 
     server: str
@@ -132,16 +130,14 @@
     kind: int = 0  # of machine, by the settings' names; a number beyond them where the list tells another
 
 
-@dataclass(slots=True, frozen=True)
-class ServerList:
+class ServerList(msgspec.Struct, frozen=True):
     """Event: discovery's word on the servers."""
 
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """Event: a request arrived; one final answer is owed within ``time_left``."""
 
     request: str
@@ -153,8 +149,7 @@
     resubmitted: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class StreamStarted:
+class StreamStarted(msgspec.Struct, frozen=True):
     """Event: the answer of a streamed class has begun."""
 
     request: str
@@ -162,15 +157,13 @@
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class RequestGone:
+class RequestGone(msgspec.Struct, frozen=True):
     """Event: the client left; nothing more is owed."""
 
     request: str
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptResult:
+class AttemptResult(msgspec.Struct, frozen=True):
     """Event: the one outcome of an attempt. ``load`` holds the report's known figures.
 
     ``unproven``: a connection failed, and that is no proof that nobody listens (a wire that can't tell leaves it out).
@@ -186,8 +179,7 @@
     unproven: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class ProbeResult:
+class ProbeResult(msgspec.Struct, frozen=True):
     """Event: the result of a probe; ``unproven`` as for an attempt."""
 
     server: str
@@ -197,8 +189,7 @@
     unproven: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class TimerFired:
+class TimerFired(msgspec.Struct, frozen=True):
     """Event: a timer fell due."""
 
     name: str
@@ -207,8 +198,7 @@
 Event = ServerList | Request | StreamStarted | RequestGone | AttemptResult | ProbeResult | TimerFired
 
 
-@dataclass(slots=True, frozen=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Start an attempt; ``timeout`` 0 means until the client gives up."""
 
     request: str
@@ -216,46 +206,40 @@
     timeout: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """Final answer: refused, trying again is harmless."""
 
     request: str
     retry_after: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Fail:
+class Fail(msgspec.Struct, frozen=True):
     """Final answer: failed, nothing promised."""
 
     request: str
 
 
-@dataclass(slots=True, frozen=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     """Stop waiting for an attempt."""
 
     request: str
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
-class Probe:
+class Probe(msgspec.Struct, frozen=True):
     """Ask a server for its health and load."""
 
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class SetTimer:
+class SetTimer(msgspec.Struct, frozen=True):
     """Ask for a ``TimerFired`` at ``at``."""
 
     at: float
     name: str
 
 
-@dataclass(slots=True, frozen=True)
-class Watch:
+class Watch(msgspec.Struct, frozen=True):
     """Subscribe to changes of the server list (or stop)."""
 
     enable: bool = True
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 from cranebank.decisions.interface import ServerEntry
 
@@ -34,8 +34,7 @@
         self.tokens, self.tokens_at = tokens, entry.started  # budget of calls while cold
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, eq=False):
     """One call sent."""
 
     server: Server
@@ -47,8 +46,7 @@
     counted: bool = False  # its silence has been held against the server
 
 
-@dataclass(slots=True)
-class Held:
+class Held(msgspec.Struct, eq=False):
     """A request this copy owes an answer for."""
 
     name: str
@@ -67,4 +65,4 @@
     unheard: int = 0  # servers asked that have not answered yet
     best: Server | None = None  # the lowest of those that have
     may_have_run: Attempt | None = None
-    attempts: list[Attempt] = field(default_factory=list)
+    attempts: list[Attempt] = msgspec.field(default_factory=list)
--- a/cranebank/discovery/listing.py
+++ b/cranebank/discovery/listing.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import inf
 from typing import Any
 
+import msgspec
+
 from cranebank.core.rules import Host
 from cranebank.decisions import interface as api
 
@@ -16,8 +17,7 @@
 }
 
 
-@dataclass(slots=True, frozen=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """One message of discovery's: the whole list or the entries changed, and how many could not be read."""
 
     version: int
--- a/cranebank/discovery/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -6,9 +6,9 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import aiohttp
+import msgspec
 
 from cranebank.core.counters import Counters
 from cranebank.core.log import Log
@@ -22,15 +22,13 @@
 LINE_BYTES = 4 << 20
 
 
-@dataclass(slots=True, frozen=True)
-class Wanted:
+class Wanted(msgspec.Struct, frozen=True):
     """Message: the module wants news of the hosts, or none."""
 
     enable: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Moved:
+class Moved(msgspec.Struct, frozen=True):
     """Message: discovery is at another address from now on."""
 
     address: str
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from math import isfinite
 from typing import Any
 
+import msgspec
+
 from cranebank.config.platform import LOAD_NAMES
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
@@ -21,8 +22,7 @@
 _NAMES = LOAD_NAMES | {name: name for name in LOAD_NAMES.values()}  # the settings' names, and the header's
 
 
-@dataclass(slots=True, frozen=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True):
     """What passes through unchanged to an issuer host."""
 
     method: str
@@ -31,8 +31,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class HttpAnswer:
+class HttpAnswer(msgspec.Struct, frozen=True):
     """The body of a 200, byte for byte, and what tells how to read it."""
 
     body: bytes
@@ -52,27 +51,23 @@
     return load if load and all(isfinite(v) and v >= 0.0 for v in load.values()) else None
 
 
-@dataclass(slots=True, frozen=True)
-class SendLeg:
+class SendLeg(msgspec.Struct, frozen=True):
     """Message: send this leg."""
 
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True)
-class CancelLeg:
+class CancelLeg(msgspec.Struct, frozen=True):
     """Message: stop waiting for this leg."""
 
     leg: Leg
 
 
-@dataclass(slots=True, frozen=True, eq=False)  # each its own: two may be out at once
-class SendProbe:
+class SendProbe(msgspec.Struct, frozen=True, eq=False):  # each its own: two may be out at once
     """Message: ask the host for its load, or its health where there are no reports."""
 
 
-@dataclass(slots=True, frozen=True)
-class Relisted:
+class Relisted(msgspec.Struct, frozen=True):
     """Message: the routing table's last word on the host; None when it is gone."""
 
     host: Host | None
--- a/cranebank/http/link.py
+++ b/cranebank/http/link.py
@@ -8,9 +8,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
+import msgspec
 
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
@@ -39,8 +39,7 @@
     """All connections that there may be are in use."""
 
 
-@dataclass(slots=True, frozen=True)
-class HostAnswer:
+class HostAnswer(msgspec.Struct, frozen=True):
     """One whole answer; the names of the headers are in lower case."""
 
     status: int
--- a/cranebank/lab/simulated/world.py
+++ b/cranebank/lab/simulated/world.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
 from cranebank.config.checks import typed
 from cranebank.config.platform import Told, settings_of
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
 from conftest import Driver, make_settings
+from msgspec.structs import replace
 
 from cranebank.config.checks import typed
 from cranebank.config.platform import Told, settings_of
