Calls that are swallowed pass neither for a jam nor for a slow host

Ruled out: the next tier (its proxies owed 0 to 4), connections (above), heavy requests of one class (all alike), processor time (a tenth).

To blame in balance.py: _result steers the limit by any time-out as by a full aim and learns its time as the host's; the patience timer leaves the call as a place at its host; _second copies only in a calm that such calls end.

Changed: a call out for PATIENCE mean times whose host has answered a later one is counted nowhere any more, and its time-out teaches nothing but the host's share of such calls; unsafe classes draw by that share, and copies go by it. New fault in the laboratory: `swallow`.

--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -17,6 +17,7 @@
     TimerFired, Watch,
 )
 from cranebank.decisions.drags import Drags
+from cranebank.decisions.fares import Fares
 from cranebank.decisions.speeds import Speeds
 from cranebank.decisions.state import Attempt, Held, Server
 
@@ -33,7 +34,6 @@
 EVEN = 0.1  # how much lower a copy aims by its limit: twice another's, 7% lower; ten times, 20%
 TOLD = 0.03  # the told count of copies beside reports, as so many own calls at each server
 SLOWER = 4.0  # aims of time as bad as losing an answer: a quarter of the aim more loses one in sixteen
-RUN = 10_000  # first tries by which classes are compared: chance alone moves a share of theirs by 1%
 PROBES = 0.1  # probes as a share of calls: the work of a probe stays a tenth of a call's
 PAID = 0.002  # of a request's worth, what each of its calls may cost in probes
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -61,7 +61,6 @@
         self.queue: list[tuple[float, float, int, Held]] = []
         self.order = self.out = self.overdue = self.sent = 0  # overdue: out for long, counted no more
         self.aim = min(c.aim for c in settings.classes)
-        self.asked, self.got = ([1.0] * len(settings.classes) for _ in range(2))  # first tries; worth served
         self.latency, self.fails = ([0.0] * len(settings.classes) for _ in range(2))
         self.mean_latency = self.part = self.slow_part = self.limit = self.gap = 0.0
         self.idle, self.answered = float("inf"), 0
@@ -79,6 +78,7 @@
         self.held = self.own_held = 0.0  # means when reported: what servers hold, what of it is one's own
         self.usual = 0.0  # mean of figures told
         # Evidence lasts the longer, the less a copy sees.
+        self.fares = Fares(settings)
         self.drags = Drags(len(settings.classes), len(settings.quotas), self.aim / self.few)
         self.own = settings.zone if settings.cross_zone_price > 0 else None
         self.worth_crossing = SLOWER * settings.cross_zone_price * self.aim  # milliseconds
@@ -261,6 +261,8 @@
         # Guards against servers that fail one class and serve the others: drawn less for that class alone.
         failing = server.fails.get(request.kind, 0.0) - self.fails[request.kind]
         least *= min(1.0, max(GAIN / 8, 1.0 - failing / GAIN))
+        if self.settings.classes[request.kind].effect is Effect.UNSAFE:  # one try: the surer hosts first
+            least *= (1.0 - server.silent) ** 4
         # Slow beyond the mean by own times: drawn less; more so where copies are many and figures old.
         kinds = min(1.0, server.size / server.entry.size)  # its kind's slowness is in its size already
         excess = server.time / (self.mean_latency or 1.0) / self.thin_from * kinds
@@ -355,14 +357,14 @@
     def _arrive(self, event: Request) -> None:
         index, left = event.class_index, max(0.0, event.time_left)
         kind, groups = self.settings.classes[index], (index, len(self.settings.classes) + event.tenant)
-        value = self._worth(index) / (1.0 if self.settings.worth_by_work else max(1.0, self.latency[index]))
+        value = self.fares.worth(index)
+        value /= 1.0 if self.settings.worth_by_work else max(1.0, self.latency[index])
         if self.settings.layer == 0 and self.settings.quotas and self._over_quota(event.tenant):
             value *= self.settings.over_share_worth
-        self.asked[index] += not event.resubmitted
-        if sum(self.asked) > RUN:  # who fared worst weeks ago must not go first for weeks
-            self.asked, self.got = ([n / 2 for n in told] for told in (self.asked, self.got))
         if event.resubmitted:  # the client's aim has been running for a try or two
             value *= kind.late_worth
+        else:
+            self.fares.asked_for(index)
         aim_at = self.now + min(kind.aim, left)
         request = Held(event.request, index, aim_at, self.now + left, value, self.now + left / 2, groups,
                        again=event.resubmitted)
@@ -370,20 +372,6 @@
         self._timer(request.deadline, "deadline." + request.name)
         self._dispatch(request)
 
-    def _worth(self, index: int) -> float:
-        """What one more answer adds to the goal: its worth, and more to the class that fares worst."""
-        kinds, share = self.settings.classes, self.settings.worst_class_share
-        fares = [got / asked for got, asked in zip(self.got, self.asked, strict=True)]
-        if not share or self.settings.layer or fares[index] > min(fares):
-            return kinds[index].worth
-        mean = sum(a * k.worth for a, k in zip(self.asked, kinds, strict=True))
-        return kinds[index].worth + share * mean / self.asked[index]
-
-    def _served(self, request: Held) -> None:
-        late = request.again or self.now > request.aim_at
-        worth = self.settings.classes[request.kind].late_worth if late else 1.0
-        self.got[request.kind] += worth * (not request.closed)
-
     def _over_quota(self, tenant: int) -> bool:
         """Whether a tenant has spent this copy's part of its share, refilled evenly."""
         rate = self.settings.quotas[tenant] / self.settings.copies / 1000.0
@@ -459,14 +447,16 @@
             self._timer(self.now + second, "second." + request.name)
         return True
 
-    def _second(self, request: Held) -> None:
+    def _second(self, request: Held, early: bool) -> None:
         """A second copy of a call that is out for long, where the class and the budget allow one."""
         kind, first = self.settings.classes[request.kind], request.attempts[0]
         harmless = kind.effect is Effect.SAFE or (
             kind.effect is Effect.KEYED and kind.group is Group.ALL
             and self.now < first.sent + kind.repeat_window - self.settings.tick)
-        calm = self.part < 1.25 * self.idle and 2 * self.out < self.limit  # or it feeds a jam
-        if harmless and calm and self._may_repeat(request) and (server := self._pick(request)):
+        # Or it feeds a jam. Where others were swallowed of late, a copy is not heavy work done twice.
+        calm = (early and self.part < 1.25 * self.idle) or first.server.silent > GAIN / 2
+        room = 2 * self.out < self.limit
+        if harmless and calm and room and self._may_repeat(request) and (server := self._pick(request)):
             self._send_to(request, server)
 
     def _hold(self, request: Held) -> bool:
@@ -532,19 +522,22 @@
         attempt = request.attempts[event.attempt]
         attempt.done, server = True, attempt.server
         request.open -= 1
-        server.out -= 1
+        server.out -= not attempt.swallowed
         self.out -= not attempt.overdue
-        self.overdue -= attempt.overdue
-        jam = outcome is Outcome.TIMEOUT or (outcome is Outcome.FULL and self.few < 1.0)
+        self.overdue -= attempt.overdue and not attempt.swallowed
+        # One that later calls overtook was swallowed, or is heavy: no jam, and not how long answers take.
+        overtaken = outcome is Outcome.TIMEOUT and attempt.sent < server.passed
+        jam = (outcome is Outcome.TIMEOUT and not overtaken) or (outcome is Outcome.FULL and self.few < 1.0)
         if jam and server.time <= 2 * self.mean_latency:  # who is known as slow speaks for itself
             self._steer(1.0)  # the few answers that come through a jam do not show it
-        if outcome in (Outcome.OK, Outcome.TIMEOUT):
+        if outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and not overtaken):
             self._time(request, attempt, event.took, outcome is Outcome.OK)
         elif outcome is Outcome.CANCELLED and len(request.attempts) > 1:
             server.time += max(0.0, GAIN * (event.took - server.time))  # it would have taken longer yet
         if outcome is Outcome.OK:
-            self._served(request)
-            server.heard = self.now
+            self.fares.served(request.kind, request.again or self.now > request.aim_at, request.closed)
+            server.silent *= 1.0 - GAIN
+            server.heard, server.passed = self.now, max(server.passed, attempt.sent)
             if self.links and not server.linked_until:
                 self.linked.append(server)
             server.linked_until = self.now + self.settings.idle_after
@@ -613,19 +606,27 @@
             self.actions.append(Watch())
         elif request is None or request.closed:
             return
-        elif seq == "second":
+        elif seq in ("second", "again"):
             if len(request.attempts) == request.open == 1:
-                self._second(request)
+                self._second(request, seq == "second")
+                if self.now < request.aim_at:
+                    self._timer(self.now + self.latency[request.kind], "again." + rest)
         elif seq in ("deadline", "hold"):
             if self.now >= (request.give_up if request.waiting else request.deadline):
                 self._answer(request)
         elif not (attempt := request.attempts[int(seq)]).done:  # out for longer than is usual
-            attempt.overdue = True  # one stuck call must not take the whole limit of a copy with few
-            self.out -= 1
+            attempt.overdue, server = True, attempt.server
+            self.out -= 1  # one stuck call must not take the whole limit of a copy with few
+            if server.passed > attempt.sent:  # swallowed: it holds no place there, and no figure has it
+                server.out -= 1
+                server.out_at_report -= attempt.sent < server.figure_at
+                server.silent += GAIN * (1.0 - server.silent)
+                attempt.swallowed = attempt.counted = True
+                return
             self.overdue += 1
-            if attempt.server.heard < attempt.sent:
+            if server.heard < attempt.sent:
                 attempt.counted = True  # silent to others too: evidence about the server
-                self._note(attempt.server, True)
+                self._note(server, True)
 
     def _probed(self, event: ProbeResult) -> None:
         if (server := self.servers.get(event.server)) is not None and event.outcome is Outcome.OK:
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -13,14 +13,16 @@
     """What this copy knows of one server. With slots: 10,000 servers at 200 copies are two million of these."""
 
     __slots__ = ("back", "bad", "bar", "barred_until", "entry", "fails", "figure", "figure_at", "gone", "heard",
-                 "linked_until", "lost", "out", "out_at_report", "rest_until", "size", "time", "tokens", "tokens_at",
-                 "trial")
+                 "linked_until", "lost", "out", "out_at_report", "passed", "rest_until", "silent", "size", "time",
+                 "tokens", "tokens_at", "trial")
 
     def __init__(self, entry: ServerEntry, tokens: float = 0.0) -> None:
         self.entry, self.size = entry, entry.size  # size: as told, and by what is learnt of its kind
         self.figure: float | None = None  # last reported calls in flight
         self.figure_at = self.heard = 0.0  # when it was reported; when the server last gave an answer
+        self.passed = 0.0  # when the latest call that it has answered was sent
         self.out = self.out_at_report = 0  # own calls out now and then
+        self.silent = 0.0  # recent share of calls out for long though later ones were answered
         self.bad = self.time = 0.0  # recent share of calls failed or silent; mean time of own calls
         self.barred_until = self.bar = self.rest_until = 0.0  # off the ready list: as an outlier, as full
         self.trial = False
@@ -42,6 +44,7 @@
     ahead: float = 0.0  # the server's figure just before, where it was asked
     done: bool = False
     overdue: bool = False  # out for longer than is usual, no longer counted in the copy's calls out
+    swallowed: bool = False  # overdue, and later ones were answered there: counted nowhere any more
     unreached: bool = False  # no connection came up
     counted: bool = False  # its silence has been held against the server
 
--- a/cranebank/lab/host.py
+++ b/cranebank/lab/host.py
@@ -44,7 +44,7 @@
         self.links: dict[Link, None] = {}  # in order of opening, so that what is done to all is done in one order
         self.legs: dict[Leg, None] = {}
         self.up = self.stopping = self.refusing = self.hushed = self.cut_off = False
-        self.reset = self.spoil = 0.0
+        self.reset = self.spoil = self.swallow = 0.0
         self.late = self.opened_in_all = self.most = self.refused = self._calls = 0
         self.probes: dict[int, int] = {}
         self._timer: Timer | None = None
@@ -115,6 +115,11 @@
         calls = 0 if last else int(tier.calls) + int(self._draw.random() < tier.calls % 1.0)
         seen = records.Seen(id=ask.id, host=self.host.name, first=first, last=now, done=now, ran=False, status=503,
                             digest="", key=ask.key, kind=ask.kind, work=int(own))
+        if self.swallow and self._draw.random() < self.swallow:  # never looked at, never answered
+            seen.status, seen.ended_by = 0, "fault"
+            link.request = seen
+            stage.write(seen)
+            return
         leg = Leg(link, seen, ask, now + ask.left, Job(max(1.0, own), calls), calls)
         leg.job.content = leg
         verdict = Verdict.FULL if self.stopping else self.model.offer(now, leg.job)
@@ -322,7 +327,7 @@
             case "refuse":
                 later(at, self.gate, True)
                 later(until, self._accept)
-            case "reset" | "spoil":
+            case "reset" | "spoil" | "swallow":
                 later(at, setattr, self, fault.what, fault.size or 1.0)
                 later(until, setattr, self, fault.what, 0.0)
             case "report-delay":
--- a/cranebank/lab/scenario.py
+++ b/cranebank/lab/scenario.py
@@ -17,13 +17,13 @@
 Count = Annotated[int, Meta(ge=0, le=100_000)]
 
 POLICIES = Literal["cranebank", "random", "least-outstanding", "oracle"]
-HOST_FAULTS = ("kill", "stop", "pause", "slow", "cold", "refuse", "reset", "spoil", "half-open",
-               "report-delay")
+HOST_FAULTS = ("kill", "stop", "pause", "slow", "cold", "refuse", "reset", "spoil", "swallow",
+               "half-open", "report-delay")
 FLEET_FAULTS = ("deploy", "shared-slow", "lose-zone", "partition")
 DISCOVERY_FAULTS = ("discovery-late", "discovery-lie", "discovery-down")
 PROXY_FAULTS = ("proxy-kill", "proxy-restart")
-FAULTS = Literal["kill", "stop", "pause", "slow", "cold", "refuse", "reset", "spoil", "half-open",
-                 "report-delay", "deploy", "shared-slow", "lose-zone", "partition", "discovery-late",
+FAULTS = Literal["kill", "stop", "pause", "slow", "cold", "refuse", "reset", "spoil", "swallow",
+                 "half-open", "report-delay", "deploy", "shared-slow", "lose-zone", "partition", "discovery-late",
                  "discovery-lie", "discovery-down", "proxy-kill", "proxy-restart"]
 
 
--- a/tests/test_lab_faults.py
+++ b/tests/test_lab_faults.py
@@ -78,6 +78,7 @@
     ({"what": "half-open"}, "silent", "silent"),
     ({"what": "reset"}, "broke", "broke"),
     ({"what": "spoil"}, "broke", "broke"),
+    ({"what": "swallow"}, "silent", "silent"),
     ({"what": "pause", "size": 450.0, "every_s": 0.46}, "silent", "silent"),
 ], ids=lambda v: v["what"] if isinstance(v, dict) else None)
 def test_what_a_proxy_sees_of_a_fault(tmp_path: Path, fault: dict[str, Any], open_one: str, fresh_one: str) -> None:
