--- a/cranebank/core/rules.py
+++ b/cranebank/core/rules.py
@@ -377,8 +377,10 @@
             second = any(earlier.outcome is None for earlier in request.legs[:-1])
             self._counters.add("legs_second" if second else "legs_repeated")
         host = self._hosts.get(server)
-        if host is not None and self._time.module_ms(now) - host.entry.started < self.settings.warm_after:
-            self._counters.add("legs_to_cold")
+        if host is not None:
+            self._counters.add("legs_crossing", host.entry.zone != self.settings.zone)
+            if self._time.module_ms(now) - host.entry.started < self.settings.warm_after:
+                self._counters.add("legs_to_cold")
         self._follow(request, "leg_sent", leg=leg.number, host=server, wait_us=deadline - now)
         self._orders.append(SetAlarm(deadline, alarm))
         self._orders.append(SendLeg(leg))
