--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 from pathlib import Path
 
 import pytest
-from peers import IssuerHost, Story, entry, play, until
+from peers import OK, IssuerHost, Story, entry, play, until
 
 
 @pytest.mark.parametrize("tenant", ["", "acme"], ids=["none named", "one named all the same"])
@@ -74,3 +75,28 @@
         assert s.proxy.counters["legs_sent"] == s.proxy.counters["legs_connect_failed"] == 6
 
     play(tmp_path, story, IssuerHost(), MaxAttempts=6)
+
+
+def test_a_swallowed_call_gets_a_second_copy_and_the_loser_is_ended(tmp_path: Path) -> None:
+    hushed: list[int] = []
+    hosts = IssuerHost(lambda n: None if n in hushed else OK), IssuerHost()
+    names = itertools.count()
+
+    async def story(s: Story) -> None:
+        async def ask() -> int:
+            return (await s.ask("look", {"X-Request-Id": f"q{next(names)}"}))[0]
+
+        while len(hosts[0].requests) < 20:  # the usual time is known
+            assert await ask() == 200
+        hushed.append(len(hosts[0].requests) + 1)
+        stuck = asyncio.ensure_future(ask())
+        while len(hosts[0].requests) < hushed[0]:
+            await asyncio.sleep(0.01)
+            stuck = asyncio.ensure_future(ask()) if stuck.done() else stuck
+        while not stuck.done():  # later ones are answered there: this one is not waited for
+            assert await ask() == 200
+        assert await stuck == 200
+        await hosts[0].closed.wait()
+        assert s.proxy.counters["legs_second"] >= 1 <= s.proxy.counters["legs_cancelled"]
+
+    play(tmp_path, story, *hosts, MaxAttempts=3, SecondCopies=True)
