A stuck call looks for its second copy ever later; unsafe calls set no timer for one

Now each comes half as late again as the call has been out (under 24 up to 400 ms of aim at 0.1 ms an answer), and a class that is never sent again has none.

--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -443,7 +443,8 @@
         if self.now + patience < request.deadline:
             self._timer(self.now + patience, f"{len(request.attempts) - 1}.{request.name}")
         second = SECOND * self.latency[request.kind]
-        if self.settings.second_copies and second and len(request.attempts) == 1:
+        harmless = self.settings.classes[request.kind].effect is not Effect.UNSAFE
+        if self.settings.second_copies and harmless and second and len(request.attempts) == 1:
             self._timer(self.now + second, "second." + request.name)
         return True
 
@@ -609,8 +610,8 @@
         elif seq in ("second", "again"):
             if len(request.attempts) == request.open == 1:
                 self._second(request, seq == "second")
-                if self.now < request.aim_at:
-                    self._timer(self.now + self.latency[request.kind], "again." + rest)
+                if self.now < request.aim_at:  # ever later: one stuck call sets a few timers and no more
+                    self._timer(self.now + (self.now - request.attempts[0].sent) / 2, "again." + rest)
         elif seq in ("deadline", "hold"):
             if self.now >= (request.give_up if request.waiting else request.deadline):
                 self._answer(request)
--- a/tests/test_swallowed.py
+++ b/tests/test_swallowed.py
@@ -10,7 +10,7 @@
 from conftest import Driver
 from labs import scenario
 
-from cranebank.decisions.interface import Outcome, TimerFired
+from cranebank.decisions.interface import Outcome, SetTimer, TimerFired
 from cranebank.lab.simulated.world import play
 
 Drive = Callable[..., Driver]
@@ -65,6 +65,20 @@
     assert firsts[2]["s0"] < 0.2 * 300 < firsts[0]["s0"]
 
 
+def test_one_stuck_call_sets_a_few_timers_however_quick_the_others_are(drive: Drive) -> None:
+    d = drive(second_copies=True)
+    d.listed(["s0"])
+    d.serve(100, step=1.0)
+    d.balancer.latency = [0.1] * 3
+    name, actions = d.request(0)
+    fired, begun = 0, d.now
+    while timers := [a for a in actions if isinstance(a, SetTimer) and a.name in (f"second.{name}", f"again.{name}")]:
+        d.now = timers[0].at
+        actions, fired = d.do(TimerFired(timers[0].name)), fired + 1
+    assert d.now > begun + 400.0  # up to its aim
+    assert fired < 24
+
+
 def day(seed: int, rate: float) -> Any:
     """Two proxies, four hosts; for ten of thirty seconds three of them never answer three calls in ten."""
     kinds = [{"name": name, "count": count, "speed": speed, "slots": 30, "queue": 400}
