--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -26,6 +26,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
+from generator import Sink  # noqa: E402
+
 from cranebank.lab.exchange import Heard, Incoming, Pool  # noqa: E402
 from cranebank.lab.stage import Reply  # noqa: E402
 
@@ -34,20 +36,9 @@
 IDS = (f"{number:032x}" for number in range(1 << 30))
 
 
-class Host:
+class Host(Sink):
     """Answers at once; and as discovery, says that nothing has changed."""
 
-    def connected(self, connection: Incoming) -> bool:
-        """Take any."""
-        return True
-
-    def deaf(self) -> bool:
-        """Never."""
-        return False
-
-    def closed(self, connection: Incoming) -> None:
-        """Nothing is kept."""
-
     def heard(self, connection: Incoming, request: Heard) -> None:
         """The body that was agreed; a watch stays open."""
         if "watch" in request.target:
