Keyed repeats stay in the window of the leg sent first, to the last byte written

Cause: Balancer._result took the leg that ended first for the one from which the window counts, so the second copy's send moved the window. Now it is the one sent first. Ruled out by the log: the dial (9 ms), another group (the class's is all).

Besides, read in the code and forced in tests/test_endings.py: the window was compared when a repeat was decided, not when it was written. And a leg was called off by mailbox, a turn after it was said never to have run: in between its dial could come up or the rest of it go out. Calling off is direct now, and what has an outcome is not written. Each guard taken out makes a test fail.

--- a/cranebank/core/rules.py
+++ b/cranebank/core/rules.py
@@ -57,7 +57,8 @@
 
 
 class Leg(msgspec.Struct, eq=False):
-    """One attempt. ``written`` is set by the issuer's side once the last byte is out."""
+    """One attempt. ``written`` is set by the issuer's side once the last byte is out; no byte of it may go out from
+    ``send_by`` on, nor once it has an ``outcome``."""
 
     request: str
     number: int
@@ -65,6 +66,7 @@
     content: Any
     sent_at: int
     deadline: int
+    send_by: int
     written: bool = False
     outcome: api.Outcome | None = None
 
@@ -142,11 +144,17 @@
     leg: Leg
 
 
+class Unsent(msgspec.Struct, frozen=True):
+    """Message, and what an alarm is set for: a leg that is not written by now may not be any more."""
+
+    leg: Leg
+
+
 class Relist(msgspec.Struct, frozen=True):
     """Message, and what an alarm is set for: the list as it stands is told to a module that starts anew."""
 
 
-Alarm = Due | Overdue | TimedOut | Relist
+Alarm = Due | Overdue | TimedOut | Unsent | Relist
 Message = Arrived | Left | LegEnded | Probed | TableNews | Alarm
 
 
@@ -305,6 +313,9 @@
             case TimedOut(leg):
                 # A connection that was never up has carried nothing: that is a connect failure, whatever the hour.
                 self._drop(leg, api.Outcome.TIMEOUT if leg.written else api.Outcome.CONNECT_FAILED)
+            case Unsent(leg):
+                if not leg.written:  # never run, and no fault of the host's
+                    self._drop(leg, api.Outcome.MOOT)
             case TableNews():
                 self._news(message)
             case Overdue(name):
@@ -365,7 +376,8 @@
             self._counters.add("sends_for_closed_requests")
             return
         deadline = min(request.deadline, now + timeout) if timeout else request.deadline
-        leg = Leg(name, len(request.legs), server, request.call.content, now, deadline)
+        leg = Leg(name, len(request.legs), server, request.call.content, now, deadline,
+                  min(deadline, self._window_end(request)))
         request.legs.append(leg)
         alarm = TimedOut(leg)
         request.alarms.append(alarm)
@@ -383,8 +395,21 @@
                 self._counters.add("legs_to_cold")
         self._follow(request, "leg_sent", leg=leg.number, host=server, wait_us=deadline - now)
         self._orders.append(SetAlarm(deadline, alarm))
+        if leg.send_by < deadline:
+            self._orders.append(SetAlarm(leg.send_by, Unsent(leg)))
         self._orders.append(SendLeg(leg))
 
+    def _window_end(self, request: Open) -> int:
+        """Until when hosts know a keyed request again that may have run: from its first leg that may have.
+
+        Guards the rule on effects against the time that a repeat takes to be written: dialling may outlast the window.
+        """
+        kind = self.settings.classes[request.call.class_index]
+        ran = next((leg for leg in request.legs if leg.outcome not in NEVER_RAN), None)
+        if ran is None or kind.effect is not api.Effect.KEYED:
+            return request.deadline
+        return ran.sent_at + span_us(kind.repeat_window - self.settings.tick)
+
     def _drop(self, leg: Leg, outcome: api.Outcome) -> None:
         """Stop waiting for a leg that is still out."""
         if leg.outcome is None:
--- a/cranebank/decisions/balance.py
+++ b/cranebank/decisions/balance.py
@@ -557,8 +557,8 @@
             failed, was = outcome is not Outcome.OK, server.fails.get(request.kind, 0.0)
             server.fails = server.fails | {request.kind: was + GAIN * (failed - was)}
             self.fails[request.kind] += (failed - self.fails[request.kind]) / 16
-        if outcome is not Outcome.OK and outcome not in NEVER_RAN and request.may_have_run is None:
-            request.may_have_run = attempt
+        if outcome is not Outcome.OK and outcome not in NEVER_RAN:
+            request.may_have_run = attempt.earlier(request.may_have_run)
         if outcome is Outcome.OK or event.finished:
             self._close(request)
         elif not request.closed and not request.open and not request.waiting:
--- a/cranebank/decisions/state.py
+++ b/cranebank/decisions/state.py
@@ -48,6 +48,10 @@
     unreached: bool = False  # no connection came up
     counted: bool = False  # its silence has been held against the server
 
+    def earlier(self, other: Attempt | None) -> Attempt:
+        """Whichever was sent first: hosts know the request from then on, whichever ends first."""
+        return self if other is None or self.sent < other.sent else other
+
 
 class Held(msgspec.Struct, eq=False):
     """A request this copy owes an answer for."""
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -57,12 +57,6 @@
     leg: Leg
 
 
-class CancelLeg(msgspec.Struct, frozen=True):
-    """Message: stop waiting for this leg."""
-
-    leg: Leg
-
-
 class SendProbe(msgspec.Struct, frozen=True, eq=False):  # each its own: two may be out at once
     """Message: ask the host for its load, or its health where there are no reports."""
 
@@ -73,7 +67,7 @@
     host: Host | None
 
 
-Order = SendLeg | CancelLeg | SendProbe | Relisted
+Order = SendLeg | SendProbe | Relisted
 
 
 class Issuer:
@@ -96,6 +90,15 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         self._links.drop(self._server)
 
+    def cancel(self, leg: Leg) -> None:
+        """End a leg, ahead of whatever else this turn of the loop has found.
+
+        Not by the mailbox: before its turn came, the rest of a request could go out, and a leg that is said never to
+        have run would run.
+        """
+        if leg in self._tasks:
+            self._tasks[leg].cancel()
+
     def _take(self, order: Order) -> None:
         match order:
             case SendLeg(leg):
@@ -103,9 +106,6 @@
                     self._tell(LegEnded(leg, api.Outcome.MOOT))
                 elif leg.outcome is None:
                     self._run(leg, self._send(leg))
-            case CancelLeg(leg):
-                if leg in self._tasks:
-                    self._tasks[leg].cancel()
             case SendProbe():
                 self._run(order, self._probe())
             case Relisted(host):
@@ -148,8 +148,13 @@
         request: HttpRequest = leg.content
 
         def head() -> str:
-            if not self._in_service:  # the connection took its time to come up: the grace may be shorter
+            # The connection took its time to come up, and nothing is awaited from here to the first byte.
+            if not self._in_service:  # the grace may be shorter
                 raise NoRoom("the host drains or is gone")
+            if self._clock.now() >= leg.deadline:
+                raise Ended("its time is up")
+            if leg.outcome is not None or self._clock.now() >= leg.send_by:
+                raise NoRoom("called off, or the window for repeats is over")
             left = max(0, leg.deadline - self._clock.now()) // 1000
             length = {"Content-Length": len(request.body)} if request.method != "GET" else {}
             fields = request.headers | {"X-Deadline-Ms": left} | length
@@ -258,7 +263,7 @@
     def cancel(self, leg: Leg) -> None:
         """Call a leg off."""
         if leg.server in self._issuers:
-            self._issuers[leg.server].post(CancelLeg(leg))
+            self._issuers[leg.server].cancel(leg)
 
     def probe(self, server: str) -> None:
         """Probe a host."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -33,11 +34,15 @@
 class IssuerHost:
     """Answers each request as ``script`` says: bytes are written, and the connection broken behind them where
     they are none or say ``Connection: close``; None keeps silent. ``spare`` goes behind each answer, at once
-    or later."""
+    or later. ``reads`` is asked with each connection's number: from one that it denies nothing is read before
+    ``go_on``. ``room`` bounds what the kernel takes in for it."""
 
     script: Callable[[int], bytes | None] = lambda _: OK
     spare: bytes = b""
     spare_after: float = 0.0
+    reads: Callable[[int], bool] = lambda _: True
+    go_on: asyncio.Event = field(default_factory=asyncio.Event)
+    room: int = 0
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
     ended: int = 0
@@ -46,6 +51,10 @@
     async def talk(self, reader: Reader, writer: Writer) -> None:
         self.connections += 1
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            if not self.reads(self.connections):
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await self.go_on.wait()
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = next((int(line.split(b":")[1]) for line in head.lower().split(b"\r\n")
@@ -79,9 +88,11 @@
 
 
 @contextlib.asynccontextmanager
-async def listening(talk: Callable[[Reader, Writer], Awaitable[None]]) -> AsyncIterator[str]:
-    """A peer on a port of its own; gives its address."""
+async def listening(talk: Callable[[Reader, Writer], Awaitable[None]], room: int = 0) -> AsyncIterator[str]:
+    """A peer on a port of its own, which may have little ``room`` for what is not read; gives its address."""
     server = await asyncio.start_server(talk, "127.0.0.1", 0)
+    if room:
+        server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
     host, port = server.sockets[0].getsockname()
     yield f"{host}:{port}"
     server.close()
@@ -94,10 +105,10 @@
 
 
 def configuration(discovery: str, hosts: list[dict[str, Any]], **limits: Any) -> dict[str, Any]:
-    """The JSON of a proxy before ``hosts``: three classes, one tenant, port 0; ``mode`` is discovery's, ``told`` holds
-    further settings."""
-    further = limits.pop("told", {})
-    lanes = [LANE | {"Name": name, "Effect": effect}
+    """The JSON of a proxy before ``hosts``: three classes, one tenant, port 0; ``mode`` is discovery's,
+    ``lane`` changes all classes, ``told`` holds what else differs."""
+    further, lane = limits.pop("told", {}), LANE | limits.pop("lane", {})
+    lanes = [lane | {"Name": name, "Effect": effect}
              for name, effect in (("look", "retryable"), ("order", "dedup"), ("pay", "fragile"))]
     return {
         "name": "p0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
@@ -149,7 +160,7 @@
     async with contextlib.AsyncExitStack() as stack:
         discovery = Discovery()
         asked = await stack.enter_async_context(listening(discovery.talk))
-        at = [await stack.enter_async_context(listening(host.talk)) for host in hosts]
+        at = [await stack.enter_async_context(listening(host.talk, host.room)) for host in hosts]
         flags = limits.pop("own", ())
         told = configuration(asked, [entry(f"s{i}", address) for i, address in enumerate(at)], **limits)
         (path / "config.json").write_text(json.dumps(told), encoding="utf-8")
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,175 @@
+"""Something ends while something is still owed: each crossing is forced, on real sockets, in the turn where it hurts.
+
+Peers and the loop's turns are stepped by events: bytes lie in the kernel's buffer before the loop goes on, a dial is
+held until it may come up, a gate stands before a write. docs/endings.md has a row for each path and names its test.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from peers import IssuerHost, Story, answer, play, until
+
+from cranebank.core.rules import LegEnded
+from cranebank.http.link import Link, Links
+
+WINDOW_MS = 250
+KEYED = {"MaxAttempts": 2, "lane": {"RepeatWindow": float(WINDOW_MS)}}
+
+
+class Held:
+    """Holds each dial from the ``after``-th on, once it is up, until ``let_go`` is set."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, after: int = 1) -> None:
+        self.let_go, self.dials, self.links = asyncio.Event(), 0, list[Link]()
+        whole = Links.take
+
+        async def take(links: Links, host: str, address: str) -> Link:
+            link = await whole(links, host, address)
+            self.dials += 1
+            if self.dials >= after:
+                self.links.append(link)
+                try:
+                    await self.let_go.wait()
+                except BaseException:
+                    links.give_back(link)
+                    raise
+            return link
+
+        monkeypatch.setattr(Links, "take", take)
+
+
+async def read_out(s: Story, *hosts: IssuerHost) -> None:
+    """End the idle connections to the hosts, and go on once these have read all that there was."""
+    s.proxy._links.drop()
+    await until(lambda: all(host.ended == host.connections for host in hosts))
+
+
+async def past(s: Story, moment: int) -> None:
+    """Go on once the proxy's clock has passed ``moment``, in microseconds."""
+    while s.proxy._clock.now() <= moment:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("late", [True, False], ids=["its window over", "in time"])
+def test_a_repeat_that_is_dialled_goes_out_in_its_window_only(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, late: bool) -> None:
+    hosts = [IssuerHost(lambda _: answer(500)) for _ in range(2)]
+
+    async def story(s: Story) -> None:
+        held = Held(monkeypatch, after=2)
+        asked = asyncio.ensure_future(s.ask("order"))
+        await until(lambda: held.dials == 2)
+        if late:
+            await past(s, s.proxy._clock.now() + WINDOW_MS * 1000)
+        held.let_go.set()
+        assert (await asked)[0] == 503
+        assert s.proxy.counters["legs_moot"] == late
+
+    play(tmp_path, story, *hosts, **KEYED if late else {"MaxAttempts": 2})
+    assert sum(len(host.requests) for host in hosts) == 2 - late
+
+
+def narrow(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leave a request of 64 KB no room in the kernel: part of it is written, the rest waits for the host to read."""
+    made = Link.connection_made
+
+    def connection_made(link: Link, transport: Any) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(link, transport)
+
+    monkeypatch.setattr(Link, "connection_made", connection_made)
+
+
+@pytest.mark.parametrize("kind", ["order", "pay"])
+def test_a_leg_partly_written_when_its_time_is_up_sends_no_byte_more(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: str) -> None:
+    """The repeat of a keyed request at the end of its window; an unsafe one at its client's deadline."""
+    narrow(monkeypatch)
+    firsts = [kind == "order"]  # the first host that is asked answers, the next one does not read
+    hosts = [IssuerHost(lambda _: answer(500), reads=lambda _: bool(firsts and firsts.pop()), room=4096)
+             for _ in range(2)]
+
+    async def story(s: Story) -> None:
+        left = {} if kind == "order" else {"X-Deadline-Ms": str(WINDOW_MS)}
+        status, _, _ = await s.ask(kind, left, body=b"x" * (64 << 10))
+        assert status == 503  # it never ran, or is keyed
+        assert s.proxy.counters["legs_moot" if kind == "order" else "legs_connect_failed"] == 1
+        for host in hosts:
+            host.go_on.set()
+        await read_out(s, *hosts)
+
+    play(tmp_path, story, *hosts, **KEYED)
+    assert sum(len(host.requests) for host in hosts) == (kind == "order")
+
+
+def test_the_window_ends_in_the_turn_in_which_the_connection_comes_up(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    hosts = [IssuerHost(lambda _: answer(500)) for _ in range(2)]
+
+    async def story(s: Story) -> None:
+        held = Held(monkeypatch, after=2)
+        asked = asyncio.ensure_future(s.ask("order"))
+        await until(lambda: held.dials == 2)
+        end = time.monotonic() + WINDOW_MS / 1000
+        while time.monotonic() < end:  # the loop stands still: the alarm is due, and behind the dial
+            pass
+        held.let_go.set()
+        assert (await asked)[0] == 503
+
+    play(tmp_path, story, *hosts, **KEYED)
+    assert sum(len(host.requests) for host in hosts) == 1
+
+
+@pytest.mark.parametrize("kind", ["look", "order", "pay"])
+def test_a_leg_called_off_in_the_turn_in_which_its_connection_comes_up_is_not_written(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: str) -> None:
+    """Its time is up; that it never ran is told at once, and must be so."""
+    hosts = [IssuerHost(), IssuerHost()]
+
+    async def story(s: Story) -> None:
+        held = Held(monkeypatch)
+        ended = s.proxy._engine._rules._leg_ended
+
+        def let_go(message: LegEnded) -> None:
+            held.let_go.set()  # the dial is up in the turn in which its leg is called off
+            ended(message)
+
+        monkeypatch.setattr(s.proxy._engine._rules, "_leg_ended", let_go)
+        assert (await s.ask(kind, {"X-Deadline-Ms": "100"}))[0] == 503
+        await read_out(s, *hosts)
+        assert s.proxy.counters["legs_connect_failed"] == s.proxy.counters["legs_sent"] == 1
+
+    play(tmp_path, story, *hosts)
+    assert sum(len(host.requests) for host in hosts) == 0
+
+
+@pytest.mark.parametrize("kind", ["order", "pay"])
+def test_a_leg_called_off_in_the_turn_in_which_its_rest_could_go_out_stays_unsent(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, kind: str) -> None:
+    narrow(monkeypatch)
+    host = IssuerHost(reads=lambda _: False, room=4096)
+
+    async def story(s: Story) -> None:
+        links = Held(monkeypatch)
+        links.let_go.set()
+        ended = s.proxy._engine._rules._leg_ended
+
+        def make_room(message: LegEnded) -> None:
+            (link,) = links.links
+            assert not link.sent
+            link._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            ended(message)
+
+        monkeypatch.setattr(s.proxy._engine._rules, "_leg_ended", make_room)
+        assert (await s.ask(kind, {"X-Deadline-Ms": "100"}, body=b"x" * (64 << 10)))[0] == 503
+        host.go_on.set()
+        await read_out(s, host)
+
+    play(tmp_path, story, host)
+    assert not host.requests
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -424,3 +424,20 @@
     d.now += 700.0  # the class's window
     d.do(TimerFired(f"second.{stuck}"))
     assert len(d.sent[stuck]) == 1
+
+
+@pytest.mark.parametrize(("later", "goes"), [(100.0, True), (400.0, False)])
+def test_a_repeat_after_a_second_copy_keeps_the_window_of_the_leg_sent_first(
+        drive: Drive, later: float, goes: bool) -> None:
+    """Whichever of the two ends first: hosts know the request from the first one on."""
+    d = drive(second_copies=True)
+    d.listed(SERVERS)
+    d.serve(100)
+    d.balancer.latency = [20.0] * 3
+    stuck, _ = d.request(1, left=2000.0)
+    d.now += 350.0
+    d.do(TimerFired(f"second.{stuck}"))
+    d.result(stuck, Outcome.RESET, attempt=1)
+    d.now += later  # the class's window is 700
+    d.result(stuck, Outcome.RESET, attempt=0, took=350.0 + later)
+    assert len(d.sent[stuck]) == 2 + goes
