--- a/cranebank/discovery/listing.py
+++ b/cranebank/discovery/listing.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import re
+from collections.abc import Iterator
 from math import inf
 from typing import Any
 
@@ -17,6 +20,45 @@
 }
 
 
+LINE_BYTES = 4 << 20  # of one message, on a line or on many
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Stream:
+    """Cuts what comes on a watch into messages: one on a line, or indented over many."""
+
+    def __init__(self) -> None:
+        self._rest = b""  # of a line that has not ended
+        self._lines: list[bytes] = []  # of a message that has not ended
+        self._depth = self._size = 0
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """The messages that ``data`` makes whole, each as JSON or the ValueError that it is none."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) + self._size > LINE_BYTES:
+            raise ValueError("a message without end")
+        for line in lines:
+            if not line.strip():
+                continue  # nothing has changed
+            # What begins at the margin begins anew: whatever was left open before it has no end any more.
+            if self._lines and line[:1] not in b" \t}]":
+                yield self._whole()
+            self._lines.append(line)
+            self._size += len(line)
+            bare = _STRING.sub(b"", line)
+            self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            if self._depth <= 0:
+                yield self._whole()
+
+    def _whole(self) -> Any:
+        text = b"\n".join(self._lines)
+        self._lines, self._depth, self._size = [], 0, 0
+        try:
+            return json.loads(text)
+        except (ValueError, RecursionError) as error:
+            return ValueError(f"{error}: {text[:80]!r}")
+
+
 class Listing(msgspec.Struct, frozen=True):
     """One message of discovery's: the whole list or the entries changed, and how many could not be read."""
 
--- a/cranebank/discovery/routing_table.py
+++ b/cranebank/discovery/routing_table.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -15,11 +15,10 @@
 from cranebank.core.mailbox import Mailbox
 from cranebank.core.rules import TableNews
 from cranebank.decisions import interface as api
-from cranebank.discovery.listing import Listing, ListReader
+from cranebank.discovery.listing import Listing, ListReader, Stream
 
 CALL_TIMEOUT_S = 4.0  # discovery gives a call up after 3 s of waiting in its queue
 SILENCE_S = 3.5  # an empty line comes every 2 s; a change binds 6 s on, told or not, and asking takes time
-LINE_BYTES = 4 << 20
 
 
 class Wanted(msgspec.Struct, frozen=True):
@@ -113,29 +112,26 @@
                     if response.status != 200:
                         self._log.warning("watch_refused", status=response.status, at_address=self._address)
                         return
-                    buffer = b""
+                    stream = Stream()
                     async for chunk in response.content.iter_any():
                         self._heard_at = time.monotonic()
                         limit.reschedule(asyncio.get_running_loop().time() + SILENCE_S)
-                        *whole, buffer = (buffer + chunk).split(b"\n")
-                        if len(buffer) > LINE_BYTES:
-                            raise ValueError("a line without end")
-                        for line in whole:
-                            self._line(line)
+                        for told in stream.feed(chunk):
+                            self._told(told)
             self._log.warning("watch_ended", at_address=self._address)
         except TimeoutError:
             self._log.warning("watch_silent", at_address=self._address)
         except Exception as error:  # whatever discovery says, the engine must hear that the watch is over
             self._log.warning("watch_broke", error=f"{type(error).__name__}: {error}")
 
-    def _line(self, line: bytes) -> None:
-        if not line.strip():
-            return  # nothing has changed
+    def _told(self, told: Any) -> None:
         try:
-            listing = self._reader.read(json.loads(line))
-        except (ValueError, RecursionError) as error:
+            if isinstance(told, ValueError):
+                raise told
+            listing = self._reader.read(told)
+        except ValueError as error:
             self._counters.add("list_lines_skipped")
-            self._log.warning("list_line_skipped", error=str(error), line=repr(line[:80]))
+            self._log.warning("list_line_skipped", error=str(error))
             return
         self._news(listing, api.ListKind.ALL if listing.full else api.ListKind.CHANGES)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -15,7 +15,7 @@
 
 from cranebank import Balancer
 from cranebank.decisions.interface import Action, Event, Request
-from cranebank.discovery.listing import ListReader
+from cranebank.discovery.listing import ListReader, Stream
 from cranebank.http.issuer import read_load
 
 
@@ -201,13 +201,15 @@
     play(tmp_path, story, host)
 
 
-def test_the_watch_survives_rubbish_and_a_drained_host_gets_nothing_new(tmp_path: Path) -> None:
+@pytest.mark.parametrize("indent", [None, 1, 4, "\t"])
+def test_the_watch_survives_rubbish_and_a_drained_host_gets_nothing_new(
+        tmp_path: Path, indent: int | str | None) -> None:
     old, new = IssuerHost(), IssuerHost()
 
     async def story(s: Story) -> None:
         change = {"version": 7, "full": False, "extra": 1, "servers": [
-            {"id": "broken"}, entry("s0", s.address, "DRAINING")]}
-        for line in (b" ", b"{rubbish", b"[" * 99999, json.dumps(change).encode()):
+            {"id": "broken}{"}, entry("s0", s.address, "DRAINING")]}
+        for line in (b" ", b"{rubbish", b"[" * 99999, json.dumps(change, indent=indent).encode()):
             s.discovery.lines.put_nowait(line)
         await until(lambda: s.proxy.counters["lists_changes"] == 1)
         before = len(old.requests)
@@ -252,6 +254,30 @@
     play(tmp_path, story, IssuerHost())
 
 
+@pytest.mark.parametrize("indent", [None, 1, 2, "\t"])
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+def test_messages_are_cut_at_their_ends_however_they_are_laid_out_and_arrive(
+        indent: int | str | None, step: int) -> None:
+    """Half an object, an empty one and strings that look like ends are no ends of others."""
+    told = [{"version": n, "servers": [entry("}\"]{", "x:1"), {}], "empty": []} for n in range(3)]
+    lines = [json.dumps(message, indent=indent) for message in told]
+    half = json.dumps(told[0], indent=indent)[:-9]
+    text = f"\n{lines[0]}\r\n\n{half}\n{lines[1]}\n}}\n{lines[2]}\n".encode()
+    stream, found = Stream(), list[Any]()
+    for at in range(0, len(text), step):
+        found += stream.feed(text[at:at + step])
+    assert [message for message in found if not isinstance(message, ValueError)] == told
+    assert len(found) == 5  # half of one, and an end of none
+
+
+def test_a_message_without_an_end_is_given_up() -> None:
+    for line in (b"x" * 99_999, b'{\n "a": [' + b"\n 1," * 9_999):
+        stream = Stream()
+        with pytest.raises(ValueError, match="without end"):
+            for _ in range(200):
+                list(stream.feed(line))
+
+
 @pytest.mark.parametrize("change", [
     {"state": "LOST"}, {"state": []}, {"addr": 7}, {"addr": "nowhere"}, {"id": ""}, {"id": 3}, {"cell": "x"},
     {"weight": -1}, {"started_ms": float("nan")}, {"zone": []},
