--- a/cranebank/http/link.py
+++ b/cranebank/http/link.py
@@ -72,7 +72,7 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._size = 0
-        self._head = self._whole = self._keep = self._spare = False
+        self._head = self._whole = self._keep = self._spare = self._to_end = False
         self._on_sent, self.sent, self.clean = sent, True, False
         try:
             if self._transport.is_closing():
@@ -122,6 +122,11 @@
         if self._answer is not None:
             self._on_sent()
 
+    def eof_received(self) -> None:
+        """The host has ended it in order: that is the end of an answer without a length. A reset is none."""
+        if self._answer is not None and not self._answer.done() and self._to_end:
+            self._settle()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is over."""
         self.clean = False
@@ -140,10 +145,14 @@
             self._fail(Spoilt(str(error.__context__ or error)))
         if self._whole and not self._answer.done():
             self.clean = self._keep and self.sent and not self._spare
-            self._answer.set_result(HostAnswer(self._status, self._headers, b"".join(self._body)))
+            self._settle()
         elif self._wire > (WIRE_BYTES if self._head else HEAD_BYTES):
             self._fail(Spoilt("an answer without end"))
 
+    def _settle(self) -> None:
+        assert self._answer is not None
+        self._answer.set_result(HostAnswer(self._status, self._headers, b"".join(self._body)))
+
     def _fail(self, error: Exception) -> None:
         """The answer can't come any more; one that is whole stands, whatever comes behind it."""
         if self._answer is not None and not self._answer.done() and not self._whole:
@@ -171,8 +180,8 @@
             return
         self._head = True
         length = self._headers.get("content-length")
-        if length is None and "transfer-encoding" not in self._headers and self._status not in (204, 304):
-            raise Spoilt("neither a length nor chunks: nothing would tell the whole from a part")
+        self._to_end = (length is None and "transfer-encoding" not in self._headers
+                        and self._status not in (204, 304))
         if length is not None and int(length) > ANSWER_BYTES:
             raise Spoilt(f"a body of {length} bytes")
 
