A request whose client has left is not sent on; last answers survive unread bytes; early SIGHUP counts

Seen in a trial on real sockets: a client that has sent more than is read ahead (aiohttp stops reading at 32 requests) and leaves is never noticed, its request is dispatched when a host appears, and the next ones after it; and where the client's end and the dial fall into one turn of the loop, the leg is written. Now the issuer looks at the client's socket (POLLRDHUP) right before the first byte.

aiohttp closes right after a last answer; over unread bytes that is a reset, which takes along what the kernel still holds of the answer (seen: 200 of 300,000 bytes to a slow reader). Now our side is ended, the rest read and dropped for 0.2 s, 4 MiB at most.

A SIGHUP between the first reading of the configuration and the handler was ignored; it is kept and carried out.

Forced in tests/test_endings.py and tests/test_program.py; each guard taken out makes a test fail.

--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -183,7 +183,7 @@
     log.info("reloaded", discovery=told.discovery, **({"needs_restart": ",".join(later)} if later else {}))
 
 
-async def _run(config: Config, started: Started) -> None:
+async def _run(config: Config, started: Started, asked: list[int]) -> None:
     # Guards the descriptor limit: past it accepting pauses and dials fail, which are outcomes, not crashes.
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = config.sockets if hard == resource.RLIM_INFINITY else min(config.sockets, hard)
@@ -195,6 +195,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, proxy, config, started, log)
+    if asked:  # while it started: what was read then may be older
+        loop.call_soon(_reload, proxy, config, started, log)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(proxy.counters.text(), file=sys.stderr, flush=True))
     host, port = await proxy.start()
     print(f"{config.name}: listening on {host}:{port}", file=sys.stderr, flush=True)
@@ -205,10 +207,11 @@
 
 def serve(started: Started) -> int:
     """Run one proxy until SIGTERM or SIGINT; return the exit code: 0, or 2 where it can't start so."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    asked: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: asked.append(number))  # until there is something to reload
     try:
         config = load(started.environ, started.file, started.flags)
-        asyncio.run(_run(config, started))
+        asyncio.run(_run(config, started, asked))
     except (ConfigError, OSError) as error:
         print(f"cranebank: {error}", file=sys.stderr)
         return 2
--- a/cranebank/http/acquirer.py
+++ b/cranebank/http/acquirer.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 from multidict import CIMultiDictProxy
@@ -15,7 +16,7 @@
 from cranebank.core.log import Log
 from cranebank.core.rules import Call, Declined, Left, Served, span_us
 from cranebank.decisions.interface import Effect, Settings
-from cranebank.http.door import Door, DoorTimes
+from cranebank.http.door import LINGER_S, Door, DoorTimes
 from cranebank.http.issuer import HttpAnswer, HttpRequest
 
 READY, COUNTERS = "/-/ready", "/-/counters"
@@ -23,7 +24,6 @@
 PASSED_ON = ("X-Request-Id", "Idempotency-Key", "X-Class", "X-Tenant", "X-Retry", "X-Cost-Hint", "X-Extras",
              "Content-Type")
 BODY_BYTES = 64 << 10
-LINGER_S = 0.2  # an error is read, not a reset, by a client that sends on for so long
 _ID = re.compile(r"[!-~]{1,200}")
 _TARGET = re.compile(r"/([!-.0->@-~]+)(?:[/?][!-~]*)?")  # the class, and what follows
 
@@ -141,7 +141,7 @@
             tenant=self._tenants.get(headers.get("X-Tenant", ""), 0),
             time_left=wait - DEADLINE_MARGIN,
             content=HttpRequest(request.method, target, {k: headers[k] for k in PASSED_ON if k in headers},
-                                body),
+                                body, partial(self.door.left, request.protocol)),
             cost=None if hint is None else hint / 1000.0,
             resubmitted=headers.get("X-Retry") == "1",
             name=headers["X-Request-Id"],
--- a/cranebank/http/door.py
+++ b/cranebank/http/door.py
@@ -11,10 +11,12 @@
 
 from cranebank.core.clock import Clock
 from cranebank.core.counters import Counters
-from cranebank.http.peek import readable
+from cranebank.http.peek import gone, readable
 
 SETTLING = 100_000  # whoever connects and has said nothing for so long may go first when all places are taken
 SWEEP_S = 0.25
+LINGER_S = 0.2  # the last answer is read, and no reset instead, by a client that sends on for so long
+LINGER_BYTES = 4 << 20  # and so much
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,6 +29,67 @@
     most_idle: int = 15_000_000
 
 
+class Ending(asyncio.Protocol):
+    """The end of a connection that has had its last answer: what still comes is read and dropped for a while.
+
+    Guards that answer: a close over unread bytes is a reset, and what the kernel had not yet sent goes with it.
+    """
+
+    def __init__(self, handler: Connection, transport: asyncio.Transport) -> None:
+        self._handler, self._transport = handler, transport
+        self._left = LINGER_BYTES
+        self._timer = asyncio.get_running_loop().call_later(LINGER_S, transport.close)
+
+    def data_received(self, data: bytes) -> None:
+        """What nobody asked for."""
+        self._left -= len(data)
+        if self._left < 0:
+            self._transport.abort()
+
+    def pause_writing(self) -> None:
+        """Part of the answer waits."""
+        self._handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        """It waits no more."""
+        self._handler.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is over."""
+        self._timer.cancel()
+        self._handler.connection_lost(exc)
+
+
+class Lingering:
+    """A client's transport as aiohttp sees it: its ``close`` sends what is written, ends our side and reads on."""
+
+    def __init__(self, handler: Connection, transport: asyncio.Transport) -> None:
+        self._handler, self._transport = handler, transport
+        self._ending = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def end(self) -> None:
+        """End the connection at once, where no answer might be lost; a client that reads nothing is not waited for."""
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        self._transport.close()
+
+    def close(self) -> None:
+        """End the connection, the client's side last."""
+        if self._ending or self._transport.is_closing():
+            return
+        self._ending = True
+        try:
+            self._transport.write_eof()
+        except OSError:  # it is over already
+            self._transport.close()
+            return
+        self._transport.set_protocol(Ending(self._handler, self._transport))
+        self._transport.resume_reading()
+
+
 class Connection(web.RequestHandler):
     """One client's connection; tells the door when bytes come."""
 
@@ -34,6 +97,11 @@
         super().__init__(door, loop=asyncio.get_running_loop(), **options)
         self._door = door
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client has connected."""
+        assert isinstance(transport, asyncio.Transport)
+        super().connection_made(Lingering(self, transport))  # type: ignore[arg-type]
+
     def data_received(self, data: bytes) -> None:
         """Bytes of a request, or of the next one."""
         self._door.stirred(self)
@@ -49,7 +117,7 @@
         super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
         self._most, self._times, self._clock = most, times, clock
         self._counters, self._options = counters, options
-        self._transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        self._transports: dict[web.RequestHandler, Lingering] = {}
         self._waited: dict[web.RequestHandler, int] = {}  # since when, the longest first
         self._idle: dict[web.RequestHandler, int] = {}
         self._ahead: set[web.RequestHandler] = set()  # bytes of the next request came with one still open
@@ -74,6 +142,7 @@
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         """Let a client in; where all places are taken, one that asks for nothing makes room, or it goes."""
         super().connection_made(handler, transport)
+        assert isinstance(transport, Lingering)
         now = self._clock.now()
         self._transports[handler] = transport
         self._empty.clear()
@@ -116,6 +185,16 @@
         (self._waited if handler in self._ahead else self._idle)[handler] = self._clock.now()
         self._ahead.discard(handler)
 
+    def left(self, handler: web.RequestHandler) -> bool:
+        """Whether the client has gone. Its connection is closed then, should its end lie behind bytes not read yet."""
+        transport = self._transports.get(handler)
+        if transport is None or transport.is_closing():
+            return True
+        if gone(transport.get_extra_info("socket")):
+            self._close(handler)
+            return True
+        return False
+
     def dismiss(self) -> None:
         """Close the connections that are idle, but for those on which a request has come that is not read yet."""
         for handler in list(self._idle):
@@ -153,6 +232,5 @@
         transport = self._transports[handler]
         for held in (self._transports, self._waited, self._idle):
             held.pop(handler, None)
+        transport.end()
         handler.force_close()
-        if transport.get_write_buffer_size():
-            transport.abort()  # a client that reads nothing must not keep its descriptor
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -23,12 +23,13 @@
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
-    """What passes through unchanged to an issuer host."""
+    """What passes through unchanged to an issuer host; ``left``: whether its client has gone, as seen right now."""
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    left: Callable[[], bool] = lambda: False
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
@@ -155,6 +156,8 @@
                 raise Ended("its time is up")
             if leg.outcome is not None or self._clock.now() >= leg.send_by:
                 raise NoRoom("called off, or the window for repeats is over")
+            if request.left():  # its end may lie behind what is not read of it, or behind a long turn of the loop
+                raise NoRoom("its client has left")
             left = max(0, leg.deadline - self._clock.now()) // 1000
             length = {"Content-Length": len(request.body)} if request.method != "GET" else {}
             fields = request.headers | {"X-Deadline-Ms": left} | length
--- a/cranebank/http/peek.py
+++ b/cranebank/http/peek.py
@@ -12,6 +12,11 @@
     return _found(sock, select.POLLIN)
 
 
+def gone(sock: Any) -> bool:
+    """Whether the peer has ended its side or all of it, be it behind bytes that nobody has read."""
+    return _found(sock, select.POLLRDHUP)
+
+
 def broken(sock: Any) -> bool:
     """Whether a connection was reset or is over both ways."""
     return _found(sock, 0)  # POLLERR and POLLHUP are told unasked
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -36,7 +36,7 @@
     """Answers each request as ``script`` says: bytes are written, and the connection broken behind them where
     they are none or say ``Connection: close``; None keeps silent. ``spare`` goes behind each answer, at once
     or later. ``reads`` is asked with each connection's number: from one that it denies nothing is read before
-    ``go_on``. ``room`` bounds what the kernel takes in for it. ``resets``: it ends connections by RST and not by FIN."""
+    ``go_on``. ``room`` bounds what the kernel takes in for it. ``resets``: it ends connections by RST, not FIN."""
 
     script: Callable[[int], bytes | None] = lambda _: OK
     spare: bytes = b""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import json
 import socket
+import struct
 import time
 from pathlib import Path
 from typing import Any
 
 import pytest
-from peers import IssuerHost, Story, answer, play, until
+from peers import IssuerHost, Story, answer, entry, play, request_headers, until
 
 from cranebank.core.rules import LegEnded
 from cranebank.http.link import Link, Links
@@ -173,3 +176,123 @@
 
     play(tmp_path, story, host)
     assert not host.requests
+
+
+class Client:
+    """A client's bare socket: what it does is in the kernel at once, before the loop goes on."""
+
+    def __init__(self, s: Story, room: int = 0) -> None:
+        host, _, port = s.url.removeprefix("http://").rpartition(":")
+        self.socket = socket.socket()
+        if room:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        self.socket.connect((host, int(port)))
+
+    def ask(self, kind: str, number: int) -> None:
+        """Write one whole request."""
+        fields = request_headers(kind) | {"X-Request-Id": str(number)}
+        method = "GET" if kind == "look" else "POST"
+        self.socket.sendall(f"{method} /{kind} HTTP/1.1\r\nHost: x\r\n".encode() + b"".join(
+            f"{name}: {value}\r\n".encode() for name, value in fields.items()) + b"\r\n")
+
+    def leave(self, how: str) -> None:
+        """Go: by FIN, by RST, with the sending side only, or by FIN behind more than is read of it."""
+        if how == "RST":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if how == "half":
+            self.socket.shutdown(socket.SHUT_WR)
+        else:
+            self.socket.close()
+
+    def rest(self) -> bytes:
+        """All that comes up to the end; for after the proxy is done with it."""
+        self.socket.setblocking(True)
+        self.socket.settimeout(20.0)
+        return b"".join(iter(lambda: self.socket.recv(1 << 16), b""))
+
+
+LEAVE = ["FIN", "RST", "half", "behind"]
+
+
+def ask_and_more(s: Story, how: str, count: int = 1) -> list[Client]:
+    clients = [Client(s) for _ in range(count)]
+    for number, client in enumerate(clients):
+        client.ask("order", number)
+        if how == "behind":
+            for ahead in range(64):  # more requests than are read ahead of the first one's answer
+                client.ask("order", 100 * number + ahead + 1000)
+    return clients
+
+
+@pytest.mark.parametrize("how", LEAVE)
+@pytest.mark.parametrize("count", [1, 3])
+def test_a_request_whose_client_leaves_during_its_dial_is_not_sent(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, count: int) -> None:
+    """Its end lies in the kernel when the connection comes up, and the loop has not seen it."""
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        held = Held(monkeypatch)
+        clients = ask_and_more(s, how, count)
+        await until(lambda: held.dials == count)
+        for client in clients:
+            client.leave(how)
+        held.let_go.set()
+        await until(lambda: s.proxy.places_taken == 0)
+        await read_out(s, host)
+
+    play(tmp_path, story, host)
+    assert not host.requests
+
+
+@pytest.mark.parametrize("how", LEAVE)
+@pytest.mark.parametrize("count", [1, 3])
+def test_a_request_whose_client_leaves_while_it_is_held_is_not_sent_once_a_host_is_there(
+        tmp_path: Path, how: str, count: int) -> None:
+    host = IssuerHost()
+
+    async def story(s: Story) -> None:
+        async def tell(version: int, state: str) -> None:
+            change = {"version": version, "full": False, "servers": [entry("s0", s.address, state)]}
+            s.discovery.lines.put_nowait(json.dumps(change).encode())
+            await until(lambda: s.proxy.counters["lists_changes"] == version - 1)
+
+        await tell(2, "DELETED")
+        clients = ask_and_more(s, how, count)
+        await until(lambda: s.proxy.counters["requests_taken"] == count)
+        for client in clients:
+            client.leave(how)
+        await tell(3, "SERVING")
+        await until(lambda: s.proxy.places_taken == 0)
+        await read_out(s, host)
+
+    play(tmp_path, story, host)
+    assert not host.requests
+
+
+@pytest.mark.parametrize("status", [200, 400])
+def test_a_last_answer_arrives_though_more_has_come_than_was_read(tmp_path: Path, status: int) -> None:
+    """The client reads late and little at a time: what the kernel still holds for it would go with a reset."""
+    body = b"x" * 300_000
+    host = IssuerHost(lambda _: answer(200, body), reads=lambda _: False)
+
+    async def story(s: Story) -> None:
+        s.proxy._acquirer.closing = True  # as while it stops
+        client = Client(s, room=4096)
+        if status == 400:
+            client.socket.sendall(b"GARBAGE\r\n\r\n")
+        else:
+            client.ask("look", 1)
+            await until(lambda: s.proxy.counters["legs_sent"] == 1)
+        client.socket.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(64):  # as much as the kernel takes
+                client.socket.send(b"GET " + b"x" * 65_536)
+        host.go_on.set()
+        await until(lambda: s.proxy._door.count == 1)
+        await until(lambda: s.proxy._door.count == 0)
+        head, _, told = client.rest().partition(b"\r\n\r\n")
+        assert head.split()[1] == b"%d" % status
+        assert told == body if status == 200 else told
+
+    play(tmp_path, story, host)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -134,6 +134,30 @@
     asyncio.run(story())
 
 
+def test_a_sighup_that_comes_while_it_reads_its_first_configuration_counts(tmp_path: Path) -> None:
+    """Its file is a pipe: it is in the midst of reading when the signal comes, and reads once more."""
+    async def story() -> None:
+        host, old, new, pipe = IssuerHost(), Discovery(), Discovery(), tmp_path / "config.json"
+        os.mkfifo(pipe)
+        async with (listening(host.talk) as address, listening(old.talk) as before,
+                    listening(new.talk) as after):
+            told = configuration(before, [entry("s0", address)])
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "cranebank", stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL,
+                env=os.environ | {"GW_CONFIG": str(pipe), "GW_NAME": "n7"})
+            with await asyncio.to_thread(pipe.open, "w", encoding="utf-8") as first:  # it has opened its end
+                process.send_signal(signal.SIGHUP)
+                first.write(json.dumps(told))
+            with await asyncio.to_thread(pipe.open, "w", encoding="utf-8") as second:
+                second.write(json.dumps(told | {"discovery": after}))
+            await until(lambda: len(new.watches) == 1)
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+        assert process.returncode == 0
+
+    asyncio.run(story())
+
+
 def test_a_proxy_does_without_tls(tmp_path: Path) -> None:
     """ssl and its certificates would be a sixteenth of the memory that it starts with."""
     told = "import runpy, sys; sys.argv = ['x']; runpy.run_module('cranebank', run_name='__main__', alter_sys=True)"
