A host back with the next word of discovery is asked; old addresses, slow readers, last turns settled

Read line by line for the review of endings, each shown by a test on sockets that failed before: - Directory.update retired an actor after the news that named its host again, so that all legs to a host deleted and back with the next message were moot (three answers of 503 with the host idle). Retired before the news now. - A dial under way, and a connection in use, while a host moves: the leg went to the old address, where another host may stand. A connection knows its address; issuer and pool compare it. - Door.dismiss aborted an answer still going out to a slow reader (1 MB, cut); its connection ends once it is out. - Whoever the kernel let in during the listener's last turn was reset; they are accepted with nothing awaited between the last look and the close. An idle connection that is closed for its age is looked at first, as at a stop.

--- a/cranebank/daemon.py
+++ b/cranebank/daemon.py
@@ -74,6 +74,7 @@
                                   lambda: self._table.heard.is_set() and self._acquirer.until is None)
         self._door = self._acquirer.door
         self._listener: asyncio.Server
+        self._socket: socket.socket
         self._tally = Tally(self.counters, self._beliefs, log)
         self._tally.every(config.layers.own.log.tally_s)
 
@@ -100,6 +101,7 @@
         sock = socket.create_server(self._config.listen)
         # Guards the descriptors against a flood: asyncio accepts ``backlog`` before the door sees any.
         loop = asyncio.get_running_loop()
+        self._socket = sock
         self._listener = await loop.create_server(self._door, sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         self._table.start(self._config.known)
@@ -112,7 +114,11 @@
                 break
             await asyncio.sleep(0)
         await hush(self._listener)
-        self._listener.close()
+        with contextlib.suppress(OSError):  # those who came meanwhile; out of descriptors, they are reset
+            while self._listener.sockets and readable(self._socket):
+                client, _ = self._socket.accept()
+                await asyncio.get_running_loop().connect_accepted_socket(self._door, client)
+        self._listener.close()  # nothing is awaited since the last look
 
     def reload(self, told: Config) -> None:
         """Take over what a running proxy can: the address of discovery (requests, legs and the list stay as
--- a/cranebank/http/door.py
+++ b/cranebank/http/door.py
@@ -196,9 +196,13 @@
         return False
 
     def dismiss(self) -> None:
-        """Close the connections that are idle, but for those on which a request has come that is not read yet."""
+        """Close the connections that are idle, but for those on which a request has come that is not read yet; where an
+        answer is still going out, once it is out."""
         for handler in list(self._idle):
-            if not readable(self._transports[handler].get_extra_info("socket")):
+            transport = self._transports[handler]
+            if transport.get_write_buffer_size():
+                handler.close()
+            elif not readable(transport.get_extra_info("socket")):
                 self._close(handler)
 
     async def emptied(self) -> None:
@@ -221,11 +225,16 @@
         self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
     def _close_first(self, held: dict[web.RequestHandler, int], before: int) -> bool:
-        handler, since = next(iter(held.items()), (None, 0))
-        if handler is None or since > before:
-            return False
-        self._close(handler)
-        return True
+        while held:
+            handler, since = next(iter(held.items()))
+            if since > before:
+                break
+            if held is self._idle and readable(self._transports[handler].get_extra_info("socket")):
+                self.stirred(handler)  # its next request lies there, and this turn has not seen it
+                continue
+            self._close(handler)
+            return True
+        return False
 
     def _close(self, handler: web.RequestHandler) -> None:
         self._counters.add("connections_closed")
--- a/cranebank/http/issuer.py
+++ b/cranebank/http/issuer.py
@@ -136,6 +136,8 @@
         """One request and its answer on a connection of its own; OSError means that it was not sent whole."""
         link = await self._links.take(self._server, self._address)
         try:
+            if link.address != self._address:
+                raise NoRoom("the host has moved")
             head = f"{request()}Host: {self._address}\r\n\r\n"
             return await link.ask(head.encode("utf-8", "surrogateescape") + body, sent)
         except (Broke, Spoilt) as error:
@@ -240,6 +242,11 @@
 
     def update(self, news: TableNews) -> None:
         """Make known to each actor what the routing table now says of its host."""
+        # Before the news: whoever is named in it must not be retired for what was said before.
+        for server in [s for s, issuer in self._issuers.items() if issuer.done]:
+            task = asyncio.get_running_loop().create_task(self._issuers.pop(server).close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
         named = {host.entry.server for host in news.hosts}
         if news.kind in (api.ListKind.ALL, api.ListKind.REMEMBERED):
             for server, issuer in self._issuers.items():
@@ -251,10 +258,6 @@
                 self._issuers[host.entry.server].post(Relisted(None if gone else host))
             elif not gone:
                 self._issuers[host.entry.server] = self._make(host)
-        for server in [s for s, issuer in self._issuers.items() if issuer.done]:
-            task = asyncio.get_running_loop().create_task(self._issuers.pop(server).close())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
 
     def send(self, leg: Leg) -> None:
         """Hand a leg to its host's actor."""
--- a/cranebank/http/link.py
+++ b/cranebank/http/link.py
@@ -55,10 +55,10 @@
 
 
 class Link(asyncio.Protocol):
-    """One connection to an issuer host."""
+    """One connection to an issuer host, at the address that it had then."""
 
-    def __init__(self, host: str, room: Room) -> None:
-        self.host, self._room = host, room
+    def __init__(self, host: str, address: str, room: Room) -> None:
+        self.host, self.address, self._room = host, address, room
         self.sent = self.clean = False  # the request's last byte is out; fit for another request
         self.idle_from = 0
         self._transport: asyncio.Transport
@@ -223,7 +223,7 @@
             if link.idle_from + REST > now:
                 continue
             del self._idle[link]
-            if link.usable():
+            if link.address == address and link.usable():  # another host may stand at an old address
                 self._counters.add("connections_reused")
                 return link
             self._close(link)
@@ -236,7 +236,7 @@
             name, _, port = address.rpartition(":")
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self._dial_s):
-                _, link = await loop.create_connection(lambda: Link(host, self._room), name, int(port))
+                _, link = await loop.create_connection(lambda: Link(host, address, self._room), name, int(port))
         except BaseException as error:
             self.open -= 1
             if isinstance(error, TimeoutError):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -150,6 +150,7 @@
     client: aiohttp.ClientSession
     url: str
     address: str  # of the first host
+    addresses: list[str]  # of all
 
     async def ask(self, kind: str = "look", changes: dict[str, str] | None = None,
                   body: bytes | None = None) -> tuple[int, bytes, Any]:
@@ -175,7 +176,7 @@
         proxy = Proxy(config, Log(config.name, config.layers.own.log))
         listen, port = await proxy.start()
         client = await stack.enter_async_context(aiohttp.ClientSession(auto_decompress=False))
-        yield Story(proxy, discovery, client, f"http://{listen}:{port}", at[0] if at else "")
+        yield Story(proxy, discovery, client, f"http://{listen}:{port}", at[0] if at else "", at)
         await proxy.stop(linger=0.0)
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,9 @@
 from peers import IssuerHost, Story, answer, entry, play, request_headers, until
 
 from cranebank.core.rules import LegEnded
+from cranebank.http.door import Connection
 from cranebank.http.link import Link, Links
+from cranebank.http.peek import hush
 
 WINDOW_MS = 250
 KEYED = {"MaxAttempts": 2, "lane": {"RepeatWindow": float(WINDOW_MS)}}
@@ -309,3 +311,121 @@
         assert told == body if status == 200 else told
 
     play(tmp_path, story, host)
+
+
+async def tell(s: Story, version: int, *servers: dict[str, Any]) -> None:
+    """Discovery tells changes; go on once they are heard."""
+    before = s.proxy.counters["lists_changes"]
+    s.discovery.lines.put_nowait(json.dumps({"version": version, "full": False, "servers": servers}).encode())
+    await until(lambda: s.proxy.counters["lists_changes"] == before + 1)
+
+
+@pytest.mark.parametrize("moves", [False, True], ids=["same address", "another address"])
+def test_a_host_that_is_back_with_the_next_word_of_discovery_is_asked(tmp_path: Path, moves: bool) -> None:
+    hosts = IssuerHost(), IssuerHost()
+
+    async def story(s: Story) -> None:
+        await tell(s, 2, entry("s0", s.addresses[0], "DELETED"), entry("s1", s.addresses[1], "DELETED"))
+        await asyncio.sleep(0.05)  # the actors have heard
+        await tell(s, 3, entry("s0", s.addresses[moves], started_ms=1))
+        assert (await s.ask("pay"))[0] == 200
+        assert s.proxy.counters["legs_moot"] == 0
+
+    play(tmp_path, story, *hosts)
+    assert [len(host.requests) for host in hosts] == [not moves, moves]
+
+
+@pytest.mark.parametrize("when", ["dialled", "answered"])
+def test_nothing_goes_to_the_old_address_of_a_host_that_has_moved(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, when: str) -> None:
+    """Another host may stand there: not from a dial that was under way, nor on a connection that was in use."""
+    old, new = IssuerHost(), IssuerHost()
+
+    async def story(s: Story) -> None:
+        await tell(s, 2, entry("s1", s.addresses[1], "DELETED"))
+        held = Held(monkeypatch)
+        asked = asyncio.ensure_future(s.ask("pay"))
+        await until(lambda: held.dials == 1)
+        if when == "answered":
+            old.reads = lambda _: False
+            held.let_go.set()
+            await until(lambda: old.connections == 1)
+        await tell(s, 3, entry("s0", s.addresses[1], started_ms=1))
+        await asyncio.sleep(0.05)  # its actor has heard
+        held.let_go.set()
+        old.go_on.set()
+        assert (await asked)[0] == (503 if when == "dialled" else 200)
+        await asyncio.sleep(0.05)  # a connection rests before it is used again
+        assert (await s.ask("pay", {"X-Request-Id": "2"}))[0] == 200
+
+    play(tmp_path, story, old, new)
+    assert [len(host.requests) for host in (old, new)] == [int(when == "answered"), 1]
+
+
+def test_an_answer_that_a_slow_reader_has_not_had_yet_is_not_cut_off_when_the_idle_are_dismissed(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    body = b"x" * 1_000_000
+    made = Connection.connection_made
+
+    def connection_made(handler: Connection, transport: Any) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(handler, transport)
+
+    monkeypatch.setattr(Connection, "connection_made", connection_made)
+
+    async def story(s: Story) -> None:
+        slow, quick = Client(s, room=4096), Client(s)
+        slow.ask("look", 1)
+        quick.ask("look", 2)
+        await until(lambda: s.proxy.counters["answers_served"] == 2)
+        told = asyncio.ensure_future(asyncio.to_thread(quick.rest))
+        left = s.proxy._door._transports.values()
+        await until(lambda: [t.get_write_buffer_size() > 0 for t in left].count(True) == 1)
+        s.proxy._door.dismiss()
+        assert (await told).endswith(body)  # and it is idle, and ended
+        assert (await asyncio.to_thread(slow.rest)).endswith(body)
+
+    play(tmp_path, story, IssuerHost(lambda _: answer(200, body)))
+
+
+def test_whoever_the_kernel_lets_in_during_the_listeners_last_turn_is_answered(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(s: Story) -> None:
+        last = list[Client]()
+
+        async def late(server: asyncio.Server) -> None:
+            await hush(server)
+            if last:
+                return  # the end of the story stops it once more
+            last.extend(Client(s) for _ in range(3))  # nobody accepts any more
+            for number, client in enumerate(last):
+                client.ask("look", number)
+
+        monkeypatch.setattr("cranebank.daemon.hush", late)
+        await s.proxy.stop(linger=0.0)
+        for client in last:
+            assert (await asyncio.to_thread(client.rest)).startswith(b"HTTP/1.1 200")
+
+    play(tmp_path, story, IssuerHost())
+
+
+@pytest.mark.parametrize("crowded", [False, True])
+def test_a_request_that_has_come_when_its_connection_is_idle_for_too_long_is_answered(
+        tmp_path: Path, crowded: bool) -> None:
+    """It lies in the kernel, and the loop has not seen it."""
+    async def story(s: Story) -> None:
+        door, clients = s.proxy._door, [Client(s) for _ in range(2 + 28 * crowded)]
+        clients[0].ask("look", 1)
+        clients[1].ask("look", 2)
+        await until(lambda: s.proxy.counters["answers_served"] == 2 and len(door._idle) == 2)
+        for client in clients[:2]:
+            client.socket.recv(1000)
+        door._timer.cancel()  # type: ignore[union-attr]
+        await asyncio.sleep(0.15)
+        clients[0].ask("look", 3)
+        door._sweep()
+        assert await asyncio.to_thread(clients[1].rest) == b""
+        await until(lambda: s.proxy.counters["answers_served"] == 3)
+        assert (await asyncio.to_thread(clients[0].rest)).startswith(b"HTTP/1.1 200")
+
+    play(tmp_path, story, IssuerHost(), sockets=96, own=("door.kept_idle_s=0.1", "door.most_idle_s=0.1"))
