--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,6 +19,7 @@
 from peers import IssuerHost, Story, answer, entry, play, request_headers, until
 
 from cranebank.config.load import load
+from cranebank.core.clock import Clock
 from cranebank.core.rules import LegEnded
 from cranebank.http.door import Connection
 from cranebank.http.link import Link, Links
@@ -503,3 +504,20 @@
         assert (await s.ask("pay", {"X-Request-Id": "2"}))[:2] == (200, b"2")
 
     play(tmp_path, story, host)
+
+
+def test_two_timers_keep_the_order_of_their_times_whatever_passes_while_they_are_set() -> None:
+    """The machine stands still in the midst of setting the first one: its time is not the second one's after that."""
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        clock, read = Clock(loop), loop.time
+        at = clock.now() + 60_000_000
+        loop.time = lambda: read() + 5.0  # type: ignore[method-assign]
+        first = clock.call_at(at, print)
+        loop.time = read  # type: ignore[method-assign]
+        second = clock.call_at(at + 1_000, print)
+        assert first.when() < second.when()
+        first.cancel()
+        second.cancel()
+
+    asyncio.run(story())
