--- /dev/null
+++ b/cranebank/control/__init__.py
@@ -0,0 +1,1 @@
+"""Custody of the configuration, epochs, registry and delivery."""
--- /dev/null
+++ b/cranebank/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from clients to pairs of backends: routes, choice, streams, retries."""
--- /dev/null
+++ b/cranebank/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs, one for each role."""
--- /dev/null
+++ b/cranebank/storage/__init__.py
@@ -0,0 +1,1 @@
+"""An append-only file of checksummed records."""
--- /dev/null
+++ b/cranebank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Frames and held connections between the system's own processes."""
--- /dev/null
+++ b/cranebank/transport/links.py
@@ -0,0 +1,154 @@
+"""Held connections: thin asyncio ends that carry messages and notice silence.
+
+A link is given up when nothing came for ``silence_s``, when its frames are damaged, or when its peer does not read and
+more than ``BACKLOG`` bytes wait for it: whoever dialled it dials again and gets a fresh state instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from cranebank.transport.frames import BadFrame, Decoder, encode
+from cranebank.transport.messages import Message, Pulse
+
+BACKLOG = 12 << 20  # bytes that wait for a peer: one configuration of the largest size, and room
+PULSE_S = 0.4
+SILENCE_S = 1.3  # three pulses: a link is noticed dead well within the time that a drain has to bind
+DIAL_S = 0.8
+REDIAL_S = (0.05, 0.4)  # first pause and longest
+
+
+class Owner(Protocol):
+    """Who hears of links."""
+
+    def link_up(self, link: Link) -> None:
+        """A connection stands."""
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """A message came."""
+
+    def link_down(self, link: Link) -> None:
+        """It is over; no more messages come."""
+
+
+class Link(asyncio.Protocol):
+    """One connection, dialled or accepted. ``peer`` is the other side's IP."""
+
+    def __init__(self, owner: Owner, dialled: bool) -> None:
+        self._owner, self.dialled = owner, dialled
+        self._decoder = Decoder()
+        self._transport: asyncio.Transport | None = None
+        self.peer, self.up = "", False
+        self.heard = 0.0  # steady clock, seconds
+        self._timer: asyncio.TimerHandle | None = None
+        self.revision: Callable[[], int] = lambda: 0  # what pulses tell
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection stands."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport, self.up = transport, True
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_S * 1000))
+        self.peer = str(transport.get_extra_info("peername")[0])
+        loop = asyncio.get_running_loop()
+        self.heard = loop.time()
+        self._timer = loop.call_later(PULSE_S, self._beat)
+        self._owner.link_up(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of frames."""
+        self.heard = asyncio.get_running_loop().time()
+        try:
+            messages = self._decoder.feed(data)
+        except BadFrame as error:
+            logger.warning("link to {}: {}", self.peer, error)
+            self.close()
+            return
+        for message in messages:
+            if not self.up:
+                return
+            self._owner.link_message(self, message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is over."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.up or self._transport is not None:
+            self.up = False
+            self._transport = None
+            self._owner.link_down(self)
+
+    def send(self, message: Message) -> bool:
+        """Whether it was taken; a link that is over takes nothing."""
+        return self.send_frame(encode(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Send an encoded frame, the same for many links."""
+        if not self.up or self._transport is None:
+            return False
+        if self._transport.get_write_buffer_size() > BACKLOG:
+            logger.warning("link to {}: it does not read", self.peer)
+            self.close()
+            return False
+        self._transport.write(frame)
+        return True
+
+    def close(self) -> None:
+        """End it now."""
+        self.up = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _beat(self) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() - self.heard > SILENCE_S:
+            self.close()
+            return
+        self.send(Pulse(self.revision()))
+        self._timer = loop.call_later(PULSE_S, self._beat)
+
+
+class Dialer:
+    """Keeps one held connection to an address, dialling again for as long as it is wanted."""
+
+    def __init__(self, owner: Owner, local_ip: str, ip: str, port: int) -> None:
+        self._owner, self._local, self.ip, self._port = owner, local_ip, ip, port
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        self.link: Link | None = None
+
+    def stop(self) -> None:
+        """End the connection, and dial no more."""
+        self._task.cancel()
+        if self.link is not None:
+            self.link.close()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        pause = REDIAL_S[0]
+        while True:
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    _, link = await loop.create_connection(lambda: Link(self._owner, True), self.ip, self._port,
+                                                           local_addr=(self._local, 0))
+            except OSError:  # TimeoutError is one
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, REDIAL_S[1])
+                continue
+            pause = REDIAL_S[0]
+            self.link = link
+            while link.up:
+                await asyncio.sleep(REDIAL_S[0])
+            self.link = None
+            await asyncio.sleep(pause)
+
+
+async def listen(owner: Owner, ip: str, port: int) -> asyncio.Server:
+    """Accept links."""
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: Link(owner, False), ip, port, reuse_address=True, backlog=512)
--- /dev/null
+++ b/cranebank/transport/messages.py
@@ -0,0 +1,114 @@
+"""What the system's own processes say to one another, as typed records; `frames.py` carries them.
+
+A proxy dials every controller and says Hello; the controller answers Welcome and from then on pushes: numbered lists of
+changed backends (Push, acknowledged by number) and configurations (ConfigPush, acknowledged by ConfigAck). Between
+controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync).
+Everybody sends Pulse when there is nothing else, so that silence means trouble.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Backend(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One incarnation of a backend, as its own newest heartbeat told. ``phase``: ready, draining, gone (it left, never to
+    come back) or lost (its heartbeats ceased; a later one lifts this)."""
+
+    id: str
+    target: str  # the service
+    address: str  # IP:PORT
+    zone: str
+    stage: str  # prefill or decode
+    capacity: int
+    phase: str
+    call_seq: int
+    cold_left_ms: int = 0
+    models: tuple[str, ...] = ()
+
+
+class Hello(msgspec.Struct, frozen=True, tag=1, array_like=True):
+    """First message of whoever dials. ``life`` is drawn at each start of a process."""
+
+    name: str
+    role: str  # proxy or controller
+    ip: str
+    zone: str
+    life: int
+    revision: int = 0  # of the configuration that it has; 0: none
+    backends: tuple[Backend, ...] = ()  # all that it knows: what a controller lost is rebuilt from these
+
+
+class Welcome(msgspec.Struct, frozen=True, tag=2, array_like=True):
+    """The answer to Hello, and again whenever it changes: all controllers' IPs, and how many proxies there are."""
+
+    name: str
+    controllers: tuple[str, ...]
+    proxies: int
+    neighbours: tuple[str, ...] = ()  # IPs of some proxies, drawn by lot, for the shuffled views
+
+
+class Push(msgspec.Struct, frozen=True, tag=3, array_like=True):
+    """Backends that changed; ``number`` rises by one within a connection."""
+
+    number: int
+    backends: tuple[Backend, ...]
+
+
+class PushAck(msgspec.Struct, frozen=True, tag=4, array_like=True):
+    """All pushes up to ``number`` bind from now on."""
+
+    number: int
+
+
+class ConfigPush(msgspec.Struct, frozen=True, tag=5, array_like=True):
+    """A committed configuration; ``document`` is JSON as the operator's page describes."""
+
+    revision: int
+    document: bytes
+
+
+class ConfigAck(msgspec.Struct, frozen=True, tag=6, array_like=True):
+    """This revision, or a later one, is in force here."""
+
+    revision: int
+
+
+class Pulse(msgspec.Struct, frozen=True, tag=7, array_like=True):
+    """A sign of life; ``revision`` of the configuration in force at the sender."""
+
+    revision: int = 0
+
+
+class Custodial(msgspec.Struct, frozen=True, tag=8, array_like=True):
+    """A message of the custody's core, as msgpack."""
+
+    body: bytes
+
+
+class RegistrySync(msgspec.Struct, frozen=True, tag=9, array_like=True):
+    """Between controllers: backends that changed, and who was heard lately: id, call_seq, age of it in ms."""
+
+    backends: tuple[Backend, ...] = ()
+    heard: tuple[tuple[str, int, int], ...] = ()
+
+
+class Shuffle(msgspec.Struct, frozen=True, tag=10, array_like=True):
+    """Between proxies: part of the sender's view of the fleet, its configuration's revision, and whether it wants a part
+    back. Who is behind asks with Fetch."""
+
+    ip: str
+    view: tuple[str, ...]
+    revision: int
+    backends: tuple[Backend, ...] = ()
+    reply: bool = False
+
+
+class Fetch(msgspec.Struct, frozen=True, tag=11, array_like=True):
+    """Send your configuration (ConfigPush) if it is newer than this revision."""
+
+    revision: int
+
+
+Message = (Hello | Welcome | Push | PushAck | ConfigPush | ConfigAck | Pulse | Custodial | RegistrySync | Shuffle
+           | Fetch)
