--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -12,8 +12,8 @@
 
 
 class Backend(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """One incarnation of a backend, as its own newest heartbeat told. ``phase``: ready, draining, gone (it left, never to
-    come back) or lost (its heartbeats ceased; a later one lifts this)."""
+    """One incarnation of a backend, as its own newest heartbeat told. ``phase``: ready, draining, gone (it left,
+    never to come back) or lost (its heartbeats ceased; a later one lifts this)."""
 
     id: str
     target: str  # the service
@@ -94,8 +94,8 @@
 
 
 class Shuffle(msgspec.Struct, frozen=True, tag=10, array_like=True):
-    """Between proxies: part of the sender's view of the fleet, its configuration's revision, and whether it wants a part
-    back. Who is behind asks with Fetch."""
+    """Between proxies: part of the sender's view of the fleet, its configuration's revision, and whether it wants
+    a part back. Who is behind asks with Fetch."""
 
     ip: str
     view: tuple[str, ...]
