--- /dev/null
+++ b/cranebank/dataplane/candidates.py
@@ -0,0 +1,103 @@
+"""The ready lists of each service and stage, and what this proxy has seen of each backend itself."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Set
+
+from cranebank.membership.backends import newer
+from cranebank.transport.messages import Backend
+
+GONE_KEPT = 4096  # ended backends that are remembered, so that late news of them changes nothing
+AWAY_S = (0.5, 8.0)  # a backend that failed us is left alone for so long, at first and at most
+
+
+class Seen:
+    """One backend as seen from here. ``calls`` and ``tokens`` are out at it from this proxy."""
+
+    __slots__ = ("answered_at", "away_for", "away_until", "backend", "calls", "figured_at", "tokens")
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.calls = 0
+        self.tokens = 0
+        self.figured_at = 0.0  # when the figures last changed, by a call sent or ended
+        self.answered_at = 0.0
+        self.away_until = self.away_for = 0.0
+
+
+class Candidates:
+    """All backends that were heard of; the ready ones by service and stage."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Backend] = {}
+        self.seen: dict[str, Seen] = {}
+        self._ready: dict[tuple[str, str], list[Seen]] = {}
+        self._gone: dict[str, None] = {}
+
+    def merge(self, records: Iterable[Backend]) -> list[str]:
+        """Take records of any source; return the ids of backends that are over."""
+        over: list[str] = []
+        for record in records:
+            if record.id in self._gone or not newer(self.records.get(record.id), record):
+                continue
+            if record.phase == "gone":
+                over.append(record.id)
+                self.records.pop(record.id, None)
+                self.seen.pop(record.id, None)
+                self._gone[record.id] = None
+                while len(self._gone) > GONE_KEPT:
+                    del self._gone[next(iter(self._gone))]
+                continue
+            self.records[record.id] = record
+            known = self.seen.get(record.id)
+            if known is None:
+                self.seen[record.id] = Seen(record)
+            else:
+                known.backend = record
+        self._rebuild()
+        return over
+
+    def _rebuild(self) -> None:
+        self._ready = {}
+        for seen in self.seen.values():
+            backend = seen.backend
+            if backend.phase == "ready":
+                self._ready.setdefault((backend.target, backend.stage), []).append(seen)
+
+    def known(self) -> tuple[Backend, ...]:
+        """Everything to tell a controller that has forgotten."""
+        return tuple(self.records.values())
+
+    def may_take(self, backend: str) -> bool:
+        """Whether a request may be sent there now: neither draining nor over."""
+        record = self.records.get(backend)
+        return record is not None and record.phase in {"ready", "lost"}
+
+    def ready(self, now: float, service: str, stage: str, without: Set[str] = frozenset()) -> list[Seen]:
+        """The ready list; those that failed us lately stand back, unless all did."""
+        listed = [s for s in self._ready.get((service, stage), ()) if s.backend.id not in without]
+        well = [s for s in listed if s.away_until <= now]
+        return well or listed
+
+    def count(self, service: str, stage: str) -> int:
+        """How many are ready, well or not."""
+        return len(self._ready.get((service, stage), ()))
+
+    def any_ready(self) -> bool:
+        """Whether there is anybody to send to."""
+        return any(self._ready.values())
+
+    def failed(self, now: float, backend: str) -> None:
+        """A call ended without a word, or the backend couldn't be reached."""
+        seen = self.seen.get(backend)
+        if seen is None or seen.away_until > now:
+            return
+        seen.away_for = min(max(2 * seen.away_for, AWAY_S[0]), AWAY_S[1])
+        seen.away_until = now + seen.away_for
+
+    def answered(self, now: float, backend: str) -> None:
+        """An answer came."""
+        seen = self.seen.get(backend)
+        if seen is not None:
+            seen.answered_at = now
+            seen.away_until = seen.away_for = 0.0
--- /dev/null
+++ b/cranebank/dataplane/events_stream.py
@@ -0,0 +1,45 @@
+"""A stream of events (text/event-stream) cut into whole events, so that only whole ones are passed on."""
+
+from __future__ import annotations
+
+MOST = 1 << 20  # bytes of one unfinished event; an engine's events are some hundred bytes
+
+
+class EventTooLong(Exception):
+    """An event without end; ``code`` is 'event_too_long'."""
+
+    code = "event_too_long"
+
+
+class EventSplitter:
+    """Bytes in, whole events out. ``last_id`` is the id of the last whole event, None before the first."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_id: str | None = None
+
+    def feed(self, data: bytes) -> bytes:
+        """The whole events that these bytes complete, as they came. Raises EventTooLong."""
+        held = self._rest + data
+        end = max(held.rfind(b"\n\n") + 2, held.rfind(b"\r\n\r\n") + 4)
+        if end < 2 or (end < 4 and b"\n\n" not in held):
+            end = 0
+        whole, self._rest = held[:end], held[end:]
+        if len(self._rest) > MOST:
+            raise EventTooLong
+        at = whole.rfind(b"id:")
+        while at > 0 and whole[at - 1:at] != b"\n":
+            at = whole.rfind(b"id:", 0, at)
+        if at >= 0:
+            line = whole[at + 3:].split(b"\n", 1)[0]
+            self.last_id = line.strip().decode("latin-1")
+        return whole
+
+    def take_rest(self) -> bytes:
+        """What is left at the stream's own end."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def drop_rest(self) -> None:
+        """Forget a part of an event: its run has broken off, and the next one brings it whole."""
+        self._rest = b""
--- /dev/null
+++ b/cranebank/dataplane/legs.py
@@ -0,0 +1,310 @@
+"""Connections to backends: HTTP/1.1, one request at a time on each, never used again once in doubt.
+
+An answer is known by the ``X-Attempt-Id`` that it echoes: one answer too many, in the spot where the next is due, is
+read to its end and dropped. Bytes behind an answer, or on an idle connection, end the connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+
+from cranebank.http.peek import readable
+from cranebank.transport.messages import Backend
+
+DIAL_S = 1.0
+UNACKED_MS = 1000  # bytes that a silent machine has not acknowledged for so long end the connection
+REST_S = 0.005  # before a connection is used again: what belongs to no answer comes right behind it
+IDLE_S = 4.0  # kept idle where a backend names no time
+IDLE_MARGIN_S = 0.6  # closed so much before the backend would: a request must not cross its end
+WIRE_BYTES = 64 << 20
+SWEEP_S = 0.5
+HIGH_WATER = 256 << 10
+
+
+class Listener(Protocol):
+    """Who made a call. None of these is called any more after ``abort``."""
+
+    def leg_head(self, leg: int, status: int, headers: dict[str, str]) -> None:
+        """The head of the answer."""
+
+    def leg_data(self, leg: int, data: bytes) -> None:
+        """Part of its body."""
+
+    def leg_end(self, leg: int) -> None:
+        """It is whole."""
+
+    def leg_failed(self, leg: int, sent: bool) -> None:
+        """It can't come any more."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a backend, at the address that it had then."""
+
+    def __init__(self, pool: Pool, backend: Backend) -> None:
+        self._pool, self.backend = pool, backend
+        self.transport: asyncio.Transport | None = None
+        self._listener: Listener | None = None
+        self._leg = 0
+        self.idle_from, self.idle_for = 0.0, IDLE_S
+        self._busy = self._done = self._strange = False
+
+    def call(self, listener: Listener, leg: int, attempt: str, request: bytes) -> None:
+        """Send a request; the listener hears of its answer."""
+        assert self.transport is not None
+        self._listener, self._leg, self._attempt = listener, leg, attempt
+        self._parser = httptools.HttpResponseParser(self)
+        self._busy, self._done, self._strange, self._to_end = True, False, False, False
+        self._headers: dict[str, str] = {}
+        self._wire = 0
+        self.transport.write(request)
+
+    def abort(self) -> None:
+        """Nothing more is wanted of it."""
+        self._listener = None
+        self._close()
+
+    def usable(self) -> bool:
+        """Idle, and nothing has come since its last answer."""
+        if self.transport is None or self.transport.is_closing() or self._busy:
+            return False
+        return not readable(self.transport.get_extra_info("socket"))
+
+    def pause(self, paused: bool) -> None:
+        """Hold the backend up while the client reads slowly."""
+        if self.transport is not None and not self.transport.is_closing():
+            with contextlib.suppress(RuntimeError):
+                (self.transport.pause_reading if paused else self.transport.resume_reading)()
+
+    def _close(self) -> None:
+        self._pool.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Part of an answer, or what belongs to none."""
+        if not self._busy:
+            self._close()
+            return
+        self._wire += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self._done:
+                self._fail()
+            self._close()
+            return
+        if self._done:
+            self._busy = False
+            if self._keep and not self._extra:
+                self._pool.give_back(self)
+            else:
+                self._close()
+        elif self._wire > WIRE_BYTES:
+            self._fail()
+            self._close()
+
+    def eof_received(self) -> None:
+        """The backend has ended it in order: the end of an answer without a length."""
+        if self._busy and not self._done and self._to_end:
+            self._done = True
+            if self._listener is not None:
+                self._listener.leg_end(self._leg)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is over."""
+        self._pool.forget(self)
+        if self._busy and not self._done:
+            self._fail()
+        self.transport = None
+
+    def _fail(self) -> None:
+        self._busy = False
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.leg_failed(self._leg, True)
+
+    # What the parser calls. An error raised here ends the parsing.
+
+    _keep = _extra = _to_end = False
+    _status = 0
+
+    def on_message_begin(self) -> None:
+        """An answer begins, the first or one too many."""
+        self._extra = self._done
+        if not self._done:
+            self._headers = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One field of the head."""
+        if not self._done:
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        if self._done:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
+            if self._status == 101:
+                raise ValueError("a change of protocol that nobody asked for")
+            return
+        self._strange = self._headers.get("x-attempt-id", self._attempt) != self._attempt
+        if self._strange:
+            return
+        self._to_end = ("content-length" not in self._headers and "transfer-encoding" not in self._headers
+                        and self._status not in (204, 304))
+        if self._listener is not None:
+            self._listener.leg_head(self._leg, self._status, self._headers)
+
+    def on_body(self, body: bytes) -> None:
+        """Part of the body."""
+        if not self._done and not self._strange and self._listener is not None:
+            self._listener.leg_data(self._leg, body)
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, or one ahead of it."""
+        if self._done or self._status < 200:
+            return
+        if self._strange:
+            self._strange = False
+            return
+        self._done, self._keep = True, self._parser.should_keep_alive()
+        self.idle_for = _idle_for(self._headers)
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.leg_end(self._leg)
+
+
+def _idle_for(headers: dict[str, str]) -> float:
+    """Seconds for which a connection may be kept idle."""
+    for part in headers.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdigit():
+            return max(0.0, int(value) - max(IDLE_MARGIN_S, 0.1 * int(value)))
+    return IDLE_S
+
+
+class Pool:
+    """All connections to backends, with a bound for each backend."""
+
+    def __init__(self, counters: dict[str, int], local_ip: str = "") -> None:
+        self._idle: dict[str, list[Connection]] = {}  # the one used last at the end
+        self._all: dict[str, set[Connection]] = {}
+        self._counters = counters
+        self._local = local_ip
+        self.most: Callable[[Backend], int] = lambda backend: 64
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def take(self, backend: Backend) -> Connection | None:
+        """An idle connection that has rested, or none."""
+        now = asyncio.get_running_loop().time()
+        held = self._idle.get(backend.id, [])
+        resting: list[Connection] = []
+        found = None
+        while held and found is None:
+            connection = held.pop()
+            if now - connection.idle_from < REST_S:
+                resting.append(connection)
+            elif now - connection.idle_from < connection.idle_for and connection.backend.address == backend.address \
+                    and connection.usable():
+                found = connection
+            else:
+                connection.abort()
+        held.extend(reversed(resting))
+        return found
+
+    async def dial(self, backend: Backend) -> Connection:
+        """A new connection. Raises OSError where it isn't up in time or there may be no more."""
+        held = self._all.setdefault(backend.id, set())
+        if len(held) >= self.most(backend):
+            raise ConnectionError("all connections to this backend are in use")
+        host, _, port = backend.address.rpartition(":")
+        connection = Connection(self, backend)
+        held.add(connection)
+        try:
+            async with asyncio.timeout(DIAL_S):
+                await asyncio.get_running_loop().create_connection(lambda: connection, host, int(port))
+        except (OSError, ValueError) as error:
+            self.forget(connection)
+            raise ConnectionError(str(error)) from None
+        except BaseException:
+            self.forget(connection)
+            raise
+        self._counters["dialled"] = self._counters.get("dialled", 0) + 1
+        return connection
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection for its next request."""
+        connection.idle_from = asyncio.get_running_loop().time()
+        if connection.idle_for <= REST_S:
+            connection.abort()
+            return
+        self._idle.setdefault(connection.backend.id, []).append(connection)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+    def forget(self, connection: Connection) -> None:
+        """It is over."""
+        key = connection.backend.id
+        held = self._all.get(key)
+        if held is not None:
+            held.discard(connection)
+            if not held:
+                del self._all[key]
+        idle = self._idle.get(key)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+            if not idle:
+                del self._idle[key]
+
+    def drop(self, backend: str) -> None:
+        """Close the idle connections to a backend that has ended."""
+        for connection in self._idle.pop(backend, []):
+            connection.abort()
+
+    def free(self, backend: Backend, handle: str) -> None:
+        """Free the memory of a reading that nobody takes; best effort, over an idle connection."""
+        connection = self.take(backend)
+        if connection is not None:
+            connection.call(_Nobody(), 0, "", (
+                f"DELETE /api/kv-handle/{handle} HTTP/1.1\r\nHost: {backend.address}\r\n\r\n").encode())
+
+    def _sweep(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for held in list(self._idle.values()):
+            for connection in [c for c in held if now - c.idle_from >= c.idle_for]:
+                connection.abort()
+        self._timer = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep) if self._idle else None
+
+
+class _Nobody:
+    """Whose answer nobody waits for."""
+
+    def leg_head(self, leg: int, status: int, headers: dict[str, str]) -> None:
+        """Nothing."""
+
+    def leg_data(self, leg: int, data: bytes) -> None:
+        """Nothing."""
+
+    def leg_end(self, leg: int) -> None:
+        """Nothing."""
+
+    def leg_failed(self, leg: int, sent: bool) -> None:
+        """Nothing."""
--- /dev/null
+++ b/cranebank/dataplane/pair.py
@@ -0,0 +1,195 @@
+"""The choice of a pair: who reads the prompt and who makes the tokens.
+
+At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
+probability beta = sqrt(n log n / b), ties at random, else the first draw. A long shared prompt has homes, the same for
+all proxies (rendezvous hashing): they are its ready list as long as one of them is well. The figure is an estimate in
+milliseconds of what a call costs there: what is to be read, behind what this proxy has out there, the move.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from math import exp
+from random import Random
+
+import msgspec
+
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates, Seen
+from cranebank.dataplane.prompt import Prompt
+from cranebank.dataplane.routes import Engine
+from cranebank.decisions.balance import beta
+
+HOMES = 2  # of a long shared prompt at each stage
+MOVE_COST = 8.0  # a move is priced: it counts as so many times its time on the link
+LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
+SAFE = 0.6  # part of the goal for which an estimate may be relied on
+RATE_S = 2.0  # seconds over which the rate of calls is averaged
+
+
+class Pace(msgspec.Struct):
+    """What reading takes at one stage of one service, learnt from answers: a start and a time a token, in ms."""
+
+    start: float
+    token: float
+    weight: float = 20.0
+    mean_x: float = 0.0
+    mean_y: float = 0.0
+    var: float = 0.0
+    cov: float = 0.0
+
+    def learn(self, tokens: float, took_ms: float) -> None:
+        """A call that read so many tokens took so long to its first byte. A decayed least-squares line."""
+        gain = max(1.0 / self.weight, 0.02)
+        self.weight += 1.0
+        if self.var == 0.0:
+            self.mean_x, self.mean_y = tokens, self.start + self.token * tokens
+            self.var, self.cov = 1e6, self.token * 1e6  # the prior's slope, as one that was seen
+        off_x, off_y = tokens - self.mean_x, took_ms - self.mean_y
+        self.mean_x += gain * off_x
+        self.mean_y += gain * off_y
+        self.var += gain * (off_x * off_x - self.var)
+        self.cov += gain * (off_x * off_y - self.cov)
+        self.token = min(max(self.cov / self.var, 0.002), 1.0)
+        self.start = max(0.0, self.mean_y - self.token * self.mean_x)
+
+    def estimate(self, tokens: float) -> float:
+        """Milliseconds to the first byte."""
+        return self.start + self.token * tokens
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """A pair: without a reader the maker reads for itself. Tokens are those thought to be read."""
+
+    maker: Seen
+    reader: Seen | None
+    read_tokens: int
+    figure: float
+    blend: float
+
+
+class Rate:
+    """Calls a second, averaged with exponential decay."""
+
+    def __init__(self) -> None:
+        self._value, self._at = 0.0, 0.0
+
+    def add(self, now: float) -> None:
+        """One call."""
+        self._value = self.at(now) + 1.0 / RATE_S
+        self._at = now
+
+    def at(self, now: float) -> float:
+        """Calls a second."""
+        return self._value * exp(-(now - self._at) / RATE_S)
+
+
+class PairChooser:
+    """Pairs for the requests of one proxy."""
+
+    def __init__(self, candidates: Candidates, cache: CacheView, random: Random) -> None:
+        self._candidates, self._cache, self._random = candidates, cache, random
+        self.proxies = 1  # the told count
+        self._rates: dict[tuple[str, str], Rate] = {}
+        self._paces: dict[tuple[str, str], Pace] = {}
+        self._hashes: dict[tuple[str, str], bytes] = {}
+
+    def pace(self, service: str, stage: str) -> Pace:
+        """What reading takes there; the priors are middling figures, soon outweighed by what is seen."""
+        found = self._paces.get((service, stage))
+        if found is None:
+            found = Pace(20.0, 0.02) if stage == "prefill" else Pace(30.0, 0.04)
+            self._paces[service, stage] = found
+        return found
+
+    def called(self, now: float, service: str, stage: str) -> None:
+        """Any call counts in the rate behind b, also one that is refused, fails or is a repeat."""
+        self._rates.setdefault((service, stage), Rate()).add(now)
+
+    def blend(self, now: float, service: str, stage: str, listed: list[Seen], drawn: tuple[Seen, Seen]) -> float:
+        """Beta for two draws: falls as their figures age and as proxies become more."""
+        age = now - min(drawn[0].figured_at, drawn[1].figured_at)
+        rate = self._rates.get((service, stage))
+        calls = (rate.at(now) if rate else 0.0) * self.proxies * min(age, RATE_S)
+        return min(1.0, beta(len(listed), calls))
+
+    def homes(self, listed: list[Seen], key: str) -> list[Seen]:
+        """The first few of the list for a key, in the same order at every proxy."""
+        if len(listed) <= 1:
+            return listed
+        return sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:HOMES]
+
+    def _hash(self, key: str, backend: str) -> bytes:
+        found = self._hashes.get((key, backend))
+        if found is None:
+            if len(self._hashes) > 50_000:
+                self._hashes.clear()
+            found = blake2b(f"{key}/{backend}".encode(), digest_size=8).digest()
+            self._hashes[key, backend] = found
+        return found
+
+    def _draw(self, listed: list[Seen]) -> tuple[Seen, Seen]:
+        """Two uniform draws, different where the list allows."""
+        if len(listed) == 1:
+            return listed[0], listed[0]
+        first, second = self._random.sample(listed, 2)
+        return first, second
+
+    def reader(self, now: float, service: str, prompt: Prompt, without: set[str]) -> tuple[Seen, float, int] | None:
+        """Who reads, its estimate in ms, and the tokens thought to be read there."""
+        listed = self._candidates.ready(now, service, "prefill", without)
+        if not listed:
+            return None
+        if prompt.home_key:
+            listed = self.homes(listed, prompt.home_key)
+        first, second = self._draw(listed)
+        blend = self.blend(now, service, "prefill", listed, (first, second))
+        pace = self.pace(service, "prefill")
+
+        def figure(seen: Seen) -> tuple[float, int]:
+            tokens = max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
+            return pace.estimate(tokens) + pace.token * seen.tokens, tokens
+
+        (a, a_tokens), (b, b_tokens) = figure(first), figure(second)
+        if self._random.random() < blend and (b < a or (b == a and self._random.random() < 0.5)):
+            return second, b, b_tokens
+        return first, a, a_tokens
+
+    def choose(self, now: float, service: str, engine: Engine, prompt: Prompt, goal_ms: float,
+               without: set[str]) -> Plan | None:
+        """A pair for a request, or none where nobody is ready."""
+        listed = self._candidates.ready(now, service, "decode", without)
+        if not listed:
+            return None
+        if prompt.home_key:
+            listed = self.homes(listed, prompt.home_key)
+        first, second = self._draw(listed)
+        blend = self.blend(now, service, "decode", listed, (first, second))
+        reading = self.reader(now, service, prompt, without) if prompt.tokens else None
+        plan = self._plan(first, reading, service, engine, prompt, goal_ms, blend)
+        if second is not first:
+            other = self._plan(second, reading, service, engine, prompt, goal_ms, blend)
+            tie = other.figure == plan.figure and self._random.random() < 0.5
+            if self._random.random() < blend and (other.figure < plan.figure or tie):
+                plan = other
+        return plan
+
+    def _plan(self, maker: Seen, reading: tuple[Seen, float, int] | None, service: str, engine: Engine,
+              prompt: Prompt, goal_ms: float, blend: float) -> Plan:
+        pace = self.pace(service, "decode")
+        ahead = pace.token * maker.tokens + maker.calls
+        tokens = max(1, prompt.tokens - self._cache.kept(maker.backend.id, prompt.parts))
+        alone = self._cost(pace.estimate(tokens) + ahead, goal_ms)
+        if reading is None:
+            return Plan(maker, None, tokens, alone, blend)
+        reader, read_ms, read_tokens = reading
+        far = 1.0 if reader.backend.zone == maker.backend.zone else 2.0
+        move = far * prompt.tokens * engine.token_bytes * 8 / max(1.0, engine.link_mbps) / 1e3
+        split = self._cost(read_ms + pace.start + move + ahead, goal_ms) + MOVE_COST * move
+        if split < alone:
+            return Plan(maker, reader, read_tokens, split, blend)
+        return Plan(maker, None, tokens, alone, blend)
+
+    @staticmethod
+    def _cost(time: float, goal_ms: float) -> float:
+        return time + LATE_COST * max(0.0, time - SAFE * goal_ms)
--- /dev/null
+++ b/cranebank/dataplane/proxy.py
@@ -0,0 +1,300 @@
+"""The data plane's asyncio end: carries out what exchanges decide, over clients' and backends' connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from random import Random
+
+import msgspec
+from loguru import logger
+
+from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane.budget import Budget
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.errors import Malformed, NoRoute, NotRun
+from cranebank.dataplane.exchange import (
+    Abort,
+    Action,
+    Begin,
+    Break,
+    Call,
+    ClientGone,
+    Data,
+    Event,
+    Exchange,
+    Finish,
+    Free,
+    Head,
+    LegData,
+    LegEnd,
+    LegFailed,
+    LegHead,
+    Reply,
+    Shared,
+    Wake,
+    WakeAt,
+)
+from cranebank.dataplane.front import ClientConnection, ClientRequest, Front, Handler
+from cranebank.dataplane.legs import Connection, Pool
+from cranebank.dataplane.pair import PairChooser
+from cranebank.dataplane.routes import ClientLimits, Engine, RouteTable
+from cranebank.transport.messages import Backend
+
+NO_ENGINE = Engine()
+DEADLINE_MS = 60_000.0  # where a client names none
+
+
+class RetryRule(msgspec.Struct, frozen=True):
+    """The budget's figures from the settings, and whether this process knows that it has no former life."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    fresh: bool
+
+
+class Open:
+    """One request that is open: its exchange, its client, its legs."""
+
+    __slots__ = ("attempt", "client", "dialling", "exchange", "legs", "paused", "prefix", "proxy", "request", "timer",
+                 "until")
+
+    def __init__(self, proxy: Proxy, client: ClientConnection, request: ClientRequest, exchange: Exchange,
+                 until: float) -> None:
+        self.proxy, self.client, self.request, self.exchange, self.until = proxy, client, request, exchange, until
+        self.attempt = request.named.get("x-attempt-id", "")
+        self.legs: dict[int, Connection] = {}
+        self.dialling: dict[int, asyncio.Task[None]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.paused = False
+        lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
+        lines += [f"{name}: {value}\r\n" for name, value in request.headers if name.lower() != "x-deadline-left"]
+        if request.body or "content-length" in request.named or "transfer-encoding" in request.named:
+            lines.append(f"Content-Length: {len(request.body)}\r\n")
+        self.prefix = "".join(lines)
+
+    def do(self, event: Event) -> None:
+        """Give the exchange an event and carry out what it decides."""
+        now = asyncio.get_running_loop().time()
+        self._carry_out(self.exchange.handle(now, event))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        out: list[bytes] = []
+        for action in actions:
+            match action:
+                case Data(data):
+                    out.append(self.client.frame(data))
+                case WakeAt(at):
+                    self._wake_at(at)
+                case Head(status, headers):
+                    out.append(self.client.head(status, headers))
+                case Call():
+                    self._call(action)
+                case Abort(leg):
+                    self._abort(leg)
+                case Finish():
+                    out.append(self.client.tail())
+                    self.client.write(b"".join(out))
+                    out = []
+                    self.client.finish()
+                case Break():
+                    self.client.break_off()
+                case Reply(error, retry_after):
+                    self.client.reply(error, retry_after)
+                case Free(backend, handle):
+                    self.proxy.pool.free(backend, handle)
+        if out:
+            self.client.write(b"".join(out))
+        if self.exchange.over:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.proxy.closed(self)
+
+    def _wake_at(self, at: float) -> None:
+        if self.timer is not None:
+            if self.timer.when() <= at and not self.timer.cancelled():
+                return  # it looks again then
+            self.timer.cancel()
+        self.timer = asyncio.get_running_loop().call_at(at + 0.001, self._wake)
+
+    def _wake(self) -> None:
+        self.timer = None
+        self.do(Wake())
+
+    def _call(self, call: Call) -> None:
+        connection = self.proxy.pool.take(call.backend)
+        if connection is not None:
+            self._send(call, connection)
+        else:
+            task = asyncio.get_running_loop().create_task(self._dial(call))
+            self.dialling[call.leg] = task
+
+    async def _dial(self, call: Call) -> None:
+        try:
+            connection = await self.proxy.pool.dial(call.backend)
+        except ConnectionError as error:
+            logger.debug("{} to {}: {}", self.attempt, call.backend.id, error)
+            self.dialling.pop(call.leg, None)
+            self.do(LegFailed(call.leg, False))
+            return
+        self.dialling.pop(call.leg, None)
+        if self.exchange.over or not self.proxy.shared.candidates.may_take(call.backend.id):
+            self.proxy.pool.give_back(connection)
+            if not self.exchange.over:
+                self.do(LegFailed(call.leg, False))
+            return
+        self._send(call, connection)
+
+    def _send(self, call: Call, connection: Connection) -> None:
+        now = asyncio.get_running_loop().time()
+        left = max(1, int((self.until - now) * 1e3))
+        more = "".join(f"{name}: {value}\r\n" for name, value in call.headers)
+        head = f"{self.prefix}X-Deadline-Left: {left}\r\nX-Target-Instance: {call.backend.id}\r\n{more}\r\n"
+        self.legs[call.leg] = connection
+        connection.call(self, call.leg, self.attempt, head.encode("latin-1") + self.request.body)
+
+    def _abort(self, leg: int) -> None:
+        task = self.dialling.pop(leg, None)
+        if task is not None:
+            task.cancel()
+        connection = self.legs.pop(leg, None)
+        if connection is not None:
+            connection.abort()
+
+    # What connections to backends tell.
+
+    def leg_head(self, leg: int, status: int, headers: dict[str, str]) -> None:
+        """The head of an answer."""
+        self.do(LegHead(leg, status, headers))
+
+    def leg_data(self, leg: int, data: bytes) -> None:
+        """Part of a body."""
+        self.do(LegData(leg, data))
+
+    def leg_end(self, leg: int) -> None:
+        """An answer is whole."""
+        self.legs.pop(leg, None)
+        self.do(LegEnd(leg))
+
+    def leg_failed(self, leg: int, sent: bool) -> None:
+        """No answer comes."""
+        self.legs.pop(leg, None)
+        self.do(LegFailed(leg, sent))
+
+    def hold(self, paused: bool) -> None:
+        """The client reads slowly: so do we."""
+        for connection in self.legs.values():
+            connection.pause(paused)
+
+
+class Proxy(Handler):
+    """A proxy's data plane. ``configure`` and ``learn`` bring it what the control plane knows."""
+
+    def __init__(self, rule: RetryRule, random: Random, now: float) -> None:
+        self.table: RouteTable | None = None
+        self._rule, self._random = rule, random
+        self._budgets: dict[str, Budget] = {}
+        self._fresh_until = now if rule.fresh else now + rule.window_s
+        self.counters: dict[str, int] = {}
+        candidates, cache = Candidates(), CacheView()
+        chooser = PairChooser(candidates, cache, random)
+        self.shared = Shared(candidates, chooser, cache, self._budget, self.counters)
+        self.pool = Pool(self.counters)
+        self.pool.most = self._most
+        self.front = Front(self, self.limits)
+        self._open: dict[ClientConnection, Open] = {}
+
+    def limits(self) -> ClientLimits:
+        """The clients' limits in force."""
+        return self.table.limits if self.table is not None else ClientLimits()
+
+    def _most(self, backend: Backend) -> int:
+        """Connections to one backend: this proxy's part of what the service allows, never under four."""
+        service = self.table.services.get(backend.target) if self.table is not None else None
+        return max(4, (service.max_conns if service else 64) // (self.shared.chooser.proxies + 1))
+
+    def _budget(self, service: str) -> Budget:
+        found = self._budgets.get(service)
+        if found is None:
+            rule = self._rule
+            found = self._budgets[service] = Budget(rule.ratio, rule.slack, rule.window_s, self._fresh_until)
+        return found
+
+    @property
+    def revision(self) -> int:
+        """Of the configuration in force; 0: none."""
+        return self.table.revision if self.table is not None else 0
+
+    def configure(self, document: bytes) -> bool:
+        """Take a committed configuration; never one older than what was in force. Whether it is in force now."""
+        try:
+            table = RouteTable.read(document)
+        except msgspec.MsgspecError as error:
+            logger.error("a configuration that can't be read: {}", error)
+            return False
+        if table.revision > self.revision:
+            self.table = table
+            self._budgets = {name: budget for name, budget in self._budgets.items() if name in table.services}
+        return True
+
+    def learn(self, backends: Iterable[Backend]) -> None:
+        """Take records of backends."""
+        for over in self.shared.candidates.merge(backends):
+            self.pool.drop(over)
+            self.shared.cache.forget(over)
+
+    @property
+    def ready(self) -> bool:
+        """A configuration is in force, and somebody is there to send to."""
+        return self.table is not None and self.shared.candidates.any_ready()
+
+    # What clients' connections tell.
+
+    def begin(self, client: ClientConnection, request: ClientRequest) -> None:
+        """A whole request is in."""
+        now = asyncio.get_running_loop().time()
+        if self.table is None:
+            client.reply(NotRun("no configuration yet"), 0.2)
+            return
+        route = self.table.match(request.named.get("host", ""), request.target)
+        if route is None:
+            self.shared.count("no_route")
+            client.reply(NoRoute(), None)
+            return
+        left = request.named.get("x-deadline-left", "")
+        if left and not left.replace(".", "", 1).isdigit():
+            client.reply(Malformed("x-deadline-left"), None)
+            return
+        until = now + (float(left) if left else DEADLINE_MS) / 1e3
+        service = route.service(self._random)
+        known = self.table.services.get(service)
+        engine = (known.engine if known is not None else None) or NO_ENGINE
+        exchange = Exchange(self.shared, route, service, engine, prompts.read(request.named), now, until)
+        self.shared.count("requests")
+        opened = Open(self, client, request, exchange, min(until, now + route.timeout_ms / 1e3))
+        self._open[client] = opened
+        opened.do(Begin())
+
+    def gone(self, client: ClientConnection) -> None:
+        """Its client has left."""
+        opened = self._open.get(client)
+        if opened is not None:
+            opened.do(ClientGone())
+
+    def drained(self, client: ClientConnection, paused: bool) -> None:
+        """Its client's buffer is full, or has room again."""
+        opened = self._open.get(client)
+        if opened is not None:
+            opened.hold(paused)
+
+    def closed(self, opened: Open) -> None:
+        """A request is over."""
+        if self._open.get(opened.client) is opened:
+            del self._open[opened.client]
+
+    @property
+    def open(self) -> int:
+        """Requests that are open."""
+        return len(self._open)
--- /dev/null
+++ b/cranebank/dataplane/routes.py
@@ -0,0 +1,115 @@
+"""Routes and services of one configuration, as a proxy uses them: immutable, swapped whole."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+
+
+class Branch(msgspec.Struct, frozen=True):
+    """A service and its share of a route's requests."""
+
+    target: str
+    share: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True):
+    """One route; times in milliseconds."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    variant: str = "effectful"
+    timeout_ms: float = 60_000.0
+    goal_ms: float = 1_000.0
+    rank: int = 0
+    target: str | None = None
+    branches: tuple[Branch, ...] = ()
+    tries: int = 1
+    pinned: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.variant == "idempotent" or (self.variant == "streaming" and self.resumable)
+
+    def service(self, random: Random) -> str:
+        """The service of a request, drawn by the branches' shares."""
+        if self.target is not None or not self.branches:
+            return self.target or ""
+        return random.choices([b.target for b in self.branches], [b.share for b in self.branches])[0]
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """What the configuration says of a service's engines: slots, tokens of memory, bytes a token, Mbit/s, tokens an
+    event, seconds of a handle and of a change of stage."""
+
+    capacity: int = 1
+    cache_tokens: int = 0
+    token_bytes: int = 0
+    link_mbps: float = 1_000.0
+    stride: int = 1
+    handle_ttl_s: float = 5.0
+    switch_s: float = 1.0
+
+
+class Service(msgspec.Struct, frozen=True):
+    """One service."""
+
+    name: str
+    probe_path: str = "/health"
+    max_conns: int = 100
+    engine: Engine | None = None
+
+
+class ClientLimits(msgspec.Struct, frozen=True):
+    """What clients may send, and for how long they may take or stay idle; milliseconds and bytes."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_read_ms: float = 3_000.0
+    idle_ms: float = 15_000.0
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A whole configuration; what is not known here is skipped."""
+
+    revision: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    limits: ClientLimits = ClientLimits()
+
+
+_decoder = msgspec.json.Decoder(Document, strict=False)
+
+
+class RouteTable:
+    """A configuration in force."""
+
+    def __init__(self, document: Document) -> None:
+        self.revision, self.limits = document.revision, document.limits
+        self.services = {service.name: service for service in document.services}
+        self._hosts: dict[str, list[Route]] = {}
+        for route in document.routes:
+            self._hosts.setdefault(route.hostname.lower(), []).append(route)
+        for routes in self._hosts.values():  # the longest prefix first
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    @classmethod
+    def read(cls, document: bytes) -> RouteTable:
+        """Read a committed document. Raises msgspec.MsgspecError."""
+        return cls(_decoder.decode(document))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route of a request, or none."""
+        name = host.strip().lower()
+        if ":" in name and not name.endswith("]"):
+            name = name.rpartition(":")[0]
+        path = path.partition("?")[0]
+        for route in self._hosts.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/cranebank/membership/fleet.py
@@ -0,0 +1,115 @@
+"""A proxy's links to all controllers: found from the seeds, held, and fed into the data plane."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from loguru import logger
+
+from cranebank.transport.links import Dialer, Link
+from cranebank.transport.messages import (
+    Backend,
+    ConfigAck,
+    ConfigPush,
+    Hello,
+    Message,
+    Pulse,
+    Push,
+    PushAck,
+    Welcome,
+)
+
+FORGET_S = 20.0  # a controller that nobody names and that does not answer is dialled no more
+
+
+class Plane(Protocol):
+    """What a proxy's data plane takes from the control plane."""
+
+    @property
+    def revision(self) -> int:
+        """Of the configuration in force."""
+
+    def configure(self, document: bytes) -> bool:
+        """Take a configuration."""
+
+    def learn(self, backends: Iterable[Backend]) -> None:
+        """Take records of backends."""
+
+    def known(self) -> tuple[Backend, ...]:
+        """All records."""
+
+    def told_proxies(self, count: int) -> None:
+        """The told number of proxies."""
+
+
+class FleetLinks:
+    """Links to controllers; one Dialer for each that is named by a seed or by another controller."""
+
+    def __init__(self, plane: Plane, hello: Callable[[], Hello], ip: str, port: int) -> None:
+        self._plane, self._hello, self._ip, self._port = plane, hello, ip, port
+        self._dialers: dict[str, Dialer] = {}
+        self._named: dict[str, float] = {}  # when a controller was named last
+        self._counts: dict[Link, int] = {}
+        self.heard_at = 0.0
+        self.neighbours: tuple[str, ...] = ()
+
+    def name(self, ips: Iterable[str]) -> None:
+        """These are controllers, as far as somebody knows."""
+        now = asyncio.get_running_loop().time()
+        for ip in ips:
+            self._named[ip] = now
+            if ip not in self._dialers:
+                self._dialers[ip] = Dialer(self, self._ip, ip, self._port)
+
+    def prune(self) -> None:
+        """Drop controllers that nobody names any more and that are down."""
+        now = asyncio.get_running_loop().time()
+        if not self.up:
+            return  # who hears nothing forgets nothing
+        for ip, dialer in list(self._dialers.items()):
+            if dialer.link is None and now - self._named[ip] > FORGET_S:
+                dialer.stop()
+                del self._dialers[ip], self._named[ip]
+
+    @property
+    def up(self) -> int:
+        """Links that stand."""
+        return sum(dialer.link is not None and dialer.link.up for dialer in self._dialers.values())
+
+    def stop(self) -> None:
+        """End all links."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+
+    # What links tell.
+
+    def link_up(self, link: Link) -> None:
+        """A controller answers: say who we are and all that we know."""
+        link.revision = lambda: self._plane.revision
+        link.send(self._hello())
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """A controller said something."""
+        self.heard_at = asyncio.get_running_loop().time()
+        match message:
+            case Push(number, backends):
+                self._plane.learn(backends)
+                link.send(PushAck(number))
+            case ConfigPush(_, document):
+                if self._plane.configure(document):
+                    link.send(ConfigAck(self._plane.revision))
+            case Welcome(_, controllers, proxies, neighbours):
+                self._counts[link] = proxies
+                self.neighbours = neighbours
+                self._plane.told_proxies(max(self._counts.values()))
+                self.name(controllers)
+            case Pulse():
+                pass
+            case _:
+                logger.warning("from {}: {} is not for a proxy", link.peer, type(message).__name__)
+
+    def link_down(self, link: Link) -> None:
+        """A link ended; its dialer goes on."""
+        self._counts.pop(link, None)
--- /dev/null
+++ b/cranebank/programs/edge.py
@@ -0,0 +1,125 @@
+"""The proxy on an edge machine: data plane and links to controllers, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import secrets
+import signal
+from collections.abc import Callable, Iterable
+from random import Random
+
+from loguru import logger
+
+from cranebank.dataplane.front import Readiness
+from cranebank.dataplane.proxy import Proxy, RetryRule
+from cranebank.membership.fleet import FleetLinks
+from cranebank.programs.settings import NodeSettings, SettingsError, load
+from cranebank.transport.messages import Backend, Hello
+
+HOUSEKEEPING_S = 1.0
+LEAVE_S = 2.4  # after SIGTERM clients are still sent for so long: the platform asks every second and forgives once
+MARGIN_S = 0.5  # of the grace
+
+
+class _Plane:
+    """The data plane as the links see it."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        self._proxy = proxy
+
+    @property
+    def revision(self) -> int:
+        """Of the configuration in force."""
+        return self._proxy.revision
+
+    def configure(self, document: bytes) -> bool:
+        """Take a configuration."""
+        return self._proxy.configure(document)
+
+    def learn(self, backends: Iterable[Backend]) -> None:
+        """Take records of backends."""
+        self._proxy.learn(backends)
+
+    def known(self) -> tuple[Backend, ...]:
+        """All records."""
+        return self._proxy.shared.candidates.known()
+
+    def told_proxies(self, count: int) -> None:
+        """The told number of proxies."""
+        self._proxy.shared.chooser.proxies = max(1, count)
+
+
+class Edge:
+    """One proxy process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        bounds = settings.bounds
+        loop = asyncio.get_running_loop()
+        self.proxy = Proxy(RetryRule(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s,
+                                     settings.is_first_start), Random(), loop.time())
+        self._plane = _Plane(self.proxy)
+        self._life = secrets.randbits(63)
+        self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
+        self.stopping = False
+
+    def _hello(self) -> Hello:
+        settings = self._settings
+        return Hello(settings.node_name, "proxy", settings.ip, settings.zone, self._life, self.proxy.revision,
+                     self._plane.known())
+
+    async def run(self) -> int:
+        """Serve until SIGTERM; 0."""
+        settings, loop = self._settings, asyncio.get_running_loop()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.links.name(settings.seed_ips)
+        front = await _serve(self.proxy.front, settings.binds["front"])
+        ready = await _serve(lambda: Readiness(lambda: self.proxy.ready and not self.stopping),
+                             settings.binds["ready_addr"])
+        gc.collect()
+        gc.freeze()
+        logger.info("{} serves at {}", settings.node_name, settings.binds["front"])
+        keeper = loop.create_task(self._keep_house())
+        await stopped.wait()
+        self.stopping = True
+        until = loop.time() + settings.bounds.grace_s - MARGIN_S
+        self.proxy.front.closing = True
+        await asyncio.sleep(min(LEAVE_S, settings.bounds.grace_s / 3))
+        front.close()
+        self.proxy.front.dismiss()
+        while self.proxy.front.count and loop.time() < until:
+            await asyncio.sleep(0.05)
+            self.proxy.front.dismiss()
+        keeper.cancel()
+        ready.close()
+        self.links.stop()
+        return 0
+
+    def reload(self) -> None:
+        """Read the settings file again: the seeds may be others."""
+        try:
+            found = load()
+        except SettingsError as error:
+            logger.warning("{}", error)
+            return
+        self.links.name(found.seed_ips)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.links.prune()
+            if not self.links.up:
+                self.reload()  # the file may change without a signal
+
+
+async def _serve(protocol: Callable[[], asyncio.Protocol], address: str) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    return await asyncio.get_running_loop().create_server(protocol, host, int(port), backlog=1024, reuse_address=True)
+
+
+async def run(settings: NodeSettings) -> int:
+    """Run one proxy."""
+    return await Edge(settings).run()
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,248 @@
+"""One request's legs and its one answer, without sockets or a clock."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane.budget import Budget
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.events_stream import EventSplitter
+from cranebank.dataplane.exchange import (
+    Abort,
+    Action,
+    Begin,
+    Break,
+    Call,
+    ClientGone,
+    Data,
+    Event,
+    Exchange,
+    Finish,
+    Free,
+    Head,
+    LegData,
+    LegEnd,
+    LegFailed,
+    LegHead,
+    Reply,
+    Shared,
+    State,
+    Wake,
+)
+from cranebank.dataplane.pair import PairChooser
+from cranebank.dataplane.routes import Engine, Route
+from cranebank.transport.messages import Backend
+
+ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6, handle_ttl_s=5.0)
+SEALED = {"x-server-seal": "s", "content-type": "text/event-stream"}
+
+
+def backend(name: str, stage: str = "decode", phase: str = "ready", seq: int = 1) -> Backend:
+    """A record of one backend."""
+    return Backend(name, "svc", f"10.0.0.{len(name)}:{8000 + sum(map(ord, name))}", "z", stage, 32, phase, seq)
+
+
+class Story:
+    """A proxy's shared state, and one exchange driven by hand."""
+
+    def __init__(self, makers: int = 3, readers: int = 2, slack: float = 50.0, **route: Any) -> None:
+        self.now = 100.0
+        candidates, cache = Candidates(), CacheView()
+        candidates.merge([backend(f"d{i}") for i in range(makers)])
+        candidates.merge([backend(f"p{i}", "prefill") for i in range(readers)])
+        chooser = PairChooser(candidates, cache, Random(3))
+        self.budget = Budget(0.2, slack, 10.0, 0.0)
+        self.shared = Shared(candidates, chooser, cache, lambda _: self.budget, {})
+        self.route = Route(**{"name": "r", "hostname": "h", "path_prefix": "/", "variant": "streaming",
+                              "timeout_ms": 3000.0, "goal_ms": 300.0, "target": "svc", "tries": 2,
+                              "resumable": True, **route})
+        self.log: list[Action] = []
+
+    def begin(self, tokens: str = "383,6", parts: str = "a:55,b:37,c:291") -> list[Action]:
+        found = prompts.read({"x-token-counts": tokens, "x-prompt-prefix": parts})
+        self.exchange = Exchange(self.shared, self.route, "svc", ENGINE, found, self.now, self.now + 3.0)
+        return self.do(Begin())
+
+    def do(self, event: Event, after: float = 0.0) -> list[Action]:
+        self.now += after
+        actions = self.exchange.handle(self.now, event)
+        self.log += actions
+        return actions
+
+    def out(self) -> dict[str, int]:
+        """Calls that are out, by backend."""
+        return {s.backend.id: s.calls for s in self.shared.candidates.seen.values() if s.calls}
+
+
+def calls(actions: list[Action]) -> list[Call]:
+    """The calls among some actions."""
+    return [a for a in actions if isinstance(a, Call)]
+
+
+def passed(actions: list[Action]) -> bytes:
+    """What was passed on."""
+    return b"".join(a.data for a in actions if isinstance(a, Data))
+
+
+def test_a_short_prompt_is_read_where_its_tokens_are_made_and_streams_through() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    assert call.backend.stage == "decode" and "X-Stage" not in dict(call.headers)
+    story.do(LegHead(call.leg, 200, SEALED), 0.05)
+    assert passed(story.do(LegData(call.leg, b"id: 1\ndata: a\n\nid: 2\nda"))) == b"id: 1\ndata: a\n\n"
+    story.do(LegData(call.leg, b"ta: b\n\n"))
+    end = story.do(LegEnd(call.leg))
+    assert any(isinstance(a, Finish) for a in end) and story.exchange.over and not story.out()
+    assert passed(story.log) == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+def test_a_long_prompt_is_read_first_and_its_handle_named_to_the_maker() -> None:
+    story = Story(tries=1, resumable=False, goal_ms=600.0, timeout_ms=6000.0)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    assert read.backend.stage == "prefill" and dict(read.headers)["X-Stage"] == "prefill"
+    story.do(LegHead(read.leg, 200, {}), 0.3)
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1","tokens":17020,"revision":1}'))
+    (make,) = calls(story.do(LegEnd(read.leg)))
+    assert dict(make.headers)["Kv-From"] == f"{read.backend.address}/h1" and make.backend.stage == "decode"
+    assert story.out() == {make.backend.id: 1}
+
+
+def test_a_prompt_that_nobody_takes_is_freed_when_the_client_leaves() -> None:
+    story = Story(tries=1, resumable=False, goal_ms=600.0, makers=1)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 200, {}))
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1"}'))
+    story.shared.candidates.merge([backend("d0", phase="draining", seq=2)])
+    end = story.do(LegEnd(read.leg))
+    assert [a for a in end if isinstance(a, Free)] == [Free(read.backend, "h1")]
+    assert [a.error.status for a in end if isinstance(a, Reply)] == [503]
+
+
+def test_what_may_have_run_is_never_refused() -> None:
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    end = story.do(LegFailed(call.leg, True), 0.1)
+    assert [a.error.status for a in end if isinstance(a, Reply)] == [502]
+
+
+def test_what_was_rejected_is_refused_with_a_time_to_come_back() -> None:
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 503, {"x-not-run": "1"}))
+    (reply,) = [a for a in story.do(LegEnd(call.leg)) if isinstance(a, Reply)]
+    assert reply.error.status == 503 and reply.retry_after_s
+
+
+def test_a_call_that_never_left_is_made_again_elsewhere_and_counts_nowhere() -> None:
+    story = Story(tries=1, resumable=False, slack=0.0)
+    (call,) = calls(story.begin())
+    (again,) = calls(story.do(LegFailed(call.leg, False)))
+    assert again.backend.id != call.backend.id
+
+
+def test_a_stream_that_breaks_is_resumed_behind_its_last_whole_event() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 1\ndata: a\n\nid: 2\nda"))
+    (again,) = calls(story.do(LegFailed(call.leg, True)))
+    assert again.backend.id != call.backend.id and dict(again.headers)["Last-Event-Id"] == "1"
+    story.do(LegHead(again.leg, 200, {"x-server-seal": "other"}))
+    story.do(LegData(again.leg, b"id: 2\ndata: b\n\n"))
+    story.do(LegEnd(again.leg))
+    assert passed(story.log) == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert [a.headers for a in story.log if isinstance(a, Head)] == [SEALED]
+
+
+def test_a_stream_that_can_not_be_resumed_breaks_off_and_does_not_look_whole() -> None:
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 1\ndata: a\n\nid: 2"))
+    end = story.do(LegFailed(call.leg, True))
+    assert any(isinstance(a, Break) for a in end) and not any(isinstance(a, Finish) for a in story.log)
+
+
+def test_a_success_without_a_stamp_is_no_answer() -> None:
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, {}))
+    story.do(LegData(call.leg, b"x"))
+    end = story.do(LegEnd(call.leg))
+    assert not passed(story.log) and [a.error.status for a in end if isinstance(a, Reply)] == [502]
+
+
+def test_a_silent_backend_gets_a_second_copy_beside_it_and_the_first_answer_wins() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    (again,) = calls(story.do(Wake(), 1.0))
+    story.do(LegHead(call.leg, 200, SEALED))
+    assert any(isinstance(a, Abort) and a.leg == again.leg for a in story.log)
+    story.do(LegData(call.leg, b"id: 1\n\n"))
+    story.do(LegEnd(call.leg))
+    assert story.exchange.over and not story.out()
+
+
+def test_without_budget_nothing_goes_out_again() -> None:
+    story = Story(slack=0.0)
+    (call,) = calls(story.begin())
+    end = story.do(LegFailed(call.leg, True))
+    assert not calls(end) and [a.error.status for a in end if isinstance(a, Reply)] == [502]
+
+
+def test_a_client_that_leaves_ends_all_legs() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    assert any(isinstance(a, Abort) and a.leg == call.leg for a in story.do(ClientGone()))
+    assert story.exchange.over and not story.out()
+
+
+def test_time_out_is_told_as_what_it_is() -> None:
+    story = Story(tries=1, resumable=False)
+    story.begin()
+    end = story.do(Wake(), 3.1)
+    assert [a.error.status for a in end if isinstance(a, Reply)] == [504]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_orders_of_events_keep_the_promises(seed: int) -> None:
+    random = Random(seed)
+    for _ in range(50):
+        repeatable = random.random() < 0.5
+        story = Story(tries=2 if repeatable else 1, resumable=repeatable, slack=random.choice([0.0, 50.0]))
+        out = calls(story.begin(*random.choice([("383,6", "a:55,b:37,c:291"), ("17020,17", "s:13300,o:3720")])))
+        began = False
+        for _ in range(30):
+            if story.exchange.over:
+                break
+            leg = random.choice(out).leg if out else 1
+            call = next((c for c in out if c.leg == leg), None)
+            reads = call is not None and "X-Stage" in dict(call.headers)
+            status = random.choice([200, 200, 503, 500, 421])
+            events: list[Event] = [
+                LegHead(leg, status, {"x-not-run": "1"} if status in (503, 421) else dict(SEALED)),
+                LegData(leg, b'{"prompt_handle":"h"}' if reads else b"id: 7\n\n"), LegEnd(leg),
+                LegFailed(leg, random.random() < 0.7), Wake(),
+                *([ClientGone()] if random.random() < 0.1 else [])]
+            event = random.choice(events)
+            if isinstance(event, LegHead) and not reads and status in (200, 500):
+                began = True
+            out += calls(story.do(event, random.random() * 0.2))
+        story.do(Wake(), 10.0)
+        ends = [a for a in story.log if isinstance(a, Finish | Break | Reply)]
+        assert story.exchange.state is State.OVER and len(ends) <= 1 and not story.out()
+        refused = [a for a in ends if isinstance(a, Reply) and a.error.status == 503]
+        assert not (refused and began and any(isinstance(a, Head) for a in story.log))
+
+
+def test_events_are_cut_whole_at_any_byte() -> None:
+    stream = b"versions: 3\nid: 1\ndata: x\n\nid: 2\ndata: id:9\n\n: c\n\nid: 3\ndata: y\n\n"
+    for cut in range(len(stream)):
+        splitter = EventSplitter()
+        found = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
+        assert found == stream and splitter.last_id == "3" and not splitter.take_rest()
