Simulator: a call to discovery lost in a partition is sent again, as TCP sends a SYN

Cause: not the backoff. In the test's run the watches fall silent at 3.6 s, their calls go out at 4.31 to 4.64 s into a cut that ends at 5.1 s, and the simulator lost each of them whole: refused only at 8.31 to 8.64 s by the call's 4 s, after the drain's end at 7.2 s. On sockets such a call is not lost: the kernel sends its SYN again. At 3.5 s of silence the calls happened to come after the cut, so the gap was not seen.

Ruled out, by trials on the same run: a first try without doubling (told at 8.62 s, as gone only) and no backoff at all (7.61 s, as gone only); call timeouts of 3 and 2 s (never told). 1 s tells it at 7.09 s, but that is shorter than discovery's own queue (3 s).

Change: in simulated/world.py a call into a cut is tried again 1 s and then 2 s later, within its 4 s. Nothing in service changes. New: the simulated call over three lengths of a cut, and the same of the real RoutingTable on sockets.

--- a/cranebank/lab/simulated/world.py
+++ b/cranebank/lab/simulated/world.py
@@ -43,6 +43,7 @@
 MARGIN = 5_000  # a proxy answers so long before its caller gives up (http.acquirer)
 LINGER = 500_000  # a proxy that is told to stop accepts for so long
 SILENCE, CALL_TIMEOUT = 2_500_000, 4_000_000  # discovery.routing_table
+SYN_AGAIN = 1_000_000  # TCP sends a lost SYN again so long after, then after twice as long (RFC 6298)
 IDLE_MARGIN = 1_000_000  # daemon: idle connections are dropped so long before the host would
 DRAWS = 4096
 
@@ -527,21 +528,32 @@
 
     def watch(self, proxy: Proxy, version: int) -> None:
         """A proxy asks for changes."""
+        self._call(proxy, proxy.rules, version, self._world.kernel.now + CALL_TIMEOUT, SYN_AGAIN)
+
+    def _call(self, proxy: Proxy, asked_by: rules.Rules | None, version: int, until: int, again: int) -> None:
+        """A call's SYN, the first or one sent again; the proxy waits until then, whatever discovery's queue."""
         world, now = self._world, self._world.kernel.now
+        if proxy.rules is not asked_by:
+            return
         there = world.delay(proxy.plan.zone, 0)
+        if there is None and now + again < until:
+            world.kernel.at(now + again, self._call, proxy, asked_by, version, until, 2 * again)
+            return
         wait = self._desk.wait(now / 1e6) if there is not None and not self._down else None
         if there is None:
-            world.kernel.at(now + CALL_TIMEOUT, self._refused, proxy, proxy.rules)
+            world.kernel.at(until, self._refused, proxy, asked_by)
         elif wait is None:
-            world.kernel.at(now + 2 * there, self._refused, proxy, proxy.rules)
+            world.kernel.at(now + 2 * there, self._refused, proxy, asked_by)
+        elif (answered := now + there + round(wait * 1e6)) < until:
+            world.kernel.at(answered, self._answer, proxy, asked_by, version)
         else:
-            world.kernel.at(now + there + round(wait * 1e6), self._answer, proxy, proxy.rules, version)
+            world.kernel.at(until, self._refused, proxy, asked_by)
 
-    def _refused(self, proxy: Proxy, asked_by: rules.Rules) -> None:
+    def _refused(self, proxy: Proxy, asked_by: rules.Rules | None) -> None:
         if proxy.rules is asked_by:
             proxy.drive(rules.TableNews(api.ListKind.REFUSED))
 
-    def _answer(self, proxy: Proxy, asked_by: rules.Rules, version: int) -> None:
+    def _answer(self, proxy: Proxy, asked_by: rules.Rules | None, version: int) -> None:
         if proxy.rules is asked_by and not self._down:
             self._watching[proxy] = version
             self._tell(proxy)
--- a/tests/test_lab_simulated.py
+++ b/tests/test_lab_simulated.py
@@ -108,6 +108,34 @@
     assert late and min(r.at for r in late) > 5_000_000
 
 
+@pytest.mark.parametrize(("cut_s", "told_s"), [(0.5, 2.0), (1.5, 4.0), (3.5, None)])
+def test_a_call_into_a_partition_reaches_discovery_with_tcps_next_try_or_is_given_up(
+        cut_s: float, told_s: float | None) -> None:
+    """Tries go at 1, 2 and 4 s, as on sockets (tests/test_stories.py); the call is given up at 5 s."""
+    world = World(scenario(**THREE, fault=[{"what": "partition", "at_s": 1.0, "for_s": cut_s}]))
+    proxy = next(p for p in world.proxies.values() if p.plan.zone == 1)
+    proxy.start(())
+    heard, drive = list[tuple[int, api.ListKind]](), proxy.drive
+
+    def drives(message: rules.Message) -> None:
+        if isinstance(message, rules.TableNews):
+            heard.append((world.kernel.now, message.kind))
+        drive(message)
+
+    proxy.drive = drives  # type: ignore[method-assign]
+    world.kernel.at(1_000_000, world.discovery.watch, proxy, 0)  # of no version: the whole list is the answer
+    world.kernel.at(5_100_000, world.kernel.stop)
+    world.kernel.run()
+    whole = [at for at, kind in heard if kind is api.ListKind.ALL]
+    refused = [at for at, kind in heard if kind is api.ListKind.REFUSED]
+    if told_s is None:
+        assert (whole, refused) == ([], [5_000_000])
+    else:
+        assert len(whole) == 1
+        assert told_s * 1e6 < whole[0] < (told_s + 0.9) * 1e6
+        assert not refused
+
+
 class Faulty:
     """The module, and after it what breaks a rule."""
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gzip
 import json
 import socket
@@ -14,8 +15,12 @@
 from peers import OK, Discovery, IssuerHost, Story, answer, entry, play, until
 
 from cranebank import Balancer
-from cranebank.decisions.interface import Action, Event, Request
+from cranebank.core.counters import Counters
+from cranebank.core.log import Log
+from cranebank.core.rules import TableNews
+from cranebank.decisions.interface import Action, Event, ListKind, Request
 from cranebank.discovery.listing import ListReader, Stream
+from cranebank.discovery.routing_table import CALL_TIMEOUT_S, RoutingTable
 from cranebank.http.issuer import read_load
 
 
@@ -240,6 +245,40 @@
     play(tmp_path, story, IssuerHost(), mode=mode)
 
 
+def test_a_call_whose_syn_is_lost_reaches_discovery_with_the_next_one() -> None:
+    """Within the call's own time and without a second call, as the simulator has it."""
+    news, counters = list[TableNews](), Counters()
+
+    async def tell(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if await reader.read(1):
+            writer.write(answer(200, b'{"version": 2, "full": true, "servers": []}\n'))
+        writer.close()
+
+    async def story(listener: socket.socket) -> None:
+        host, port = listener.getsockname()
+        table = RoutingTable(f"{host}:{port}", ListReader(()), news.append, counters, Log("test"), asked=True)
+        table.watch(True)
+        await asyncio.sleep(0.5)
+        assert counters["watches_opened"] == 1
+        assert not news
+        async with await asyncio.start_server(tell, sock=listener):
+            async with asyncio.timeout(CALL_TIMEOUT_S - 0.5):
+                await table.heard.wait()
+            assert news[0].kind is ListKind.ALL
+            assert counters["watches_opened"] == 1
+            await table.close()
+
+    with socket.socket() as listener, contextlib.ExitStack() as crowd:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        listener.setblocking(False)
+        for _ in range(3):  # the backlog is full: the kernel drops every further SYN
+            one = crowd.enter_context(socket.socket())
+            one.setblocking(False)
+            one.connect_ex(listener.getsockname())
+        asyncio.run(story(listener))
+
+
 @pytest.mark.parametrize("told", [answer(503), b"", None, b"rubbish\r\n\r\n", answer(200, b"x" * 99)])
 def test_while_discovery_is_down_the_old_list_serves_and_there_is_no_storm(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, told: bytes | None) -> None:
