--- /dev/null
+++ b/cranebank/control/configuration.py
@@ -0,0 +1,214 @@
+"""Reading and checking of the operator's configurations: pure functions over bytes.
+
+A configuration is kept as the operator sent it: fields that aren't known here are neither checked nor dropped, since
+pages may grow. Only what makes a configuration unusable is refused, with a typed error that names the key.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import msgspec
+import voluptuous as vol
+
+SLOW_BYTES = 100_000  # above this, a check takes long enough to be done beside the event loop
+
+_decoder = msgspec.json.Decoder()
+_encoder = msgspec.json.Encoder()
+
+Document = dict[str, Any]
+
+
+class InvalidConfiguration(Exception):
+    """A configuration that can't be in force: ``code`` names the fault, ``key`` where it is, ``expected`` what was."""
+
+    def __init__(self, code: str, key: str, expected: str) -> None:
+        super().__init__(f"{code}: {key}: expected {expected}")
+        self.code, self.key, self.expected = code, key, expected
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """A checked configuration, whole; ``document`` is its JSON."""
+
+    revision: int
+    document: bytes
+
+
+class _Fault(vol.Invalid):  # type: ignore[misc,unused-ignore]
+    """A fault with a code of its own, found by a check below."""
+
+    def __init__(self, code: str, expected: str, path: list[object] | None = None) -> None:
+        super().__init__(f"expected {expected}", path)
+        self.code, self.expected = code, expected
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
+
+
+def _revision(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise _Fault("revision", "an integer, 0 or more")
+    return value
+
+
+def _name(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise _Fault("name", "a name, as a string")
+    return value
+
+
+def _prefix(value: object) -> str:
+    if not isinstance(value, str) or not value.startswith("/") or not value.endswith("/"):
+        raise _Fault("path_prefix", "a path that begins and ends with a slash")
+    return value
+
+
+def _timeout(value: object) -> object:
+    if not _is_number(value) or not value > 0:  # type: ignore[operator]
+        raise _Fault("timeout_ms", "a number above 0")
+    return value
+
+
+def _share(value: object) -> object:
+    if not _is_number(value) or value < 0:  # type: ignore[operator]
+        raise _Fault("share", "a number, 0 or more")
+    return value
+
+
+def _named(values: list[Document]) -> list[Document]:
+    seen: set[str] = set()
+    for index, value in enumerate(values):
+        if value["name"] in seen:
+            raise _Fault("name_twice", "a name used once in its list", [index, "name"])
+        seen.add(value["name"])
+    return values
+
+
+_BRANCH = vol.Schema({vol.Required("target"): _name, vol.Required("share"): _share}, extra=vol.ALLOW_EXTRA)
+_ROUTE = vol.Schema({
+    vol.Required("name"): _name, vol.Required("hostname"): _name, vol.Required("path_prefix"): _prefix,
+    "timeout_ms": _timeout, "target": _name, "branches": [_BRANCH]}, extra=vol.ALLOW_EXTRA)
+_SERVICE = vol.Schema({vol.Required("name"): _name}, extra=vol.ALLOW_EXTRA)
+_WHOLE = vol.Schema({
+    vol.Required("revision"): _revision, vol.Required("routes"): vol.All([_ROUTE], _named),
+    vol.Required("services"): vol.All([_SERVICE], _named), "limits": dict}, extra=vol.ALLOW_EXTRA)
+_ITEM = vol.Schema({vol.Required("name"): _name}, extra=vol.ALLOW_EXTRA)
+_AMENDMENT = vol.Schema({
+    vol.Required("revision"): _revision, "upsert": {str: vol.All([_ITEM], _named)}, "remove": {str: [_name]}},
+    extra=vol.ALLOW_EXTRA)
+
+
+def _key(path: list[object]) -> str:
+    text = ""
+    for step in path:
+        text += f"[{step}]" if isinstance(step, int) else f".{step}" if text else str(step)
+    return text
+
+
+def _conform(schema: Any, value: object) -> None:
+    try:
+        schema(value)
+    except vol.MultipleInvalid as error:
+        first = error.errors[0]
+        code, expected = getattr(first, "code", ""), getattr(first, "expected", "")
+        if not code:
+            code = "missing" if "required" in first.error_message else "shape"
+            expected = "the key" if code == "missing" else first.error_message
+        raise InvalidConfiguration(code, _key([str(step) if isinstance(step, vol.Marker) else step
+                                               for step in first.path]), expected) from None
+
+
+def _read(body: bytes) -> Document:
+    try:
+        value = _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidConfiguration("unreadable", "", f"JSON: {error}") from None
+    if not isinstance(value, dict):
+        raise InvalidConfiguration("unreadable", "", "an object")
+    return value
+
+
+def _check_routes(document: Document) -> None:
+    services = {service["name"] for service in document["services"]}
+    places: set[tuple[str, str]] = set()
+    for index, route in enumerate(document["routes"]):
+        key = f"routes[{index}]"
+        if "target" in route:
+            if route["target"] not in services:
+                raise InvalidConfiguration("unknown_service", f"{key}.target", "the name of a service")
+        elif "branches" not in route:
+            raise InvalidConfiguration("missing", f"{key}.target", "a target or branches")
+        if "branches" in route:
+            for place, branch in enumerate(route["branches"]):
+                if branch["target"] not in services:
+                    raise InvalidConfiguration("unknown_service", f"{key}.branches[{place}].target",
+                                               "the name of a service")
+            if (route["branches"] or "target" not in route) and not sum(
+                    branch["share"] for branch in route["branches"]) > 0:
+                raise InvalidConfiguration("no_share", f"{key}.branches", "shares with a sum above 0")
+        place_key = (route["hostname"].lower(), route["path_prefix"])
+        if place_key in places:
+            raise InvalidConfiguration("route_twice", f"{key}.path_prefix", "one route for a host and prefix")
+        places.add(place_key)
+
+
+def _check_whole(document: Document, current_revision: int) -> int:
+    _conform(_WHOLE, document)
+    _check_routes(document)
+    return _check_rise(document["revision"], current_revision)
+
+
+def _check_rise(revision: int, current_revision: int) -> int:
+    if revision <= current_revision:
+        raise InvalidConfiguration("revision", "revision", f"an integer above {current_revision}")
+    return revision
+
+
+def check(body: bytes, current_revision: int) -> Configuration:
+    """A whole configuration as the operator sent it. Raises InvalidConfiguration."""
+    return Configuration(_check_whole(_read(body), current_revision), body)
+
+
+def _names(values: object, key: str) -> list[Document]:
+    if not isinstance(values, list):
+        raise InvalidConfiguration("shape", key, "a list of named items")
+    for index, value in enumerate(values):
+        if not isinstance(value, dict) or not isinstance(value.get("name"), str):
+            raise InvalidConfiguration("shape", f"{key}[{index}]", "an item with a name")
+    return values
+
+
+def amend(current_document: bytes, body: bytes) -> Configuration:
+    """The current configuration with named items added, replaced (where they stood) or removed, checked as a whole.
+
+    Raises InvalidConfiguration.
+    """
+    amendment = _read(body)
+    _conform(_AMENDMENT, amendment)
+    document = _read(current_document)
+    current_revision: int = document["revision"]
+    for key, names in amendment.get("remove", {}).items():
+        gone = set(names)
+        document[key] = [item for item in _names(document.get(key, []), key) if item["name"] not in gone]
+    for key, items in amendment.get("upsert", {}).items():
+        fresh = {item["name"]: item for item in items}
+        document[key] = [fresh.pop(item["name"], item) for item in _names(document.get(key, []), key)]
+        document[key] += fresh.values()
+    document["revision"] = amendment["revision"]
+    revision = _check_whole(document, current_revision)
+    return Configuration(revision, _encoder.encode(document))
+
+
+def revision_of(body: bytes) -> int:
+    """The revision that a call names, or 0 where it can't be read: only for telling calls sent again."""
+    try:
+        return _revision(_read(body).get("revision"))
+    except (InvalidConfiguration, _Fault):
+        return 0
+
+
+def digest_of(call: str, base: int, body: bytes) -> bytes:
+    """What a call is known by when it is sent again unchanged."""
+    return hashlib.blake2b(body, digest_size=16, person=f"{call[:4]}{base}".encode()[:16]).digest()
--- /dev/null
+++ b/cranebank/control/delivery.py
@@ -0,0 +1,226 @@
+"""What each linked proxy was told and has acknowledged: the core, free of I/O.
+
+Backends go out in numbered pushes, the first of a link with everything that is known. Configurations go to whoever
+shows an older revision: at once from the primary, from other controllers only to those that still show an older one a
+little later. Nothing older than what was handed out before is handed out again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable
+from random import Random
+
+from bitarray import bitarray
+
+from cranebank.transport.messages import Backend, ConfigPush, Message, Push, Welcome
+
+BACKUP_S = 0.3  # how long others than the primary wait for its push to show
+CONTROLLER_S = 0.5  # how long a controller has to learn of a configuration through the custody
+WELCOME_S = 0.5  # shortest time between two rounds of Welcome
+NEIGHBOURS = 8
+
+
+class Mark:
+    """A change that is awaited: the slots of those that have not acknowledged it yet."""
+
+    def __init__(self, needs: dict[int, int], slots: int) -> None:
+        self._needs = needs
+        self._missing = bitarray(slots)
+        self._missing.setall(False)
+        for slot in needs:
+            self._missing[slot] = True
+        self.on_done: Callable[[], None] | None = None
+
+    @property
+    def done(self) -> bool:
+        """Whether nobody is missing."""
+        return not self._missing.any()
+
+    @property
+    def missing(self) -> int:
+        """How many are missing."""
+        return self._missing.count()
+
+    def reached(self, slot: int, number: int) -> None:
+        """This slot has acknowledged everything up to ``number``."""
+        if slot < len(self._missing) and self._missing[slot] and number >= self._needs[slot]:
+            self._drop(slot)
+
+    def left(self, slot: int) -> None:
+        """This slot's link is over: it isn't waited for."""
+        if slot < len(self._missing) and self._missing[slot]:
+            self._drop(slot)
+
+    def _drop(self, slot: int) -> None:
+        self._missing[slot] = False
+        if self.done and self.on_done is not None:
+            self.on_done()
+
+
+class Peer:
+    """A linked process: a proxy, or another controller (``slot`` -1), which gets configurations only."""
+
+    def __init__(self, name: str, ip: str, slot: int, revision: int, due: float) -> None:
+        self.name, self.ip, self.slot, self.revision = name, ip, slot, revision
+        self.due = due  # when others than the primary may hand it a configuration
+        self.number = self.acknowledged = 0
+        self.sent = 0  # revision handed out on this link
+
+
+class Delivery:
+    """All links' state. Messages to send are collected; ``take`` returns them."""
+
+    def __init__(self, name: str, random: Random) -> None:
+        self._name, self._random = name, random
+        self.peers: dict[Hashable, Peer] = {}
+        self._slots = 0
+        self._free: list[int] = []
+        self._marks: list[Mark] = []
+        self._config_marks: list[Mark] = []
+        self._out: list[tuple[Hashable, Message]] = []
+        self._controllers: tuple[str, ...] = ()
+        self._stale_welcome = False
+        self._welcome_at = 0.0
+        self.revision, self.document = 0, b""
+        self.is_primary = False
+
+    def take(self) -> list[tuple[Hashable, Message]]:
+        """The messages to send, in order."""
+        out, self._out = self._out, []
+        return out
+
+    @property
+    def proxies(self) -> set[str]:
+        """IPs of the proxies that are linked."""
+        return {peer.ip for peer in self.peers.values() if peer.slot >= 0}
+
+    def join(self, now: float, link: Hashable, name: str, ip: str, is_proxy: bool, revision: int,
+             records: Iterable[Backend]) -> Hashable | None:
+        """A process said Hello on this link. Returns an older link of the same process, which is over for us."""
+        older = next((key for key, peer in self.peers.items()
+                      if peer.ip == ip and (peer.slot >= 0) == is_proxy and key != link), None)
+        if older is not None:
+            self.leave(older)
+        self.leave(link)
+        slot = -1
+        if is_proxy:
+            slot = self._free.pop() if self._free else self._slots
+            self._slots = max(self._slots, slot + 1)
+        peer = self.peers[link] = Peer(name, ip, slot, revision, now + (BACKUP_S if is_proxy else CONTROLLER_S))
+        if is_proxy:
+            self._stale_welcome = True
+            self._welcome(link, peer)
+            self._push(link, peer, tuple(records))
+        self._configure(now, link, peer)
+        return older
+
+    def leave(self, link: Hashable) -> None:
+        """The link is over."""
+        peer = self.peers.pop(link, None)
+        if peer is None or peer.slot < 0:
+            return
+        for mark in (*self._marks, *self._config_marks):
+            mark.left(peer.slot)
+        self._sweep()
+        self._free.append(peer.slot)
+        self._stale_welcome = True
+
+    def tell(self, records: tuple[Backend, ...]) -> Mark:
+        """Push changed backends to every proxy; the mark of their acknowledgements."""
+        needs: dict[int, int] = {}
+        for link, peer in self.peers.items():
+            if peer.slot >= 0:
+                needs[peer.slot] = self._push(link, peer, records)
+        return self._await(self._marks, needs)
+
+    def tell_one(self, link: Hashable, records: tuple[Backend, ...]) -> None:
+        """Push backends to one proxy."""
+        peer = self.peers.get(link)
+        if peer is not None and peer.slot >= 0:
+            self._push(link, peer, records)
+
+    def acknowledged(self, link: Hashable, number: int) -> None:
+        """All pushes on this link up to ``number`` bind there."""
+        peer = self.peers.get(link)
+        if peer is None or number <= peer.acknowledged:
+            return
+        peer.acknowledged = min(number, peer.number)
+        for mark in self._marks:
+            mark.reached(peer.slot, number)
+        self._sweep()
+
+    def committed(self, now: float, revision: int, document: bytes) -> bool:
+        """A configuration was committed; whether it is newer than the one handed out so far."""
+        if revision <= self.revision:
+            return False
+        self.revision, self.document = revision, document
+        for link, peer in self.peers.items():
+            peer.due = max(peer.due, now + (BACKUP_S if peer.slot >= 0 else CONTROLLER_S))
+            self._configure(now, link, peer)
+        return True
+
+    def shown(self, link: Hashable, revision: int) -> None:
+        """A peer's Pulse or ConfigAck shows this revision in force."""
+        peer = self.peers.get(link)
+        if peer is None or revision <= peer.revision:
+            return
+        peer.revision = revision
+        if peer.slot >= 0:
+            for mark in self._config_marks:
+                mark.reached(peer.slot, revision)
+            self._sweep()
+
+    def await_revision(self, revision: int) -> Mark:
+        """The mark of all linked proxies' having this revision in force."""
+        return self._await(self._config_marks, {peer.slot: revision for peer in self.peers.values()
+                                                if peer.slot >= 0 and peer.revision < revision})
+
+    def know_controllers(self, ips: Iterable[str]) -> None:
+        """The controllers' IPs, all that are known."""
+        controllers = tuple(sorted(ips))
+        if controllers != self._controllers:
+            self._controllers, self._stale_welcome = controllers, True
+
+    def become(self, now: float, is_primary: bool) -> None:
+        """Whether this controller is the primary."""
+        self.is_primary = is_primary
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Time passes."""
+        for link, peer in self.peers.items():
+            self._configure(now, link, peer)
+        if self._stale_welcome and now - self._welcome_at >= WELCOME_S:
+            self._stale_welcome, self._welcome_at = False, now
+            for link, peer in self.peers.items():
+                if peer.slot >= 0:
+                    self._welcome(link, peer)
+
+    def _await(self, marks: list[Mark], needs: dict[int, int]) -> Mark:
+        mark = Mark(needs, self._slots)
+        if not mark.done:
+            marks.append(mark)
+        return mark
+
+    def _sweep(self) -> None:
+        self._marks = [mark for mark in self._marks if not mark.done]
+        self._config_marks = [mark for mark in self._config_marks if not mark.done]
+
+    def _push(self, link: Hashable, peer: Peer, records: tuple[Backend, ...]) -> int:
+        peer.number += 1
+        self._out.append((link, Push(peer.number, records)))
+        return peer.number
+
+    def _welcome(self, link: Hashable, peer: Peer) -> None:
+        proxies = self.proxies
+        others = sorted(proxies - {peer.ip})
+        drawn = self._random.sample(others, min(NEIGHBOURS, len(others)))
+        self._out.append((link, Welcome(self._name, self._controllers, len(proxies), tuple(drawn))))
+
+    def _configure(self, now: float, link: Hashable, peer: Peer) -> None:
+        """The one place where configurations are handed out."""
+        if max(peer.revision, peer.sent) >= self.revision:
+            return
+        if now >= peer.due or (self.is_primary and peer.slot >= 0):
+            peer.sent = self.revision
+            self._out.append((link, ConfigPush(self.revision, self.document)))
--- /dev/null
+++ b/cranebank/control/registry.py
@@ -0,0 +1,195 @@
+"""Which backends there are, as their heartbeats and leaves tell: the core, free of I/O.
+
+Every controller takes heartbeats; ``membership.backends`` says which of two records holds, so no agreement is needed.
+What a restarted controller lost is rebuilt from the records of proxies and of the other controllers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from cranebank.membership.backends import differs, newer
+from cranebank.transport.messages import Backend
+
+KEPT_S = 60.0  # how long ends and losses are remembered
+KEPT_MOST = 20_000
+REJOIN_S = 2.5  # after a time without most other controllers: until their news of who was heard has come again
+
+
+class BadHeartbeat(Exception):
+    """A heartbeat that can't be read; ``code``, ``key`` and ``expected`` say why."""
+
+    def __init__(self, key: str, expected: str) -> None:
+        super().__init__(f"{key}: expected {expected}")
+        self.code, self.key, self.expected = "heartbeat", key, expected
+
+
+class Heartbeat(msgspec.Struct):
+    """The body of a heartbeat; fields that aren't known are skipped."""
+
+    target: str
+    address: str
+    phase: str
+    call_seq: int
+    zone: str = ""
+    stage: str = ""
+    capacity: float = 1
+    cold_left_ms: float = 0
+    models: list[Any] = []
+
+
+_decoder = msgspec.json.Decoder(Heartbeat, strict=False)
+
+
+def read_heartbeat(backend_id: str, body: bytes) -> Backend:
+    """The record that a heartbeat tells. Raises BadHeartbeat."""
+    try:
+        beat = _decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadHeartbeat("body", str(error)) from None
+    if beat.phase not in {"ready", "draining"}:
+        raise BadHeartbeat("phase", "ready or draining")
+    host, _, port = beat.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise BadHeartbeat("address", "IP:PORT")
+    models = tuple(str(model.get("name", "")) if isinstance(model, dict) else str(model) for model in beat.models)
+    return Backend(backend_id, beat.target, beat.address, beat.zone, beat.stage, max(1, int(beat.capacity)),
+                   beat.phase, beat.call_seq, max(0, int(beat.cold_left_ms)), models)
+
+
+class Registry:
+    """All records, who was heard when, and what is news for others. Times are a steady clock's seconds."""
+
+    def __init__(self, now: float, beat_s: float) -> None:
+        self._lost_after = 3.5 * beat_s + 1
+        self._quiet_until = now + 3 * beat_s + 1  # nothing expires before
+        self._young_until = self._quiet_until
+        self._in_touch = True
+        self.records: dict[str, Backend] = {}
+        self._heard: dict[str, float] = {}  # by any controller
+        self._own: dict[str, float] = {}  # by this one, since it last told the others
+        self._ended: dict[str, float] = {}  # when gone or lost, in order
+        self._at: dict[str, str] = {}  # address: id of who was last said to have it
+        self._news: dict[str, Backend] = {}
+
+    def heartbeat(self, now: float, backend_id: str, body: bytes) -> Backend:
+        """Take a heartbeat; the record that now holds. Raises BadHeartbeat."""
+        record = read_heartbeat(backend_id, body)
+        old = self.records.get(backend_id)
+        if old is None or record.call_seq >= old.call_seq:
+            self._heard[backend_id] = self._own[backend_id] = now
+        before = self._at.get(record.address)
+        if old is None and before is not None and before != backend_id:
+            self._lose(now, before)  # the address has passed to a new incarnation: the old one can't be there
+        self._take(now, record)
+        return self.records[backend_id]
+
+    def leave(self, now: float, backend_id: str) -> Backend | None:
+        """It says that it ends. The record; None if it was never heard of."""
+        old = self.records.get(backend_id)
+        if old is not None and old.phase != "gone":
+            self._take(now, msgspec.structs.replace(old, phase="gone"))
+        return self.records.get(backend_id)
+
+    def merge(self, now: float, records: Iterable[Backend]) -> None:
+        """Records from another controller. What it has older than here, and differently, is told again."""
+        for record in records:
+            old = self.records.get(record.id)
+            if not self._take(now, record) and old is not None and old.phase != record.phase:
+                self._news[old.id] = old
+
+    def greet(self, now: float, records: Iterable[Backend]) -> list[Backend]:
+        """Records from a proxy that has just come. While this controller is young it learns from them; later it knows
+        better, and returns those that nobody vouches for, as lost: for that proxy alone."""
+        stray: list[Backend] = []
+        for record in records:
+            if record.id in self.records or record.phase in {"gone", "lost"} or now < self._young_until:
+                self._take(now, record)
+            else:
+                stray.append(msgspec.structs.replace(
+                    record, phase="gone" if record.phase == "draining" else "lost"))
+        return stray
+
+    def heard(self, now: float, heard: Iterable[tuple[str, int, int]]) -> None:
+        """Another controller heard these: id, call_seq, age in ms."""
+        for backend_id, call_seq, age_ms in heard:
+            old = self.records.get(backend_id)
+            if old is None or call_seq < old.call_seq:
+                continue
+            self._heard[backend_id] = max(self._heard.get(backend_id, 0.0), now - age_ms / 1000)
+            if call_seq > old.call_seq and old.phase in {"ready", "draining"}:
+                self.records[backend_id] = msgspec.structs.replace(old, call_seq=call_seq)
+
+    def take_heard(self, now: float) -> tuple[tuple[str, int, int], ...]:
+        """Who was heard here since last asked, for the other controllers."""
+        told = tuple((backend_id, self.records[backend_id].call_seq, max(0, int((now - at) * 1000)))
+                     for backend_id, at in self._own.items() if backend_id in self.records)
+        self._own.clear()
+        return told
+
+    def expire(self, now: float, in_touch: bool = True) -> list[Backend]:
+        """Records whose heartbeats ceased, now lost. Nothing expires while this controller is out of touch with most
+        of the others (``in_touch`` is false): who beats may be heard by them."""
+        if in_touch and not self._in_touch:
+            self._quiet_until = max(self._quiet_until, now + REJOIN_S)
+        self._in_touch = in_touch
+        found: list[Backend] = []
+        if in_touch and now >= self._quiet_until:
+            for backend_id, at in list(self._heard.items()):
+                if now - at > self._lost_after and self._lose(now, backend_id):
+                    found.append(self.records[backend_id])
+        self._forget(now)
+        return found
+
+    def changes(self) -> tuple[Backend, ...]:
+        """The records that are news since last asked."""
+        news = tuple(self._news.values())
+        self._news.clear()
+        return news
+
+    def everything(self) -> tuple[Backend, ...]:
+        """All records, ends of the last minute too."""
+        return tuple(self.records.values())
+
+    def _lose(self, now: float, backend_id: str) -> bool:
+        old = self.records.get(backend_id)
+        if old is None or old.phase not in {"ready", "draining"}:
+            return False
+        phase = "gone" if old.phase == "draining" else "lost"  # a drain is never taken back
+        return self._take(now, msgspec.structs.replace(old, phase=phase))
+
+    def _take(self, now: float, record: Backend) -> bool:
+        """The one function that changes a record."""
+        old = self.records.get(record.id)
+        if not newer(old, record):
+            return False
+        if old is not None and record.call_seq < old.call_seq:
+            record = msgspec.structs.replace(record, call_seq=old.call_seq)
+        self.records[record.id] = record
+        if differs(old, record):
+            self._news[record.id] = record
+        if record.phase in {"gone", "lost"}:
+            self._heard.pop(record.id, None)
+            self._own.pop(record.id, None)
+            if old is None or old.phase != record.phase:
+                self._ended.pop(record.id, None)
+                self._ended[record.id] = now
+            if self._at.get(record.address) == record.id:
+                del self._at[record.address]
+        else:
+            self._ended.pop(record.id, None)
+            self._heard.setdefault(record.id, now)
+            self._at[record.address] = record.id
+        return True
+
+    def _forget(self, now: float) -> None:
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if len(self._ended) <= KEPT_MOST and now - self._ended[oldest] < KEPT_S:
+                return
+            del self._ended[oldest]
+            self.records.pop(oldest, None)
+            self._news.pop(oldest, None)
--- /dev/null
+++ b/cranebank/control/web.py
@@ -0,0 +1,352 @@
+"""A small HTTP/1.1 server for the calls of backends and operators, on asyncio and httptools.
+
+Calls are declared in one table (``operator_api.py``). A connection serves one request at a time; heads, bodies and the
+time that either may take are bounded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import httptools
+import msgspec
+from loguru import logger
+
+HEAD_BYTES = 16 << 10
+IDLE_S = 60.0
+READ_S = 20.0  # for a whole request
+MOST_CONNECTIONS = 1500
+LINGER_S = 1.0  # how long what follows a refused head is read and dropped
+
+_REASONS = {200: "OK", 307: "Temporary Redirect", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+            408: "Request Timeout", 412: "Precondition Failed", 413: "Content Too Large",
+            431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class Request(msgspec.Struct):
+    """A call, read in full. ``argument`` is what stood for ``{id}`` in the path."""
+
+    method: str
+    path: str
+    argument: str
+    headers: dict[bytes, bytes]  # names in lower case
+    body: bytes
+
+
+class Response(msgspec.Struct, frozen=True):
+    """An answer; its body is JSON unless said otherwise."""
+
+    status: int
+    body: bytes = b"{}"
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = "application/json"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """The body of an answer that isn't a success."""
+
+    code: str
+    key: str = ""
+    expected: str = ""
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A row of the table of calls."""
+
+    method: str
+    path: str  # may end with {id}
+    body_bytes: int
+    handler: Handler
+
+
+def refusal(status: int, code: str, key: str = "", expected: str = "", *,
+            headers: tuple[tuple[str, str], ...] = ()) -> Response:
+    """An answer that says what was wrong."""
+    return Response(status, msgspec.json.encode(Fault(code, key, expected)), headers)
+
+
+class Table:
+    """The calls, by path and method."""
+
+    def __init__(self, calls: Iterable[Call]) -> None:
+        self._fixed: dict[str, dict[str, Call]] = {}
+        self._open: list[tuple[str, dict[str, Call]]] = []
+        for call in calls:
+            if call.path.endswith("{id}"):
+                prefix = call.path.removesuffix("{id}")
+                methods = next((found for known, found in self._open if known == prefix), None)
+                if methods is None:
+                    methods = {}
+                    self._open.append((prefix, methods))
+                methods[call.method] = call
+            else:
+                self._fixed.setdefault(call.path, {})[call.method] = call
+
+    def find(self, method: str, path: str) -> tuple[Call, str] | Response:
+        """The call and its argument, or the refusal."""
+        argument = ""
+        methods = self._fixed.get(path)
+        if methods is None:
+            for prefix, known in self._open:
+                argument = path[len(prefix):]
+                if path.startswith(prefix) and re.fullmatch(r"[^/]{1,200}", argument):
+                    methods = known
+                    break
+            else:
+                return refusal(404, "unknown_call", "path", "a call of this API")
+        call = methods.get(method)
+        if call is None:
+            allowed = ", ".join(methods)
+            return refusal(405, "method", "method", allowed, headers=(("Allow", allowed),))
+        return call, argument
+
+
+class Connection(asyncio.Protocol):
+    """One client. States: reading a request, answering it, closing."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = None
+        self._url, self._method, self._path, self._argument = b"", "", "", ""
+        self._headers: dict[bytes, bytes] = {}
+        self._body = bytearray()
+        self._head_bytes, self._head_done = 0, False
+        self._call: Call | None = None
+        self._keep, self._closing_after = True, False
+        self._task: asyncio.Task[None] | None = None
+        self._held = bytearray()  # bytes of the next request that came while one is answered
+        self._closing = False
+        self.since = 0.0  # when the present request began, or the connection fell idle
+        self.in_request = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client came."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._begin()
+        self._server.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client went; a call that is under way runs to its end."""
+        self._transport = None
+        self._server.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of requests."""
+        if self._closing:
+            return
+        if self._task is not None:
+            self._held += data
+            if len(self._held) > HEAD_BYTES and self._transport is not None:
+                self._transport.pause_reading()
+            return
+        if not self.in_request:
+            self.in_request, self.since = True, self._server.now()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(refusal(400, "upgrade", "Upgrade", "plain HTTP/1.1"))
+            return
+        except httptools.HttpParserCallbackError:
+            logger.opt(exception=True).error("a callback of the parser")
+            self.abort()
+            return
+        except httptools.HttpParserError as error:
+            self._refuse(refusal(400, "unreadable", "", f"HTTP/1.1: {error}"))
+            return
+        if not self._head_done and self._task is None:
+            self._head_bytes += len(data)
+            if self._head_bytes > HEAD_BYTES:
+                self._refuse(refusal(431, "head", "", f"{HEAD_BYTES} bytes at most"))
+
+    def eof_received(self) -> bool:
+        """The client sends no more; an answer under way is still written."""
+        self._closing_after = True
+        return self._task is not None
+
+    def abort(self) -> None:
+        """End it now."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def end_when_idle(self) -> None:
+        """Close if nothing is under way; else the answer under way is the last."""
+        if self._task is None and not self.in_request and not self._closing:
+            self._close()
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether a call is under way."""
+        return self._task is not None
+
+    # What httptools calls.
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the request's target."""
+        self._url += url
+        self._head_bytes += len(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head."""
+        self._head_bytes += len(name) + len(value) + 4
+        self._headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        """The head is whole: what is to be refused is refused before its body comes."""
+        self._head_done = True
+        if self._head_bytes > HEAD_BYTES:
+            self._refuse(refusal(431, "head", "", f"{HEAD_BYTES} bytes at most"))
+            return
+        self._method = self._parser.get_method().decode("latin-1")
+        self._path = self._url.partition(b"?")[0].decode("latin-1")
+        found = self._server.table.find(self._method, self._path)
+        if isinstance(found, Response):
+            self._refuse(found)
+            return
+        self._call, self._argument = found
+        length = self._headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self._call.body_bytes:
+            self._refuse(refusal(413, "body", "", f"{self._call.body_bytes} bytes at most"))
+        elif self._headers.get(b"expect", b"").lower() == b"100-continue" and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        if self._closing or self._call is None:
+            return
+        self._body += body
+        if len(self._body) > self._call.body_bytes:
+            self._refuse(refusal(413, "body", "", f"{self._call.body_bytes} bytes at most"))
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        if self._closing or self._call is None:
+            return
+        if self._task is not None:  # a second request in the same bytes: one at a time
+            self._closing_after = True
+            return
+        request = Request(self._method, self._path, self._argument, self._headers, bytes(self._body))
+        self._keep = bool(self._parser.should_keep_alive())
+        self._body, self._headers = bytearray(), {}
+        self._task = asyncio.get_running_loop().create_task(self._answer(self._call, request))
+
+    def _begin(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self._url, self._method, self._path, self._argument = b"", "", "", ""
+        self._headers = {}
+        self._body = bytearray()
+        self._head_bytes, self._head_done = 0, False
+        self._call = None
+        self._keep, self._closing_after = True, False
+        self.in_request, self.since = False, self._server.now()
+
+    async def _answer(self, call: Call, request: Request) -> None:
+        try:
+            response = await call.handler(request)
+        except Exception:
+            logger.opt(exception=True).error("{} {}", request.method, request.path)
+            response = refusal(500, "internal")
+        keep = self._keep and not self._closing_after and not self._server.is_stopping
+        self._write(response, keep)  # nothing is awaited between the handler's last look and this
+        self._task = None
+        if not keep:
+            self._close()
+            return
+        self._begin()
+        if self._transport is not None:
+            self._transport.resume_reading()
+        if self._held:
+            held, self._held = bytes(self._held), bytearray()
+            self.data_received(held)
+
+    def _write(self, response: Response, keep: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        lines = [f"HTTP/1.1 {response.status} {_REASONS.get(response.status, 'Other')}",
+                 f"Content-Type: {response.content_type}", f"Content-Length: {len(response.body)}",
+                 *(f"{name}: {value}" for name, value in response.headers)]
+        if not keep:
+            lines.append("Connection: close")
+        self._transport.write("\r\n".join((*lines, "", "")).encode("latin-1") + response.body)
+
+    def _refuse(self, response: Response) -> None:
+        """Answer now and close; what still comes is read and dropped for a while, so that the answer isn't lost."""
+        if self._closing:
+            return
+        self._closing = True
+        self._body = bytearray()
+        self._write(response, False)
+        if self._transport is not None:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_S, self._close)
+
+    def _close(self) -> None:
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+
+class Server:
+    """The listening end and its connections."""
+
+    def __init__(self, calls: Iterable[Call], now: Callable[[], float]) -> None:
+        self.table, self.now = Table(calls), now
+        self.is_stopping = False
+        self._connections: set[Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self), ip, port, reuse_address=True, backlog=512)
+
+    @property
+    def port(self) -> int:
+        """The port listened on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def opened(self, connection: Connection) -> None:
+        """A client came; beyond the bound the longest idle one gives way."""
+        if len(self._connections) >= MOST_CONNECTIONS:
+            idle = [known for known in self._connections if not known.is_answering]
+            (min(idle, key=lambda known: known.since) if idle else connection).abort()
+        self._connections.add(connection)
+
+    def closed(self, connection: Connection) -> None:
+        """A client went."""
+        self._connections.discard(connection)
+
+    def sweep(self) -> None:
+        """Close those that were idle, or at one request, for too long."""
+        now = self.now()
+        for connection in list(self._connections):
+            if not connection.is_answering and now - connection.since > (READ_S if connection.in_request else IDLE_S):
+                connection.abort()
+
+    def stop(self) -> None:
+        """Take no new connections; calls under way are answered, and their connections closed."""
+        self.is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.end_when_idle()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is under way."""
+        return not any(connection.is_answering or connection.in_request for connection in self._connections)
+
+    def abort(self) -> None:
+        """End all connections."""
+        for connection in list(self._connections):
+            connection.abort()
--- /dev/null
+++ b/cranebank/programs/control.py
@@ -0,0 +1,496 @@
+"""The control program, thin: it puts custody, registry, delivery, links, disk and HTTP server together.
+
+All decisions are in cores free of I/O; here events are handed to them and what they ask for is done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from random import Random, SystemRandom
+from typing import Any, Protocol
+
+import msgspec
+from loguru import logger
+
+from cranebank.control import events
+from cranebank.control.delivery import Delivery, Mark
+from cranebank.control.epochs import ip_of
+from cranebank.control.operator_api import WRITE_S, OperatorApi
+from cranebank.control.registry import Registry
+from cranebank.control.web import Server
+from cranebank.programs import ring as ring_module
+from cranebank.programs.settings import NodeSettings, SettingsError, load
+from cranebank.storage.records import StorageError
+from cranebank.transport.links import Dialer, Link, listen
+from cranebank.transport.messages import (
+    ConfigAck,
+    ConfigPush,
+    Custodial,
+    Hello,
+    Message,
+    Pulse,
+    PushAck,
+    RegistrySync,
+    Welcome,
+)
+
+TICK_S = 0.05
+DISK_RETRY_S = 0.3
+REGISTRY_S = 0.5
+SYNC_S = 1.0
+ALONE_S = 1.0  # without any other controller for so long, the settings file is read again
+RETIRE_S = 1.0
+FINISH_S = 2.0
+TAKEN = 256  # configurations whose calls are still known when they are sent again
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(events.AnyMessage).decode
+
+
+class Keeper(Protocol):
+    """The custody's core."""
+
+    @property
+    def current(self) -> tuple[int, bytes, bytes] | None:
+        """The committed configuration."""
+
+    def handle(self, now: float, event: events.Event) -> list[events.Action]:
+        """What to do after an event."""
+
+    def holds(self, now: float) -> bool:
+        """Whether this is the primary, by a lease that still runs."""
+
+    def status(self, now: float) -> events.Status:
+        """Who is primary, and the rest."""
+
+    def known_ips(self) -> set[str]:
+        """All controllers that it knows of."""
+
+
+class Storage(Protocol):
+    """Where the custody's state is kept."""
+
+    async def put(self, values: Mapping[str, bytes]) -> None:
+        """Keep values; they last when this returns. Raises DiskRefused."""
+
+    async def close(self) -> None:
+        """No more is put."""
+
+
+class NoDisk:
+    """Where there is no disk."""
+
+    async def put(self, values: Mapping[str, bytes]) -> None:
+        """Nothing lasts."""
+
+    async def close(self) -> None:
+        """Nothing to do."""
+
+
+class Controller:
+    """One control process: owner of its links, and the plane of its API."""
+
+    def __init__(self, settings: NodeSettings, make_keeper: Callable[[float, Random], Keeper], storage: Storage,
+                 random: Random, reload: Callable[[], NodeSettings]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._settings, self._storage, self._reload = settings, storage, reload
+        self._life = random.getrandbits(48)
+        now = self.now()
+        self._keeper = make_keeper(now, random)
+        self.registry = Registry(now, settings.beat_ms / 1000)
+        self._delivery = Delivery(settings.node_name, random)
+        self._api = Server(OperatorApi(self).calls(), self.now)
+        self._dialers: dict[str, Dialer] = {}
+        self._dialled: dict[str, Link] = {}  # to controllers, by IP
+        self._accepted: dict[str, Link] = {}  # from controllers, by IP
+        self._writes: dict[int, asyncio.Future[events.Result]] = {}
+        self._requests = 0
+        self._taken: OrderedDict[int, bytes] = OrderedDict()
+        self._endings: dict[str, Mark] = {}
+        self._touched = now  # when another controller was last linked
+        self._reloaded = now
+        self._synced = 0.0
+        self._is_retiring = False
+        self._timers: list[asyncio.TimerHandle] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._links: asyncio.Server | None = None
+        if self._keeper.current is not None:
+            self._commit(*self._keeper.current)
+
+    async def start(self) -> None:
+        """Listen and dial."""
+        self._links = await listen(self, self._settings.ip, self._settings.link_port)
+        self._tick()
+        self._registry_tick()
+        ip, _, port = self._settings.binds.get(
+            "control_addr", f"{self._settings.ip}:{self._settings.control_port}").rpartition(":")
+        await self._api.start(ip, int(port))
+
+    async def stop(self) -> None:
+        """Hand over, finish the calls under way, and end."""
+        self._is_retiring = True
+        self._feed(events.Retire())
+        await self._until(lambda: not self.holds() and self.primary() not in {None, self._settings.ip}, RETIRE_S)
+        self._api.stop()
+        await self._until(lambda: self._api.is_idle, FINISH_S)
+        for timer in self._timers:
+            timer.cancel()
+        if self._links is not None:
+            self._links.close()
+        for dialer in self._dialers.values():
+            dialer.stop()
+        for link in {*self._dialled.values(), *self._accepted.values(), *self._delivery.peers}:
+            if isinstance(link, Link):
+                link.close()
+        self._api.abort()
+        await self._storage.close()
+        await asyncio.sleep(0)
+
+    async def _until(self, condition: Callable[[], bool], seconds: float) -> None:
+        end = self.now() + seconds
+        while not condition() and self.now() < end:
+            await asyncio.sleep(0.02)
+
+    def reload(self) -> None:
+        """Read the settings file again: its seeds are where other controllers are to be found."""
+        self._reloaded = self.now()
+        try:
+            self._settings = self._reload()
+        except SettingsError as error:
+            logger.warning("{}", error)
+            return
+        self._dial()
+
+    # The plane of the API.
+
+    def now(self) -> float:
+        """The steady clock."""
+        return self._loop.time()
+
+    def holds(self) -> bool:
+        """Whether this is the primary, by a lease that still runs."""
+        return self._keeper.holds(self.now())
+
+    def primary(self) -> str | None:
+        """IP of the primary, if one is known."""
+        return self._keeper.status(self.now()).primary_ip or None
+
+    def own_ip(self) -> str:
+        """This controller's IP."""
+        return self._settings.ip
+
+    def control_port(self) -> int:
+        """The port of all controllers."""
+        return self._settings.control_port
+
+    def current(self) -> tuple[int, bytes, bytes] | None:
+        """The committed configuration."""
+        return self._keeper.current
+
+    def taken(self) -> Mapping[int, bytes]:
+        """Digests of the configurations lately committed, by revision."""
+        return self._taken
+
+    async def write(self, base: int, revision: int, document: bytes, digest: bytes) -> events.Result:
+        """Hand a write to the custody and wait for its result."""
+        self._requests += 1
+        request = self._requests
+        future: asyncio.Future[events.Result] = self._loop.create_future()
+        self._writes[request] = future
+        try:
+            self._feed(events.Write(request, base, revision, document, digest))
+            async with asyncio.timeout(WRITE_S):
+                return await future
+        except TimeoutError:
+            return events.Unknown()
+        finally:
+            self._writes.pop(request, None)
+
+    def await_revision(self, revision: int) -> Mark:
+        """The mark of the linked proxies' having a revision in force."""
+        return self._delivery.await_revision(revision)
+
+    def ending(self, backend_id: str) -> Mark | None:
+        """The open mark of a backend's drain or end."""
+        return self._endings.get(backend_id)
+
+    async def reached(self, mark: Mark, seconds: float) -> None:
+        """Wait for a mark, no longer than this."""
+        if mark.done:
+            return
+        future: asyncio.Future[None] = self._loop.create_future()
+        before = mark.on_done
+
+        def done() -> None:
+            if before is not None:
+                before()
+            if not future.done():
+                future.set_result(None)
+
+        mark.on_done = done
+        try:
+            async with asyncio.timeout(seconds):
+                await future
+        except TimeoutError:
+            logger.info("{} proxies have not acknowledged in {} s", mark.missing, seconds)
+
+    def spread(self) -> None:
+        """Tell proxies and controllers what is news in the registry."""
+        news = self.registry.changes()
+        if not news:
+            return
+        mark = self._delivery.tell(news)
+        for record in news:
+            if record.phase in {"draining", "gone"} and not mark.done:
+                self._endings[record.id] = mark
+        self._flush()
+        self._tell_controllers(RegistrySync(news))
+
+    def overview(self) -> dict[str, Any]:
+        """The state, for people."""
+        now = self.now()
+        status = self._keeper.status(now)
+        return {
+            "node": self._settings.node_name, "is_primary": self.holds(), "primary": status.primary_ip,
+            "epoch": status.epoch, "members": status.members, "copies": status.copies,
+            "controllers": sorted(self._known()), "revision": self._delivery.revision,
+            "backends": [{"id": record.id, "target": record.target, "address": record.address, "phase": record.phase}
+                         for record in self.registry.everything()],
+            "proxies": [{"name": peer.name, "ip": peer.ip, "revision": peer.revision,
+                         "lag": peer.number - peer.acknowledged}
+                        for peer in self._delivery.peers.values() if peer.slot >= 0],
+        }
+
+    # Links.
+
+    def link_up(self, link: Link) -> None:
+        """A connection stands; whoever dialled says Hello."""
+        link.revision = lambda: self._delivery.revision
+        if link.dialled:
+            self._dialled[link.peer] = link
+            link.send(Hello(self._settings.node_name, "controller", self._settings.ip, self._settings.zone,
+                            self._life, self._delivery.revision))
+            link.send(RegistrySync(self.registry.everything()))
+
+    def link_down(self, link: Link) -> None:
+        """A connection is over."""
+        self._delivery.leave(link)
+        for links in (self._dialled, self._accepted):
+            if links.get(link.peer) is link:
+                del links[link.peer]
+                if self._link_to(link.peer) is None:
+                    self._feed(events.LinkDown(link.peer))
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """A message came."""
+        now = self.now()
+        match message:
+            case Custodial(body):
+                try:
+                    inner = _decode(body)
+                except msgspec.MsgspecError as error:
+                    logger.warning("link to {}: {}", link.peer, error)
+                    link.close()
+                    return
+                self._feed(events.Received(link.peer, inner))
+            case PushAck(number):
+                self._delivery.acknowledged(link, number)
+            case Pulse(revision) | ConfigAck(revision):
+                self._delivery.shown(link, revision)
+            case RegistrySync(backends, heard):
+                self.registry.merge(now, backends)
+                self.registry.heard(now, heard)
+                self.spread()
+            case ConfigPush(revision, document):
+                self._adopt(now, revision, document)
+            case Hello():
+                self._greet(now, link, message)
+            case _:
+                pass
+        self._flush()
+
+    def _greet(self, now: float, link: Link, hello: Hello) -> None:
+        is_proxy = hello.role != "controller"
+        stray = self.registry.greet(now, hello.backends) if is_proxy else []
+        if is_proxy:
+            self.spread()
+        older = self._delivery.join(now, link, hello.name, link.peer, is_proxy, hello.revision,
+                                    (*self.registry.everything(), *stray))
+        if isinstance(older, Link):
+            older.close()
+        if is_proxy:
+            return
+        self._accepted[link.peer] = link
+        link.send(RegistrySync(self.registry.everything()))
+        link.send(Welcome(self._settings.node_name, tuple(sorted(self._known())), len(self._delivery.proxies)))
+        self._dial()
+
+    def _known(self) -> set[str]:
+        return {self._settings.ip, *self._settings.seed_ips, *self._keeper.known_ips(), *self._accepted}
+
+    def _dial(self) -> None:
+        known = self._known()
+        self._delivery.know_controllers(known)
+        for ip in known - self._dialers.keys() - {self._settings.ip}:
+            self._dialers[ip] = Dialer(self, self._settings.ip, ip, self._settings.link_port)
+        for ip in self._dialers.keys() - known:
+            self._dialers.pop(ip).stop()
+
+    def _link_to(self, ip: str) -> Link | None:
+        for links in (self._dialled, self._accepted):
+            link = links.get(ip)
+            if link is not None and link.up:
+                return link
+        return None
+
+    def _tell_controllers(self, message: Message) -> None:
+        for ip in {*self._dialled, *self._accepted}:
+            link = self._link_to(ip)
+            if link is not None:
+                link.send(message)
+
+    def _flush(self) -> None:
+        for link, message in self._delivery.take():
+            assert isinstance(link, Link)
+            link.send(message)
+
+    # The custody.
+
+    def _feed(self, event: events.Event) -> None:
+        for action in self._keeper.handle(self.now(), event):
+            self._do(action)
+
+    def _do(self, action: events.Action) -> None:
+        match action:
+            case events.Send(ip, message):
+                link = self._link_to(ip)
+                if link is not None:
+                    link.send(Custodial(_encode(message)))
+            case events.Persist(token, values):
+                task = self._loop.create_task(self._persist(token, values))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            case events.Answer(request, result):
+                future = self._writes.get(request)
+                if future is not None and not future.done():
+                    future.set_result(result)
+            case events.Committed(revision, document, digest):
+                self._commit(revision, document, digest)
+            case events.Became(epoch):
+                logger.info("primary in epoch {}", epoch)
+                self._delivery.become(self.now(), True)
+                self._flush()
+            case events.Ceased():
+                logger.info("no longer primary")
+                self._delivery.become(self.now(), False)
+
+    async def _persist(self, token: int, values: Mapping[str, bytes]) -> None:
+        try:
+            await self._storage.put(values)
+        except StorageError as error:
+            logger.warning("disk: {}", error)
+            self._feed(events.DiskTrouble(token))
+            return
+        self._feed(events.Persisted(token))
+
+    def _commit(self, revision: int, document: bytes, digest: bytes) -> None:
+        self._taken[revision] = digest
+        while len(self._taken) > TAKEN:
+            self._taken.popitem(last=False)
+        self._adopt(self.now(), revision, document)
+        self._flush()
+
+    def _adopt(self, now: float, revision: int, document: bytes) -> None:
+        """A committed configuration, from the custody or from a controller that handed it on."""
+        if self._delivery.committed(now, revision, document):
+            self._tell_controllers(ConfigAck(revision))
+
+    # Time.
+
+    def _tick(self) -> None:
+        self._timers[:1] = [self._loop.call_later(TICK_S, self._tick)]
+        self._feed(events.Tick())
+        self._delivery.tick(self.now())
+        self._flush()
+
+    def _registry_tick(self) -> None:
+        self._timers[1:] = [self._loop.call_later(REGISTRY_S, self._registry_tick)]
+        now = self.now()
+        others = self._known() - {self._settings.ip}
+        if not others or any(self._link_to(ip) is not None for ip in others):
+            self._touched = now
+        elif now - self._touched > ALONE_S and now - self._reloaded > ALONE_S and not self._is_retiring:
+            self.reload()
+        self.registry.expire(now, in_touch=self._sees_most())
+        self.spread()
+        if now - self._synced >= SYNC_S:
+            self._synced = now
+            heard = self.registry.take_heard(now)
+            if heard:
+                self._tell_controllers(RegistrySync((), heard))
+        self._endings = {key: mark for key, mark in self._endings.items() if not mark.done}
+        self._dial()
+        self._api.sweep()
+
+    def _sees_most(self) -> bool:
+        """Whether more than half of the custody's members are linked here."""
+        members = {ip_of(member) for member in self._keeper.status(self.now()).members}
+        seen = sum(ip == self._settings.ip or self._link_to(ip) is not None for ip in members)
+        return not members or 2 * seen > len(members)
+
+
+async def _open(settings: NodeSettings) -> tuple[Mapping[str, bytes], Storage, bool]:
+    """What was read from the disk, the disk, and whether it was damaged; a disk in trouble is tried again."""
+    if settings.data_dir is None:
+        return {}, NoDisk(), False
+    from cranebank.storage.store import Disk, open_store  # noqa: PLC0415
+
+    while True:
+        try:
+            store, damage = open_store(Path(settings.data_dir), "custody")
+        except StorageError as error:
+            logger.error("{}", error)
+            await asyncio.sleep(DISK_RETRY_S)
+            continue
+        if damage is not None:
+            logger.error("{}", damage)
+        return dict(store.values), Disk(store), damage is not None
+
+
+async def make_controller(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> Controller:
+    """A controller with its disk opened."""
+    from cranebank.control.custody import Custody, CustodySettings  # noqa: PLC0415
+
+    stored, storage, is_damaged = await _open(settings)
+
+    def keeper(now: float, random: Random) -> Keeper:
+        made: Keeper = Custody(CustodySettings(
+            settings.ip, settings.seed_ips, settings.is_first_start and not is_damaged, settings.tolerance.machines),
+            stored, random, now)
+        return made
+
+    return Controller(settings, keeper, storage, SystemRandom(), reload)
+
+
+async def run(settings: NodeSettings, ring: ring_module.Ring | None = None) -> int:
+    """Serve control until SIGTERM; the exit code."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    controller = await make_controller(settings, load)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, controller.reload)
+    if ring is not None:
+        loop.add_signal_handler(signal.SIGUSR1, ring.dump)
+        loop.set_exception_handler(ring.uncaught_in_loop)
+    await controller.start()
+    gc.collect()
+    gc.freeze()
+    await stopped.wait()
+    await controller.stop()
+    return 0
--- /dev/null
+++ b/tests/lone_keeper.py
@@ -0,0 +1,69 @@
+"""A stand-in for the custody: one replica that is primary from the start, with no copies."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Mapping
+
+from cranebank.control import events
+
+
+class LoneKeeper:
+    """Takes each write at once, after it is on disk; ``leader_ip`` set to another address makes it a follower."""
+
+    def __init__(self, ip: str, stored: Mapping[str, bytes], leader_ip: str | None = None) -> None:
+        self.ip, self.leader_ip = ip, leader_ip or ip
+        self.current: tuple[int, bytes, bytes] | None = None
+        self._pending: dict[int, events.Write] = {}
+        self._tokens = itertools.count(1)
+        self._said = False
+        if "revision" in stored:
+            self.current = int(stored["revision"]), stored["document"], stored["digest"]
+
+    def holds(self, now: float) -> bool:
+        """Whether it leads."""
+        return self.leader_ip == self.ip
+
+    def known_ips(self) -> set[str]:
+        """Itself and the leader."""
+        return {self.ip, self.leader_ip}
+
+    def status(self, now: float) -> events.Status:
+        """How things stand."""
+        leads = self.holds(now)
+        revision = self.current[0] if self.current else 0
+        return events.Status(self.ip, "primary" if leads else "backup", 1, self.leader_ip, self.leader_ip, leads,
+                             (self.ip,), (self.ip,), revision)
+
+    def handle(self, now: float, event: events.Event) -> list[events.Action]:
+        """What to do."""
+        match event:
+            case events.Tick() if self.holds(now) and not self._said:
+                self._said = True
+                return [events.Became(1)]
+            case events.Write():
+                return self._write(event)
+            case events.Persisted(token):
+                return self._persisted(token)
+            case events.Retire():
+                self.leader_ip = ""
+                return [events.Ceased()]
+        return []
+
+    def _write(self, write: events.Write) -> list[events.Action]:
+        at = self.current[0] if self.current else 0
+        if self.current and (at, self.current[2]) == (write.revision, write.digest):
+            return [events.Answer(write.request, events.WriteAccepted())]
+        if self._pending:
+            return [events.Answer(write.request, events.Busy())]
+        if write.base != at:
+            return [events.Answer(write.request, events.Conflict(at))]
+        token = next(self._tokens)
+        self._pending[token] = write
+        return [events.Persist(token, {"revision": str(write.revision).encode(), "document": write.document,
+                                       "digest": write.digest})]
+
+    def _persisted(self, token: int) -> list[events.Action]:
+        write = self._pending.pop(token)
+        self.current = write.revision, write.document, write.digest
+        return [events.Committed(*self.current), events.Answer(write.request, events.WriteAccepted())]
