--- /dev/null
+++ b/tests/test_custody.py
@@ -0,0 +1,391 @@
+"""Stories of the custody on a network without faults of its own: who leads, what a write gets, who is admitted."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+
+import pytest
+
+from cranebank.control import events as ev
+from cranebank.control.custody import Custody, CustodySettings, InvariantBroken, State, Value
+from cranebank.control.epochs import EpochRecord, HeldLease, VoterLease
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+class Group:
+    """Controllers whose messages and disks take a few steps of 5 ms; any can be stopped, cut off or wiped."""
+
+    def __init__(self, ips: tuple[str, ...] = SEEDS, seed: int = 1) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.steps = 0
+        self.nodes: dict[str, Custody] = {}
+        self.disks: dict[str, dict[str, bytes]] = {}
+        self.later: list[tuple[float, str, ev.Event]] = []
+        self.answers: dict[int, ev.Result] = {}
+        self.committed: list[int] = []
+        self.stuck: set[str] = set()
+        self.cut: set[str] = set()
+        self.sent: list[tuple[float, str, str, ev.AnyMessage]] = []
+        for ip in ips:
+            self.start(ip, is_first_start=True)
+
+    def start(self, ip: str, is_first_start: bool = False) -> None:
+        disk = self.disks.setdefault(ip, {})
+        settings = CustodySettings(ip, SEEDS, is_first_start, 1)
+        self.nodes[ip] = Custody(settings, dict(disk), self.random, self.now)
+
+    def stop(self, ip: str, wipe: bool = False) -> None:
+        del self.nodes[ip]
+        self.later = [one for one in self.later if one[1] != ip]
+        if wipe:
+            self.disks[ip] = {}
+
+    def tell(self, ip: str, event: ev.Event) -> None:
+        if ip in self.nodes:
+            self._do(ip, self.nodes[ip].handle(self.now, event))
+
+    def _do(self, ip: str, actions: list[ev.Action]) -> None:
+        for action in actions:
+            if isinstance(action, ev.Send):
+                self.sent.append((self.now, ip, action.ip, action.message))
+                if action.ip in self.nodes and not {ip, action.ip} & self.cut:
+                    self.later.append((self.now + 0.001, action.ip, ev.Received(ip, action.message)))
+            elif isinstance(action, ev.Persist):
+                if ip not in self.stuck:
+                    self.disks[ip].update(action.values)
+                    self.later.append((self.now + 0.005, ip, ev.Persisted(action.token)))
+            elif isinstance(action, ev.Answer):
+                self.answers[action.request] = action.result
+            elif isinstance(action, ev.Committed):
+                self.committed.append(action.revision)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now += 0.001
+            self.steps += 1
+            due = [one for one in self.later if one[0] <= self.now + 1e-9]
+            self.later = [one for one in self.later if one[0] > self.now + 1e-9]
+            for _, ip, event in due:
+                self.tell(ip, event)
+            if self.steps % 50 == 0:
+                for ip in list(self.nodes):
+                    self.tell(ip, ev.Tick())
+
+    @property
+    def primary(self) -> str:
+        holding = [ip for ip, node in self.nodes.items() if node.holds(self.now)]
+        assert len(holding) <= 1
+        return holding[0] if holding else ""
+
+    def write(self, request: int, base: int, revision: int, digest: bytes = b"", ip: str = "") -> None:
+        digest = digest or b"d%d" % revision
+        self.tell(ip or self.primary, ev.Write(request, base, revision, b"doc%d" % revision, digest))
+
+
+def ready(ips: tuple[str, ...] = SEEDS) -> Group:
+    group = Group(ips)
+    group.run(1.0)
+    assert group.primary
+    return group
+
+
+def test_a_first_start_chooses_one_primary_with_a_copy() -> None:
+    group = ready()
+    status = group.nodes[group.primary].status(group.now)
+    assert status.is_primary and len(status.copies) == 2 and status.members == SEEDS
+    assert group.nodes[group.primary].current == (0, b"", b"")
+    assert {node.record for node in group.nodes.values()} == {group.nodes[group.primary].record}
+    assert group.committed == []
+
+
+def test_a_write_is_answered_when_the_copy_has_it_and_its_repeat_is_accepted() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    assert group.answers == {}
+    group.run(0.05)
+    assert group.answers == {1: ev.Accepted()} and group.committed == [3]
+    group.write(2, 0, 3)
+    group.write(3, 0, 3, b"another body")
+    group.write(4, 3, 3, b"another body")
+    group.write(5, 0, 5)
+    assert group.answers[2] == ev.Accepted()
+    assert group.answers[3] == group.answers[4] == group.answers[5] == ev.Conflict(3)
+    record = group.nodes[group.primary].record
+    assert record is not None
+    assert all((b"doc3" in group.disks[ip].get("value", b"")) == (ip in record.copies) for ip in SEEDS)
+
+
+def test_of_two_writes_on_one_base_one_is_accepted_and_others_wait_their_turn() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.write(2, 0, 4)
+    group.write(3, 3, 6)
+    group.run(0.1)
+    assert group.answers == {1: ev.Accepted(), 2: ev.Conflict(3), 3: ev.Accepted()}
+
+
+def test_only_the_primary_takes_writes_and_the_queue_is_bounded() -> None:
+    group = ready()
+    other = next(ip for ip in SEEDS if ip != group.primary)
+    group.write(1, 0, 3, ip=other)
+    assert group.answers[1] == ev.NotPrimary(group.primary)
+    for request in range(2, 100):
+        group.write(request, 0, 3)
+    assert sum(result == ev.Busy() for result in group.answers.values()) == 98 - 65
+    group.run(0.1)
+    assert sum(result == ev.Accepted() for result in group.answers.values()) == 65
+
+
+def test_a_silent_death_is_followed_by_a_takeover_within_the_goal() -> None:
+    for seed in range(20):
+        group = Group(seed=seed)
+        group.run(1.0)
+        group.write(1, 0, 3)
+        group.run(0.05 + seed * 0.013)
+        dead = group.primary
+        group.stop(dead)
+        since = group.now
+        while not (group.primary and group.nodes[group.primary].current):
+            group.run(0.01)
+            assert group.now - since < 1.6
+        assert group.nodes[group.primary].current == (3, b"doc3", b"d3")
+        record = group.nodes[group.primary].record
+        assert record is not None and dead not in record.copies and len(record.copies) == 2
+
+
+def test_a_retiring_primary_is_followed_at_once_and_does_not_stand_again() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    old = group.primary
+    group.tell(old, ev.Retire())
+    assert not group.primary
+    group.run(0.3)
+    assert group.primary not in ("", old)
+    assert group.nodes[group.primary].current == (3, b"doc3", b"d3")
+
+
+def test_a_witness_does_not_take_over_while_no_copy_is_there() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    record = group.nodes[group.primary].record
+    assert record is not None
+    for ip in record.copies:
+        group.stop(ip)
+    group.run(5.0)
+    assert not group.primary
+    group.start(record.copies[0])
+    group.run(2.0)
+    assert group.primary == record.copies[0]
+
+
+def test_all_killed_at_once_are_back_within_two_seconds() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    for ip in SEEDS:
+        group.stop(ip)
+    for ip in SEEDS:
+        group.start(ip)
+    group.run(0.5)
+    assert group.primary and group.nodes[group.primary].current == (3, b"doc3", b"d3")
+
+
+def test_a_restarted_voter_waits_out_what_it_may_have_granted() -> None:
+    group = ready()
+    voter = next(ip for ip in SEEDS if ip != group.primary)
+    group.stop(voter)
+    group.start(voter)
+    node = group.nodes[voter]
+    assert node.state is State.WAITING and node.record is not None
+    third = next(ip for ip in SEEDS if ip not in (voter, group.primary))
+    actions = node.handle(group.now, ev.Received(third, ev.Prepare(third, node.record, (99, third))))
+    assert any(isinstance(one, ev.Send) and isinstance(one.message, ev.Refused) for one in actions)
+
+
+def test_a_wiped_replica_comes_back_as_a_new_one_in_place_of_the_old() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    wiped = next(ip for ip in SEEDS if ip != group.primary)
+    group.stop(wiped, wipe=True)
+    group.run(0.3)
+    group.start(wiped)
+    assert group.nodes[wiped].state is State.OUTSIDER
+    group.run(2.0)
+    record = group.nodes[group.primary].record
+    assert record is not None and wiped not in record.members and len(record.members) == 3
+    assert group.nodes[wiped].id in record.members and group.nodes[wiped].state is State.FOLLOWER
+
+
+def test_a_wiped_primary_loses_nothing() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    wiped = group.primary
+    group.stop(wiped, wipe=True)
+    group.start(wiped)
+    group.run(3.0)
+    record = group.nodes[group.primary].record
+    assert group.nodes[group.primary].current == (3, b"doc3", b"d3")
+    assert record is not None and group.nodes[wiped].id in record.members and len(record.members) == 3
+
+
+def test_a_replica_at_another_address_replaces_a_silent_one_or_is_added() -> None:
+    group = ready()
+    gone = next(ip for ip in SEEDS if ip != group.primary)
+    group.start("10.0.0.9")
+    group.run(1.0)
+    record = group.nodes[group.primary].record
+    assert record is not None and len(record.members) == 4
+    group.stop(gone)
+    group.run(4.5)
+    record = group.nodes[group.primary].record
+    assert record is not None and len(record.members) == 3 and gone not in record.members
+    gone = next(ip for ip in record.members if ip_of_primary(group) != ip)
+    group.stop(gone)
+    group.run(1.5)
+    group.start("10.0.0.10")
+    group.run(1.5)
+    record = group.nodes[group.primary].record
+    assert record is not None and len(record.members) == 3 and gone not in record.members
+    assert any(member.startswith("10.0.0.10/") for member in record.members)
+
+
+def ip_of_primary(group: Group) -> str:
+    return group.nodes[group.primary].id
+
+
+def test_a_removed_id_never_counts_again() -> None:
+    group = ready()
+    gone = next(ip for ip in SEEDS if ip != group.primary)
+    group.cut.add(gone)
+    group.run(1.5)
+    group.start("10.0.0.9")
+    group.run(1.0)
+    record = group.nodes[group.primary].record
+    assert record is not None and gone not in record.members
+    group.cut.clear()
+    group.run(1.5)
+    assert group.nodes[gone].id != gone
+    record = group.nodes[group.primary].record
+    assert record is not None and gone not in record.members and group.nodes[gone].id in record.members
+
+
+def test_a_write_outlives_the_loss_of_its_copy() -> None:
+    group = ready()
+    record = group.nodes[group.primary].record
+    assert record is not None
+    copy = next(ip for ip in record.copies if ip != group.primary)
+    group.stop(copy)
+    group.write(1, 0, 3)
+    group.run(0.3)
+    assert 1 not in group.answers
+    group.run(1.0)
+    assert group.answers == {1: ev.Accepted()}
+    after = group.nodes[group.primary].record
+    assert after is not None and copy not in after.copies and len(after.copies) == 2
+
+
+def test_a_broken_link_to_the_copy_is_made_good_sooner() -> None:
+    group = ready()
+    record = group.nodes[group.primary].record
+    assert record is not None
+    copy = next(ip for ip in record.copies if ip != group.primary)
+    group.stop(copy)
+    group.tell(group.primary, ev.LinkDown(copy))
+    group.write(1, 0, 3)
+    group.run(0.1)
+    assert group.answers == {1: ev.Accepted()}
+
+
+def test_a_write_that_cannot_finish_is_answered_unknown_and_the_next_primary_decides() -> None:
+    group = ready()
+    old = group.primary
+    others = [ip for ip in SEEDS if ip != old]
+    group.write(1, 0, 3)
+    group.cut |= set(others)
+    group.run(0.01)
+    assert group.answers == {}
+    group.run(2.0)
+    assert group.answers == {1: ev.Unknown()} and not group.primary
+    group.cut = set()
+    group.run(2.0)
+    current = group.nodes[group.primary].current
+    assert current is not None and current[0] in (0, 3)
+
+
+def test_a_stuck_disk_takes_the_primary_out() -> None:
+    group = ready()
+    old = group.primary
+    group.stuck.add(old)
+    group.write(1, 0, 3)
+    group.run(1.5)
+    assert group.primary not in ("", old)
+    group.stuck.clear()
+    for token in list(group.nodes[old]._waiting):
+        group.tell(old, ev.DiskTrouble(token))
+    group.run(1.0)
+    assert not group.nodes[old]._waiting and group.primary not in ("", old)
+
+
+def test_a_big_value_is_not_sent_again_within_a_second() -> None:
+    group = ready()
+    record = group.nodes[group.primary].record
+    assert record is not None
+    for ip in SEEDS:
+        if ip != group.primary:
+            group.stuck.add(ip)
+    group.write(1, 0, 3)
+    group.run(3.0)
+    times: dict[str, list[float]] = {}
+    for at, _, ip, message in group.sent:
+        if isinstance(message, ev.Store) and message.revision == 3:
+            times.setdefault(ip, []).append(at)
+    assert times and all(b - a >= 1.0 for sent in times.values() for a, b in pairwise(sent))
+
+
+def test_a_store_of_a_past_primary_is_refused() -> None:
+    group = ready()
+    group.write(1, 0, 3)
+    group.run(0.05)
+    old = group.primary
+    before = group.nodes[old].record
+    assert before is not None
+    group.tell(old, ev.Retire())
+    group.run(0.5)
+    copy = group.nodes[group.primary]
+    copy.handle(group.now, ev.Received(old, ev.Store(old, before, 9, b"late", b"late")))
+    assert copy.status(group.now).revision == 3
+
+
+def test_a_lease_counts_from_the_ask_and_less_the_margin() -> None:
+    lease = HeldLease(1.2, 0.1)
+    number = lease.ask(5.0)
+    lease.granted("a", number, 5.4)
+    assert lease.until("abc") == float("-inf")
+    lease.granted("b", number, 5.5)
+    assert lease.until("abc") == pytest.approx(6.1)
+    lease.granted("x", number, 5.5)
+    assert lease.until("axy") == pytest.approx(6.1) and lease.until("ayz") == float("-inf")
+
+
+def test_a_late_ask_of_a_released_term_binds_nobody() -> None:
+    lease = VoterLease(0.0)
+    assert lease.grant("a", 4, 2.0) and lease.refuses(1.0, "b", "a") and not lease.refuses(1.0, "a", "a")
+    assert lease.release(4) and not lease.refuses(1.0, "b", "a")
+    assert not lease.grant("a", 4, 3.0) and not lease.refuses(1.0, "b", "a")
+
+
+def test_a_broken_invariant_has_a_type() -> None:
+    group = ready()
+    node = group.nodes[group.primary]
+    node._acceptor.chosen = EpochRecord(9, 9, "nobody", (), SEEDS)
+    with pytest.raises(InvariantBroken):
+        node._check()
+    assert Value(1, 9, b"", b"").age < Value(2, 1, b"", b"").age
