--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -177,7 +177,7 @@
         except InvalidConfiguration as error:
             return refusal(400, error.code, error.key, error.expected)
         match await self._plane.write(base, found.revision, found.document, digest):
-            case events.WriteAccepted():
+            case events.Accepted():
                 return await self._in_force(request, found.revision)
             case events.Conflict(current=revision):
                 if self._was_taken(found.revision, digest):
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -14,6 +14,7 @@
 from cranebank.dataplane.front import Readiness
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.membership.fleet import FleetLinks
+from cranebank.programs.ring import Ring
 from cranebank.programs.settings import NodeSettings, SettingsError, load
 from cranebank.transport.messages import Backend, Hello
 
@@ -120,6 +121,10 @@
     return await asyncio.get_running_loop().create_server(protocol, host, int(port), backlog=1024, reuse_address=True)
 
 
-async def run(settings: NodeSettings) -> int:
-    """Run one proxy."""
+async def run(settings: NodeSettings, ring: Ring | None = None) -> int:
+    """Run one proxy until SIGTERM; the exit code."""
+    if ring is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, ring.dump)
+        loop.set_exception_handler(ring.uncaught_in_loop)
     return await Edge(settings).run()
--- a/tests/lone_keeper.py
+++ b/tests/lone_keeper.py
@@ -53,7 +53,7 @@
     def _write(self, write: events.Write) -> list[events.Action]:
         at = self.current[0] if self.current else 0
         if self.current and (at, self.current[2]) == (write.revision, write.digest):
-            return [events.Answer(write.request, events.WriteAccepted())]
+            return [events.Answer(write.request, events.Accepted())]
         if self._pending:
             return [events.Answer(write.request, events.Busy())]
         if write.base != at:
@@ -66,4 +66,4 @@
     def _persisted(self, token: int) -> list[events.Action]:
         write = self._pending.pop(token)
         self.current = write.revision, write.document, write.digest
-        return [events.Committed(*self.current), events.Answer(write.request, events.WriteAccepted())]
+        return [events.Committed(*self.current), events.Answer(write.request, events.Accepted())]
