--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -9,6 +9,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from typing import cast
 
 import httptools
 import msgspec
@@ -81,7 +82,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER)
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -380,7 +381,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The platform has connected."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
--- a/cranebank/dataplane/legs.py
+++ b/cranebank/dataplane/legs.py
@@ -10,7 +10,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 import httptools
 
@@ -90,7 +90,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """It is up."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
         self.transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
