Pair: long prompts are read at their home alone, and never where tokens are made

Cause of the late: decode backends read long prompts in small pieces between tokens (pickup-query p99 942 ms), and half of the shared tokens were read again at another backend. Ruled out: full backends (nothing was rejected but prefill answers).

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -24,6 +24,7 @@
 HANDLE_MARGIN_S = 0.5  # of a handle's life that is not relied on
 SILENT_READ = 4.0  # a reading is given up after so many times its estimate, and a start
 SILENT_START_S = 0.4
+SILENT_MAKE_S, SILENT_GOALS = 0.9, 3.0  # a second copy goes out after so long, or so many goals, without a head
 SILENT_STREAM_S = 0.6  # a stream that may be resumed is given up after so long without an event
 RETRY_AFTER_S = 0.1
 UNSENT = 4  # calls that never left us, for one request
@@ -293,8 +294,7 @@
         self._arrivals += 1
         silent = None
         if self._route.repeatable and self._attempts < self._route.tries:
-            estimate = self._shared.chooser.pace(self._service, "decode").estimate(tokens) / 1e3
-            silent = max(SILENT_START_S + SILENT_READ * estimate, self._route.goal_ms / 1e3)
+            silent = max(SILENT_MAKE_S, SILENT_GOALS * self._route.goal_ms / 1e3)
         self._send(now, maker, tokens, False, tuple(headers), silent)
 
     def _may_repeat(self, now: float) -> bool:
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -1,9 +1,10 @@
 """The choice of a pair: who reads the prompt and who makes the tokens.
 
 At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
-probability beta = sqrt(n log n / b), ties at random, else the first draw. A long shared prompt has homes, the same for
-all proxies (rendezvous hashing): they are its ready list as long as one of them is well. The figure is an estimate in
-milliseconds of what a call costs there: what is to be read, behind what this proxy has out there, the move.
+probability beta = sqrt(n log n / b), ties at random, else the first draw. Who keeps a long shared prompt is ready to
+read it, and nobody else: its home, the same for all proxies (rendezvous hashing), joined by the next one while the home
+has so much to read that reading it anew is sooner done. The figure is an estimate in milliseconds of what a call costs
+there: what is to be read, behind what this proxy has out there, the move.
 """
 
 from __future__ import annotations
@@ -20,8 +21,7 @@
 from cranebank.dataplane.routes import Engine
 from cranebank.decisions.balance import beta
 
-HOMES = 2  # of a long shared prompt at each stage
-MOVE_COST = 8.0  # a move is priced: it counts as so many times its time on the link
+ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
 LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
 SAFE = 0.6  # part of the goal for which an estimate may be relied on
 RATE_S = 2.0  # seconds over which the rate of calls is averaged
@@ -113,11 +113,12 @@
         calls = (rate.at(now) if rate else 0.0) * self.proxies * min(age, RATE_S)
         return min(1.0, beta(len(listed), calls))
 
-    def homes(self, listed: list[Seen], key: str) -> list[Seen]:
-        """The first few of the list for a key, in the same order at every proxy."""
+    def homes(self, listed: list[Seen], key: str, shared: int) -> list[Seen]:
+        """Who is ready to read a prompt with a long shared part of so many tokens: in the same order at every proxy."""
         if len(listed) <= 1:
             return listed
-        return sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:HOMES]
+        ranked = sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:2]
+        return ranked if ranked[0].tokens > ranked[1].tokens + shared else ranked[:1]
 
     def _hash(self, key: str, backend: str) -> bytes:
         found = self._hashes.get((key, backend))
@@ -140,11 +141,11 @@
         listed = self._candidates.ready(now, service, "prefill", without)
         if not listed:
             return None
+        pace = self.pace(service, "prefill")
         if prompt.home_key:
-            listed = self.homes(listed, prompt.home_key)
+            listed = self.homes(listed, prompt.home_key, prompt.shared_tokens)
         first, second = self._draw(listed)
         blend = self.blend(now, service, "prefill", listed, (first, second))
-        pace = self.pace(service, "prefill")
 
         def figure(seen: Seen) -> tuple[float, int]:
             tokens = max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
@@ -161,11 +162,9 @@
         listed = self._candidates.ready(now, service, "decode", without)
         if not listed:
             return None
-        if prompt.home_key:
-            listed = self.homes(listed, prompt.home_key)
         first, second = self._draw(listed)
         blend = self.blend(now, service, "decode", listed, (first, second))
-        reading = self.reader(now, service, prompt, without) if prompt.tokens else None
+        reading = self.reader(now, service, prompt, without) if prompt.tokens > ALONE else None
         plan = self._plan(first, reading, service, engine, prompt, goal_ms, blend)
         if second is not first:
             other = self._plan(second, reading, service, engine, prompt, goal_ms, blend)
@@ -179,16 +178,12 @@
         pace = self.pace(service, "decode")
         ahead = pace.token * maker.tokens + maker.calls
         tokens = max(1, prompt.tokens - self._cache.kept(maker.backend.id, prompt.parts))
-        alone = self._cost(pace.estimate(tokens) + ahead, goal_ms)
-        if reading is None:
-            return Plan(maker, None, tokens, alone, blend)
+        if reading is None or tokens <= ALONE:
+            return Plan(maker, None, tokens, self._cost(pace.estimate(tokens) + ahead, goal_ms), blend)
         reader, read_ms, read_tokens = reading
         far = 1.0 if reader.backend.zone == maker.backend.zone else 2.0
         move = far * prompt.tokens * engine.token_bytes * 8 / max(1.0, engine.link_mbps) / 1e3
-        split = self._cost(read_ms + pace.start + move + ahead, goal_ms) + MOVE_COST * move
-        if split < alone:
-            return Plan(maker, reader, read_tokens, split, blend)
-        return Plan(maker, None, tokens, alone, blend)
+        return Plan(maker, reader, read_tokens, self._cost(read_ms + pace.start + move + ahead, goal_ms), blend)
 
     @staticmethod
     def _cost(time: float, goal_ms: float) -> float:
--- a/cranebank/dataplane/prompt.py
+++ b/cranebank/dataplane/prompt.py
@@ -19,10 +19,15 @@
         """The parts that other requests may have too."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the shared parts."""
+        return sum(size for _, size in self.shared)
+
     @property
     def home_key(self) -> str:
         """The id of the deepest shared part where the shared ones are long, else nothing."""
-        return self.parts[-2][0] if sum(size for _, size in self.shared) >= SHARED_LONG else ""
+        return self.parts[-2][0] if self.shared_tokens >= SHARED_LONG else ""
 
 
 def read(headers: dict[str, str]) -> Prompt:
