--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -16,7 +16,7 @@
 
 BACKUP_S = 0.3  # how long others than the primary wait for its push to show
 CONTROLLER_S = 0.5  # how long a controller has to learn of a configuration through the custody
-WELCOME_S = 0.5  # shortest time between two rounds of Welcome
+WELCOME_S = 0.5  # how long changes are gathered for one round of Welcome
 NEIGHBOURS = 8
 
 
@@ -80,7 +80,7 @@
         self._out: list[tuple[Hashable, Message]] = []
         self._controllers: tuple[str, ...] = ()
         self._stale_welcome = False
-        self._welcome_at = 0.0
+        self._stale_since: float | None = None
         self.revision, self.document = 0, b""
         self.is_primary = False
 
@@ -190,8 +190,10 @@
         """Time passes."""
         for link, peer in self.peers.items():
             self._configure(now, link, peer)
-        if self._stale_welcome and now - self._welcome_at >= WELCOME_S:
-            self._stale_welcome, self._welcome_at = False, now
+        if self._stale_welcome and self._stale_since is None:
+            self._stale_since = now
+        if self._stale_since is not None and now - self._stale_since >= WELCOME_S:
+            self._stale_welcome, self._stale_since = False, None
             for link, peer in self.peers.items():
                 if peer.slot >= 0:
                     self._welcome(link, peer)
--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -28,7 +28,7 @@
 
 CONFIGURATION_BYTES = 9 << 20
 BEAT_BYTES = 64 << 10
-WRITE_S = 3.0  # the custody answers by itself before
+WRITE_S = 4.0  # the custody answers by itself before
 FORCE_S = 0.4  # how long a 200 waits for the proxies
 DRAIN_S = 0.6  # how long the acknowledgement of a drain or an end does
 RETRY_S = "0.2"
@@ -49,10 +49,7 @@
         """Whether this is the primary, by a lease that still runs."""
 
     def primary(self) -> str | None:
-        """IP of the primary, if one is known."""
-
-    def own_ip(self) -> str:
-        """This controller's IP."""
+        """IP of the primary, if it is another controller within reach."""
 
     def control_port(self) -> int:
         """The port of all controllers."""
@@ -145,7 +142,7 @@
 
     def _elsewhere(self, request: Request) -> Response:
         primary = self._plane.primary()
-        if primary is None or primary == self._plane.own_ip():
+        if primary is None:
             return refusal(503, "no_primary", headers=_RETRY)
         place = f"http://{primary}:{self._plane.control_port()}{request.path}"
         return refusal(307, "not_primary", headers=(("Location", place),))
@@ -177,7 +174,7 @@
         except InvalidConfiguration as error:
             return refusal(400, error.code, error.key, error.expected)
         match await self._plane.write(base, found.revision, found.document, digest):
-            case events.WriteAccepted():
+            case events.Accepted():
                 return await self._in_force(request, found.revision)
             case events.Conflict(current=revision):
                 if self._was_taken(found.revision, digest):
--- a/cranebank/control/web.py
+++ b/cranebank/control/web.py
@@ -9,7 +9,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from typing import Any, cast
 
 import httptools
 import msgspec
@@ -128,7 +128,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client came."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
         self._transport = transport
         self._begin()
         self._server.opened(self)
--- a/cranebank/programs/__main__.py
+++ b/cranebank/programs/__main__.py
@@ -27,7 +27,7 @@
     ring = ring_module.install(settings.node_name)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         if role == "edge":
-            from cranebank.programs import edge  # type: ignore[attr-defined,unused-ignore]  # noqa: PLC0415
+            from cranebank.programs import edge  # noqa: PLC0415
 
             return int(runner.run(edge.run(settings, ring)))
         from cranebank.programs import control  # noqa: PLC0415
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from cranebank.control import events
+from cranebank.control.custody import Custody, CustodySettings, InvariantBroken
 from cranebank.control.delivery import Delivery, Mark
 from cranebank.control.epochs import ip_of
 from cranebank.control.operator_api import WRITE_S, OperatorApi
@@ -116,6 +117,7 @@
         self._reloaded = now
         self._synced = 0.0
         self._is_retiring = False
+        self.broken = asyncio.Event()  # the custody found its own state wrong
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._links: asyncio.Server | None = None
@@ -133,9 +135,11 @@
 
     async def stop(self) -> None:
         """Hand over, finish the calls under way, and end."""
+        if self._is_retiring:
+            return
         self._is_retiring = True
         self._feed(events.Retire())
-        await self._until(lambda: not self.holds() and self.primary() not in {None, self._settings.ip}, RETIRE_S)
+        await self._until(self._has_successor, RETIRE_S)
         self._api.stop()
         await self._until(lambda: self._api.is_idle, FINISH_S)
         for timer in self._timers:
@@ -151,6 +155,9 @@
         await self._storage.close()
         await asyncio.sleep(0)
 
+    def _has_successor(self) -> bool:
+        return not self.holds() and self._keeper.status(self.now()).primary_ip not in {"", self._settings.ip}
+
     async def _until(self, condition: Callable[[], bool], seconds: float) -> None:
         end = self.now() + seconds
         while not condition() and self.now() < end:
@@ -174,15 +181,12 @@
 
     def holds(self) -> bool:
         """Whether this is the primary, by a lease that still runs."""
-        return self._keeper.holds(self.now())
+        return not self.broken.is_set() and self._keeper.holds(self.now())
 
     def primary(self) -> str | None:
-        """IP of the primary, if one is known."""
-        return self._keeper.status(self.now()).primary_ip or None
-
-    def own_ip(self) -> str:
-        """This controller's IP."""
-        return self._settings.ip
+        """IP of the primary, if it is another controller within reach: the custody names also one that is dead."""
+        found = self._keeper.status(self.now()).primary_ip
+        return found if found and found != self._settings.ip and self._link_to(found) is not None else None
 
     def control_port(self) -> int:
         """The port of all controllers."""
@@ -362,7 +366,15 @@
     # The custody.
 
     def _feed(self, event: events.Event) -> None:
-        for action in self._keeper.handle(self.now(), event):
+        if self.broken.is_set():
+            return
+        try:
+            actions = self._keeper.handle(self.now(), event)
+        except InvariantBroken as error:  # better no replica than one that is wrong: it comes back from its disk
+            logger.opt(exception=True).critical("custody: {}", error)
+            self.broken.set()
+            return
+        for action in actions:
             self._do(action)
 
     def _do(self, action: events.Action) -> None:
@@ -464,8 +476,6 @@
 
 async def make_controller(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> Controller:
     """A controller with its disk opened."""
-    from cranebank.control.custody import Custody, CustodySettings  # noqa: PLC0415
-
     stored, storage, is_damaged = await _open(settings)
 
     def keeper(now: float, random: Random) -> Keeper:
@@ -491,6 +501,9 @@
     await controller.start()
     gc.collect()
     gc.freeze()
-    await stopped.wait()
+    ends = [loop.create_task(event.wait()) for event in (stopped, controller.broken)]
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    for end in ends:
+        end.cancel()
     await controller.stop()
-    return 0
+    return int(controller.broken.is_set())
--- a/cranebank/transport/links.py
+++ b/cranebank/transport/links.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 from loguru import logger
 
@@ -50,7 +50,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection stands."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
         self._transport, self.up = transport, True
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/lone_keeper.py
+++ b/tests/lone_keeper.py
@@ -46,14 +46,14 @@
             case events.Persisted(token):
                 return self._persisted(token)
             case events.Retire():
-                self.leader_ip = ""
+                self.leader_ip = "127.0.0.250"  # somebody else takes over at once
                 return [events.Ceased()]
         return []
 
     def _write(self, write: events.Write) -> list[events.Action]:
         at = self.current[0] if self.current else 0
         if self.current and (at, self.current[2]) == (write.revision, write.digest):
-            return [events.Answer(write.request, events.WriteAccepted())]
+            return [events.Answer(write.request, events.Accepted())]
         if self._pending:
             return [events.Answer(write.request, events.Busy())]
         if write.base != at:
@@ -66,4 +66,4 @@
     def _persisted(self, token: int) -> list[events.Action]:
         write = self._pending.pop(token)
         self.current = write.revision, write.document, write.digest
-        return [events.Committed(*self.current), events.Answer(write.request, events.WriteAccepted())]
+        return [events.Committed(*self.current), events.Answer(write.request, events.Accepted())]
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,170 @@
+"""Reading, checking and amending of the operator's configurations."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranebank.control.configuration import InvalidConfiguration, amend, check, digest_of, revision_of
+
+Document = dict[str, Any]
+
+
+def route(name: str = "r-1", **changes: Any) -> Document:
+    """A route as the operator's page shows it."""
+    return {"name": name, "hostname": f"{name}.example", "path_prefix": "/a/", "variant": "streaming",
+            "timeout_ms": 3000, "goal_ms": 300, "rank": 0, "target": "s-1", "tries": 2, **changes}
+
+
+def document(**changes: Any) -> Document:
+    """A small whole configuration."""
+    split = route("r-2", branches=[{"target": "s-1", "share": 90}, {"target": "s-2", "share": 10}])
+    del split["target"]
+    return {"revision": 7, "routes": [route(), split], "services": [{"name": "s-1"}, {"name": "s-2"}],
+            "limits": {"header_bytes": 16384}, **changes}
+
+
+def body(value: object) -> bytes:
+    """As it is sent."""
+    return json.dumps(value).encode()
+
+
+def broken(change: Callable[[Document], object]) -> bytes:
+    """A configuration with one thing wrong."""
+    value = document()
+    change(value)
+    return body(value)
+
+
+@pytest.mark.parametrize(("sent", "code", "key"), [
+    (body(document())[:-9], "unreadable", ""),
+    (b"[]", "unreadable", ""),
+    (b'{"revision": 7, "routes": [\xff]}', "unreadable", ""),
+    (broken(lambda d: d.pop("routes")), "missing", "routes"),
+    (broken(lambda d: d.pop("services")), "missing", "services"),
+    (broken(lambda d: d.pop("revision")), "missing", "revision"),
+    (broken(lambda d: d.update(routes={})), "shape", "routes"),
+    (broken(lambda d: d.update(revision="8")), "revision", "revision"),
+    (broken(lambda d: d.update(revision=8.5)), "revision", "revision"),
+    (broken(lambda d: d.update(revision=True)), "revision", "revision"),
+    (broken(lambda d: d.update(revision=5)), "revision", "revision"),
+    (broken(lambda d: d.update(revision=4)), "revision", "revision"),
+    (broken(lambda d: d["routes"][0].update(target="s-9")), "unknown_service", "routes[0].target"),
+    (broken(lambda d: d["routes"][1]["branches"][1].update(target="s-9")), "unknown_service",
+     "routes[1].branches[1].target"),
+    (broken(lambda d: d["routes"][1]["branches"].clear()), "no_share", "routes[1].branches"),
+    (broken(lambda d: [b.update(share=0) for b in d["routes"][1]["branches"]]), "no_share", "routes[1].branches"),
+    (broken(lambda d: d["routes"][1]["branches"][0].update(share=-1)), "share", "routes[1].branches[0].share"),
+    (broken(lambda d: d["routes"][1].pop("branches")), "missing", "routes[1].target"),
+    (broken(lambda d: d["routes"][1].update(hostname="R-1.example")), "route_twice", "routes[1].path_prefix"),
+    (broken(lambda d: d["routes"][0].update(timeout_ms=0)), "timeout_ms", "routes[0].timeout_ms"),
+    (broken(lambda d: d["routes"][0].update(timeout_ms=-5)), "timeout_ms", "routes[0].timeout_ms"),
+    (broken(lambda d: d["routes"][0].update(timeout_ms="3000")), "timeout_ms", "routes[0].timeout_ms"),
+    (broken(lambda d: d["routes"][0].update(timeout_ms=None)), "timeout_ms", "routes[0].timeout_ms"),
+    (broken(lambda d: d["routes"][0].update(name=3)), "name", "routes[0].name"),
+    (broken(lambda d: d["routes"][1].update(name="r-1")), "name_twice", "routes[1].name"),
+    (broken(lambda d: d["services"][1].update(name="s-1")), "name_twice", "services[1].name"),
+    (broken(lambda d: d["services"][1].pop("name")), "missing", "services[1].name"),
+    (broken(lambda d: d["routes"][0].update(path_prefix="a/")), "path_prefix", "routes[0].path_prefix"),
+    (broken(lambda d: d["routes"][0].update(path_prefix="/a")), "path_prefix", "routes[0].path_prefix"),
+    (broken(lambda d: d["routes"][0].pop("path_prefix")), "missing", "routes[0].path_prefix"),
+    (broken(lambda d: d["routes"][0].pop("hostname")), "missing", "routes[0].hostname"),
+])
+def test_invalid(sent: bytes, code: str, key: str) -> None:
+    """Each kind of unusable configuration is refused, and the refusal names the key."""
+    with pytest.raises(InvalidConfiguration) as caught:
+        check(sent, 5)
+    assert (caught.value.code, caught.value.key) == (code, key)
+    assert caught.value.expected
+
+
+def test_what_was_sent_is_kept() -> None:
+    """Fields that aren't known are kept, wherever they stand; the bytes are the operator's own."""
+    value = document(walls=[{"name": "w"}], note=1.5)
+    value["routes"][0]["later"] = {"deep": [1, None, "ü"]}
+    found = check(body(value), 5)
+    assert found.revision == 7
+    assert json.loads(found.document) == value
+
+
+def test_a_route_of_root_and_equal_prefixes_of_two_hosts() -> None:
+    """A slash alone begins and ends with one; a prefix belongs to its host."""
+    check(body(document(routes=[route("a", path_prefix="/"), route("b", path_prefix="/")])), 0)
+
+
+def test_amend() -> None:
+    """Items are replaced where they stand, added at the end, removed by name; the rest stays as it was."""
+    before = document(walls=[{"name": "w", "x": 1}])
+    changed, added = route("r-1", timeout_ms=9), route("r-3")
+    found = amend(body(before), body({
+        "revision": 9, "upsert": {"routes": [added, changed], "keys": [{"name": "k"}]},
+        "remove": {"routes": ["r-2", "r-none"], "services": ["s-2"]}}))
+    assert found.revision == 9
+    assert json.loads(found.document) == {
+        "revision": 9, "routes": [changed, added], "services": [{"name": "s-1"}], "limits": {"header_bytes": 16384},
+        "walls": [{"name": "w", "x": 1}], "keys": [{"name": "k"}]}
+
+
+@pytest.mark.parametrize(("sent", "code"), [
+    ({"revision": 7}, "revision"),
+    ({"revision": 9, "remove": {"services": ["s-1"]}}, "unknown_service"),
+    ({"revision": 9, "upsert": {"routes": [route("r-3", hostname="r-1.example")]}}, "route_twice"),
+    ({"revision": 9, "upsert": {"routes": [{"hostname": "x"}]}}, "missing"),
+    ({"revision": 9, "upsert": {"routes": {"name": "x"}}}, "shape"),
+    ({"revision": 9, "upsert": {"limits": [{"name": "x"}]}}, "shape"),
+    ({"revision": 9, "remove": {"routes": [3]}}, "name"),
+    ({"upsert": {}}, "missing"),
+])
+def test_invalid_amendments(sent: Document, code: str) -> None:
+    """What results is checked as a whole."""
+    with pytest.raises(InvalidConfiguration) as caught:
+        amend(body(document()), body(sent))
+    assert caught.value.code == code
+
+
+def test_many_routes() -> None:
+    """Hundreds of routes at once, whole and amended."""
+    routes = [route(f"r-{number}") for number in range(400)]
+    whole = check(body(document(routes=routes)), 0)
+    grown = amend(whole.document, body({"revision": 8, "upsert": {"routes": [route(f"n-{i}") for i in range(400)]}}))
+    assert len(json.loads(grown.document)["routes"]) == 800
+
+
+def test_calls_sent_again_are_known() -> None:
+    """The same call has the same digest; another body, base or kind of call has not."""
+    sent = body(document())
+    assert digest_of("Replace", 5, sent) == digest_of("Replace", 5, bytes(sent))
+    others = {digest_of("Replace", 5, sent), digest_of("Replace", 6, sent), digest_of("Amend", 5, sent),
+              digest_of("Replace", 5, sent + b" ")}
+    assert len(others) == 4
+    assert (revision_of(sent), revision_of(b"{"), revision_of(b'{"revision": "x"}')) == (7, 0, 0)
+
+
+JSON = st.recursive(st.none() | st.booleans() | st.integers(-2**53, 2**53) | st.text(max_size=5)
+                    | st.floats(allow_nan=False, allow_infinity=False),
+                    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+                    max_leaves=8)
+
+
+@given(JSON, JSON, st.integers(8, 2**40))
+def test_amended_documents_keep_unknown_fields(extra: object, deep: object, revision: int) -> None:
+    """Whatever stands in fields that aren't known comes through an amendment unchanged."""
+    before = document(**{"x-extra": extra})
+    before["routes"][0]["x-deep"] = deep
+    found = amend(body(before), body({"revision": revision}))
+    assert json.loads(found.document) == {**before, "revision": revision}
+
+
+@given(st.binary(max_size=60) | JSON.map(body))
+def test_nothing_but_typed_refusals(sent: bytes) -> None:
+    """Whatever comes is taken or refused by type."""
+    for whole in (True, False):
+        try:
+            check(sent, 0) if whole else amend(body(document()), sent)
+        except InvalidConfiguration as error:
+            assert error.code
--- /dev/null
+++ b/tests/test_control_program.py
@@ -0,0 +1,439 @@
+"""The control program over real loopback sockets, with a stand-in for the custody and a real disk."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+import uvloop
+from lone_keeper import LoneKeeper
+from syrupy.assertion import SnapshotAssertion
+from test_configuration import body, document, route
+from test_registry import beat
+
+from cranebank.programs import __main__ as program
+from cranebank.programs.control import Controller, make_controller
+from cranebank.programs.ring import Ring, install
+from cranebank.programs.settings import NodeSettings, Tolerance
+from cranebank.storage.store import Disk, open_store
+from cranebank.transport.frames import Decoder, encode
+from cranebank.transport.messages import (
+    Backend,
+    ConfigAck,
+    ConfigPush,
+    Hello,
+    Message,
+    Pulse,
+    Push,
+    PushAck,
+    Welcome,
+)
+
+ONE, TWO, PROXY = "127.0.11.1", "127.0.11.2", "127.0.11.9"
+REPLACE, AMEND, READ = "/api/Configuration.Replace", "/api/Configuration.Amend", "/api/Configuration.Read"
+LIMIT_S = 10.0
+
+Answer = tuple[int, dict[str, str], bytes]
+
+
+def free_port() -> int:
+    """A port that nobody has at any of the addresses."""
+    with socket.socket() as found:
+        found.bind(("0.0.0.0", 0))
+        return int(found.getsockname()[1])
+
+
+def settings_of(ip: str, ports: tuple[int, int], seeds: tuple[str, ...] = (ONE,)) -> NodeSettings:
+    """Settings of a controller."""
+    link, control = ports
+    return NodeSettings(f"core-{ip}", ip, "z", (link, link + 9), tuple(f"{seed}:{control}" for seed in seeds),
+                        binds={"control_addr": f"{ip}:{control}"}, beat_ms=1200)
+
+
+@asynccontextmanager
+async def controller(folder: Path, ports: tuple[int, int], ip: str = ONE,
+                     leader: str | None = None) -> AsyncIterator[Controller]:
+    """A controller that runs."""
+    settings = settings_of(ip, ports)
+    store, damage = open_store(folder, "custody")
+    assert damage is None
+    made = Controller(settings, lambda now, random: LoneKeeper(ip, store.values, leader), Disk(store), Random(1),
+                      lambda: settings)
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+class Caller:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def call(self, method: str, path: str, sent: bytes = b"", base: int | None = None) -> Answer:
+        """One call on this connection."""
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(sent)}\r\n"
+        if base is not None:
+            head += f"X-Base-Version: {base}\r\n"
+        self.writer.write(head.encode() + b"\r\n" + sent)
+        return await self.answer()
+
+    async def answer(self) -> Answer:
+        """The next answer."""
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:] if line)}
+        return int(lines[0].split()[1]), headers, await self.reader.readexactly(int(headers["content-length"]))
+
+
+@asynccontextmanager
+async def caller(ports: tuple[int, int], ip: str = ONE) -> AsyncIterator[Caller]:
+    """A connection to a controller's API."""
+    found = Caller(*await asyncio.open_connection(ip, ports[1]))
+    try:
+        yield found
+    finally:
+        found.writer.close()
+
+
+class Proxy:
+    """A proxy's end of a link, driven by hand."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer, self._decoder = reader, writer, Decoder()
+        self._messages: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        """Send a message."""
+        self._writer.write(encode(message))
+
+    async def next(self, kind: type[Message]) -> Any:
+        """The next message of a kind; others before it are dropped."""
+        while True:
+            while self._messages:
+                message = self._messages.pop(0)
+                if isinstance(message, kind):
+                    return message
+            data = await self._reader.read(1 << 20)
+            assert data, "the link is over"
+            self._messages += self._decoder.feed(data)
+
+
+@asynccontextmanager
+async def proxy(ports: tuple[int, int], ip: str = ONE, revision: int = 0,
+                records: tuple[Backend, ...] = ()) -> AsyncIterator[Proxy]:
+    """A proxy that has said Hello and been welcomed."""
+    reader, writer = await asyncio.open_connection(ip, ports[0], local_addr=(PROXY, 0))
+    found = Proxy(reader, writer)
+    found.send(Hello("edge-1", "proxy", PROXY, "z", 1, revision, records))
+    await found.next(Welcome)
+    try:
+        yield found
+    finally:
+        writer.close()
+
+
+def play(story: Callable[[tuple[int, int]], Awaitable[None]]) -> None:
+    """Run a story with two free ports."""
+    async def limited() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            await story((free_port(), free_port()))
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:  # as the programs do
+        runner.run(limited())
+
+
+def test_operators(tmp_path: Path, snapshot: SnapshotAssertion) -> None:
+    """A configuration is taken, told again, raced, refused, amended, read back, and still there after a restart."""
+    first = body(document(revision=7))
+    steps: tuple[tuple[str, str, bytes, int | None], ...] = (
+        ("GET", READ, b"", None),
+        ("POST", AMEND, body({"revision": 1}), 0),
+        ("POST", REPLACE, first, 0),
+        ("POST", REPLACE, first, 0),  # the same again
+        ("POST", REPLACE, body(document(revision=8)), 0),  # another one on the same base
+        ("POST", REPLACE, body(document(revision=7)) + b" ", 7),
+        ("POST", REPLACE, first[:-5], 7),
+        ("POST", REPLACE, body(document(revision=9)), None),
+        ("POST", REPLACE, body(document(revision=9, routes=[route(target="none")])), 7),
+        ("POST", AMEND, body({"revision": 9, "remove": {"routes": ["r-2"]}}), 7),
+        ("POST", AMEND, body({"revision": 9, "remove": {"routes": ["r-2"]}}), 7),
+        ("POST", REPLACE, first, 0),  # long taken, and no longer the newest
+        ("GET", REPLACE, b"", None),
+        ("POST", "/api/Servers.Heartbeat/", b"", None),
+        ("POST", "/api/Servers.Heartbeat/i", b"{", None),
+        ("POST", "/api/Servers.Leave/i-1", b"", None),
+    )
+
+    async def story(ports: tuple[int, int]) -> None:
+        answers = []
+        async with controller(tmp_path, ports):
+            for method, path, sent, base in steps:
+                async with caller(ports) as client:
+                    status, headers, answer = await client.call(method, path, sent, base)
+                answers.append((method, path, base, status, headers, answer.decode()))
+            async with caller(ports) as client:
+                status, _, answer = await client.call("GET", READ)
+                assert (status, json.loads(answer)) == (200, document(revision=9, routes=[route()]))
+        async with controller(tmp_path, ports), caller(ports) as client:
+            assert await client.call("GET", READ) == (status, _, answer)
+        assert answers == snapshot
+
+    play(story)
+
+
+def test_a_race_has_one_winner(tmp_path: Path) -> None:
+    """Of two changes on the same base sent at once one is taken; the other is told so, perhaps when it asks again."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), caller(ports) as one, caller(ports) as two:
+            sent = [body(document(revision=7, note=note)) for note in "ab"]
+            answers = await asyncio.gather(one.call("POST", REPLACE, sent[0], 0), two.call("POST", REPLACE, sent[1], 0))
+            statuses = [answer[0] for answer in answers]
+            while 503 in statuses:
+                index = statuses.index(503)
+                statuses[index] = (await (one, two)[index].call("POST", REPLACE, sent[index], 0))[0]
+            assert sorted(statuses) == [200, 412]
+            _, _, answer = await one.call("GET", READ)
+            assert answer == sent[statuses.index(200)]
+
+    play(story)
+
+
+def test_large_configurations(tmp_path: Path) -> None:
+    """Megabytes, and chunked bodies; beyond the bound it's refused."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), caller(ports) as client, caller(ports) as other:
+            large = body(document(revision=7, note="x" * (4 << 20)))
+            client.writer.write(f"POST {REPLACE} HTTP/1.1\r\nX-Base-Version: 0\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                f"{len(large):x}\r\n".encode() + large + b"\r\n0\r\n\r\n")
+            assert (await client.answer())[0] == 200
+            routes = [route(f"r-{number}") for number in range(500)]
+            assert (await client.call("POST", AMEND, body({"revision": 8, "upsert": {"routes": routes}}), 7))[0] == 200
+            assert len(json.loads((await client.call("GET", READ))[2])["routes"]) == 500
+            other.writer.write(f"POST {REPLACE} HTTP/1.1\r\nContent-Length: {10 << 20}\r\n\r\n".encode())
+            assert (await other.answer())[0] == 413
+            assert await other.reader.read() == b""
+
+    play(story)
+
+
+def test_hostile_heads(tmp_path: Path) -> None:
+    """Heads that are too long, or no HTTP, are refused; the connection is closed."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports):
+            for sent, status in ((b"GET /" + b"a" * 20000, 431), (b"GET / HTTP/1.1\r\nA: " + b"b" * 20000, 431),
+                                 (b"\x16\x03\x01", 400),
+                                 (b"POST /api/Servers.Leave/i HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n"
+                                  + b"c" * 0x20000, 413)):
+                async with caller(ports) as client:
+                    client.writer.write(sent)
+                    assert (await client.answer())[0] == status
+                    assert await client.reader.read() == b""
+
+    play(story)
+
+
+def test_kept_connections(tmp_path: Path) -> None:
+    """Calls on one connection come one after another, in whatever pieces; the last may ask to close."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), caller(ports) as client:
+            for number in range(3):
+                assert (await client.call("POST", "/api/Servers.Heartbeat/i-1", beat(number)))[::2] == (200, b"{}")
+            last = beat(9, "draining")
+            whole = (f"POST /api/Servers.Heartbeat/i-1 HTTP/1.1\r\nConnection: close\r\nExpect: 100-continue\r\n"
+                     f"Content-Length: {len(last)}\r\n\r\n").encode() + last
+            for piece in range(0, len(whole), 7):
+                client.writer.write(whole[piece:piece + 7])
+                await client.writer.drain()
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            assert (await client.answer())[0] == 200
+            assert await client.reader.read() == b""
+
+    play(story)
+
+
+def test_a_drain_is_acknowledged_when_proxies_know(tmp_path: Path) -> None:
+    """The answer to the first draining heartbeat, and to a leave, waits for the linked proxies."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), proxy(ports) as edge, caller(ports) as client:
+            assert (await edge.next(Push)).backends == ()
+            assert (await client.call("POST", "/api/Servers.Heartbeat/i-1", beat(1)))[0] == 200
+            told = await edge.next(Push)
+            assert [(record.id, record.phase) for record in told.backends] == [("i-1", "ready")]
+            for path, sent, phase in (("Heartbeat", beat(2, "draining"), "draining"), ("Leave", b"", "gone")):
+                answering = asyncio.create_task(client.call("POST", f"/api/Servers.{path}/i-1", sent))
+                told = await edge.next(Push)
+                assert [record.phase for record in told.backends] == [phase]
+                async with caller(ports) as other:  # other calls aren't held up
+                    assert (await other.call("GET", "/api/System.Status"))[0] == 200
+                assert not answering.done()
+                edge.send(PushAck(told.number))
+                assert (await answering)[0] == 200
+
+    play(story)
+
+
+def test_configurations_reach_proxies(tmp_path: Path) -> None:
+    """A 200 waits for the linked proxies; who comes later, or is behind, is handed the newest."""
+    async def story(ports: tuple[int, int]) -> None:
+        sent = body(document(revision=7))
+        async with controller(tmp_path, ports), proxy(ports) as edge, caller(ports) as client:
+            answering = asyncio.create_task(client.call("POST", REPLACE, sent, 0))
+            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            assert not answering.done()
+            edge.send(ConfigAck(7))
+            assert (await answering)[0] == 200
+            status = json.loads((await client.call("GET", "/api/System.Status"))[2])
+            assert [(peer["name"], peer["revision"]) for peer in status["proxies"]] == [("edge-1", 7)]
+        async with controller(tmp_path, ports), proxy(ports, revision=5) as edge:
+            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+
+    play(story)
+
+
+def test_what_a_controller_lost_is_rebuilt(tmp_path: Path) -> None:
+    """A proxy's Hello tells a controller that has just begun which backends there are."""
+    async def story(ports: tuple[int, int]) -> None:
+        known = (Backend("i-1", "s", "10.0.0.9:80", "z", "", 1, "ready", 3),)
+        async with controller(tmp_path, ports), proxy(ports, records=known) as edge:
+            assert (await edge.next(Push)).backends == known
+
+    play(story)
+
+
+def test_two_controllers(tmp_path: Path) -> None:
+    """One that isn't primary sends operators on, and takes heartbeats for all; so does one that retires."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with (controller(tmp_path / "1", ports), controller(tmp_path / "2", ports, TWO, ONE),
+                    proxy(ports) as edge, caller(ports, TWO) as client):
+            while (answer := await client.call("GET", READ))[0] == 503:  # not linked yet
+                assert answer[1]["retry-after"] == "0.2"
+            for method, path in (("POST", REPLACE), ("POST", AMEND), ("GET", READ)):
+                status, headers, _ = await client.call(method, path, b"", None)
+                assert (status, headers["location"]) == (307, f"http://{ONE}:{ports[1]}{path}")
+            assert (await client.call("POST", "/api/Servers.Heartbeat/i-1", beat(1)))[0] == 200
+            found: list[str] = []
+            while not found:
+                found = [record.id for record in (await edge.next(Push)).backends]
+            assert found == ["i-1"]
+
+    for name in "12":
+        (tmp_path / name).mkdir()
+    play(story)
+
+
+def test_three_controllers_with_the_custody(tmp_path: Path) -> None:
+    """The whole: they find a primary, callers are sent on to it, and when it retires another has what was taken."""
+    ips = (ONE, TWO, "127.0.11.3")
+    sent = body(document(revision=7))
+
+    async def follow(ports: tuple[int, int], ip: str, method: str, path: str, content: bytes) -> tuple[Answer, str]:
+        while True:
+            async with caller(ports, ip) as client:
+                answer = await client.call(method, path, content, 0)
+            if answer[0] == 307:
+                ip = answer[1]["location"].removeprefix("http://").partition(":")[0]
+            elif answer[0] != 503:
+                return answer, ip
+
+    async def story(ports: tuple[int, int]) -> None:
+        planes: dict[str, Controller] = {}
+        for ip in ips:
+            settings = msgspec.structs.replace(settings_of(ip, ports, ips), data_dir=str(tmp_path / ip),
+                                               is_first_start=True, tolerance=Tolerance(machines=1))
+            (tmp_path / ip).mkdir()
+            planes[ip] = await make_controller(settings, lambda settings=settings: settings)  # type: ignore[misc]
+            await planes[ip].start()
+        async with proxy(ports, TWO) as edge:
+            edge.send(Pulse(0))
+            answering = asyncio.create_task(follow(ports, ONE, "POST", REPLACE, sent))
+            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            edge.send(ConfigAck(7))
+            answer, primary = await answering
+            assert answer[0] == 200
+        await planes.pop(primary).stop()
+        answer, successor = await follow(ports, next(iter(planes)), "GET", READ, b"")
+        assert answer[::2] == (200, sent)
+        assert successor != primary
+        for plane in planes.values():
+            await plane.stop()
+
+    play(story)
+
+
+def test_a_committed_configuration_reaches_other_controllers(tmp_path: Path) -> None:
+    """One that isn't primary learns it on its link and hands it to proxies that are behind."""
+    async def story(ports: tuple[int, int]) -> None:
+        sent = body(document(revision=7))
+        async with (controller(tmp_path / "1", ports), controller(tmp_path / "2", ports, TWO, ONE),
+                    proxy(ports, TWO) as edge, caller(ports) as client):
+            assert (await client.call("POST", REPLACE, sent, 0))[0] == 200
+            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+
+    for name in "12":
+        (tmp_path / name).mkdir()
+    play(story)
+
+
+def test_a_retiring_controller_finishes_its_calls(tmp_path: Path) -> None:
+    """A call under way is answered; then it closes."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as plane, proxy(ports) as edge, caller(ports) as client:
+            answering = asyncio.create_task(client.call("POST", "/api/Servers.Heartbeat/i-1", beat(1, "draining")))
+            assert (await edge.next(Push)).backends == ()
+            told = await edge.next(Push)
+            stopping = asyncio.create_task(plane.stop())
+            edge.send(PushAck(told.number))
+            status, _, _ = await answering
+            assert status == 200
+            await stopping
+
+    play(story)
+
+
+def test_the_command_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    """A settings file that can't be used ends the program with 2 and one line that names file, key and expectation."""
+    path = tmp_path / "boot.yaml"
+    monkeypatch.setenv("CRANEBANK_NODE_FILE", str(path))
+    assert program.main(["control"]) == 2
+    assert capsys.readouterr().err.startswith(f"{path}: expected a readable file")
+    path.write_text("node_name: c\nip: 127.0.0.1\nzone: z\nport_range: [7300, 7315]\nseed_addrs: ['nowhere']\n")
+    assert program.main(["control"]) == 2
+    assert capsys.readouterr().err == f"{path}: seed_addrs: expected IP:PORT, got 'nowhere'\n"
+    with pytest.raises(SystemExit) as caught:
+        program.main(["sideways"])
+    assert caught.value.code == 2
+
+
+def test_the_ring(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    """Nothing is written until something goes wrong; then each line once, and no more lines than it holds."""
+    from loguru import logger  # noqa: PLC0415
+
+    monkeypatch.setattr("sys.excepthook", None)
+    ring = install("core-1")
+    try:
+        logger.debug("dropped")
+        logger.info("one")
+        assert capsys.readouterr().err == ""
+        logger.error("two")
+        lines = capsys.readouterr().err.splitlines()
+        assert [line.rpartition(": ")[2] for line in lines] == ["one", "two"]
+        assert all(line.startswith("core-1 ") for line in lines)
+        logger.info("three")
+        ring.uncaught(ValueError, ValueError("four"), None)
+        assert "three" in (told := capsys.readouterr().err)
+        assert "four" in told
+        ring.dump()
+        assert capsys.readouterr().err == ""
+        assert isinstance(ring, Ring)
+    finally:
+        logger.remove()
--- /dev/null
+++ b/tests/test_delivery.py
@@ -0,0 +1,231 @@
+"""Pushes, acknowledgements and configurations on links, without any."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranebank.control.delivery import BACKUP_S, CONTROLLER_S, WELCOME_S, Delivery, Mark
+from cranebank.transport.messages import Backend, ConfigPush, Message, Push, Welcome
+
+
+def backend(name: str, phase: str = "ready") -> Backend:
+    """A record."""
+    return Backend(name, "s", "10.0.0.9:80", "z", "", 1, phase, 1)
+
+
+def made(proxies: int = 0, is_primary: bool = False) -> Delivery:
+    """A delivery with links 0, 1, ... of proxies that have revision 0."""
+    delivery = Delivery("c-1", Random(1))
+    delivery.become(0, is_primary)
+    for number in range(proxies):
+        join(delivery, 0, number)
+    delivery.take()
+    return delivery
+
+
+def join(delivery: Delivery, now: float, number: int, revision: int = 0, link: Hashable = None,
+         records: tuple[Backend, ...] = ()) -> Hashable | None:
+    """A proxy says Hello."""
+    return delivery.join(now, number if link is None else link, f"p-{number}", f"10.0.0.{number}", True, revision,
+                         records)
+
+
+def configured(messages: list[tuple[Hashable, Message]]) -> list[tuple[Hashable, int]]:
+    """The configurations among messages."""
+    return [(link, message.revision) for link, message in messages if isinstance(message, ConfigPush)]
+
+
+def test_first_push_carries_everything() -> None:
+    """Who comes is welcomed and told all; later pushes count on from there, on each link by itself."""
+    delivery = made()
+    delivery.know_controllers({"10.1.0.2", "10.1.0.1"})
+    join(delivery, 0, 1, records=(backend("a"), backend("b", "gone")))
+    assert delivery.take() == [(1, Welcome("c-1", ("10.1.0.1", "10.1.0.2"), 1, ())),
+                               (1, Push(1, (backend("a"), backend("b", "gone"))))]
+    delivery.tell((backend("c"),))
+    join(delivery, 0, 2)
+    delivery.tell((backend("d"),))
+    pushes = [(link, message.number) for link, message in delivery.take() if isinstance(message, Push)]
+    assert pushes == [(1, 2), (2, 1), (1, 3), (2, 2)]
+
+
+def test_a_mark_waits_for_all() -> None:
+    """It is done once every link that was there has acknowledged, or is over; later links don't count."""
+    delivery = made(3)
+    mark = delivery.tell((backend("a", "draining"),))
+    done: list[bool] = []
+    mark.on_done = lambda: done.append(True)
+    join(delivery, 1, 7)
+    delivery.acknowledged(0, 2)
+    delivery.acknowledged(1, 1)  # an earlier push
+    assert (mark.missing, mark.done) == (2, False)
+    delivery.leave(2)
+    assert not done
+    delivery.acknowledged(1, 2)
+    assert mark.done
+    assert done == [True]
+    assert made().tell((backend("a"),)).done
+
+
+def test_a_process_that_comes_again_replaces_its_link() -> None:
+    """A new link of a machine ends the old one for the count; a reused slot isn't taken for the old link."""
+    delivery = made(2)
+    mark = delivery.tell((backend("a", "draining"),))
+    assert join(delivery, 1, 0, link="again") == 0
+    assert mark.missing == 1
+    delivery.acknowledged("again", 9)
+    assert mark.missing == 1
+    assert delivery.proxies == {"10.0.0.0", "10.0.0.1"}
+    delivery.acknowledged(0, 9)
+    delivery.acknowledged(1, 2)
+    assert mark.done
+
+
+def test_a_controller_and_a_proxy_of_one_machine() -> None:
+    """They are two processes; the controller is told of configurations only."""
+    delivery = made(1)
+    assert delivery.join(0, "c", "c-2", "10.0.0.0", False, 0, ()) is None
+    delivery.tell((backend("a"),))
+    assert [link for link, _ in delivery.take()] == [0]
+    assert delivery.proxies == {"10.0.0.0"}
+
+
+def test_the_primary_pushes_at_once() -> None:
+    """To every proxy that is behind, once; other controllers get it where the custody didn't bring it."""
+    delivery = made(2, is_primary=True)
+    delivery.join(0, "c", "c-2", "10.0.1.1", False, 0, ())
+    delivery.join(0, "d", "c-3", "10.0.1.2", False, 0, ())
+    delivery.shown(1, 9)
+    assert delivery.committed(1, 7, b"{}")
+    assert configured(delivery.take()) == [(0, 7)]
+    delivery.shown("d", 7)
+    delivery.tick(1 + CONTROLLER_S)
+    assert configured(delivery.take()) == [("c", 7)]
+    delivery.tick(9)
+    assert configured(delivery.take()) == []
+    join(delivery, 9, 5, revision=3)
+    assert configured(delivery.take()) == [(5, 7)]
+
+
+def test_others_wait_for_the_primary() -> None:
+    """They hand it on only to those that still show an older one a little later."""
+    delivery = made(2)
+    delivery.committed(1, 7, b"{}")
+    delivery.tick(0.9 + BACKUP_S)
+    assert configured(delivery.take()) == []
+    delivery.shown(0, 7)
+    delivery.tick(1 + BACKUP_S)
+    assert configured(delivery.take()) == [(1, 7)]
+    join(delivery, 5, 5)
+    delivery.tick(5)
+    assert configured(delivery.take()) == []
+    delivery.tick(5 + BACKUP_S)
+    assert configured(delivery.take()) == [(5, 7)]
+
+
+def test_a_new_primary_hands_out_what_is_missing() -> None:
+    """Whoever takes over pushes at once to those that are behind."""
+    delivery = made(2)
+    delivery.committed(1, 7, b"{}")
+    delivery.become(1.01, True)
+    assert configured(delivery.take()) == [(0, 7), (1, 7)]
+
+
+def test_nothing_older_is_handed_out() -> None:
+    """What was committed earlier, or learnt late, is not taken."""
+    delivery = made(1, is_primary=True)
+    assert delivery.committed(1, 7, b"7")
+    assert not delivery.committed(2, 7, b"x")
+    assert not delivery.committed(2, 5, b"5")
+    assert configured(delivery.take()) == [(0, 7)]
+    assert delivery.document == b"7"
+
+
+def test_waiting_for_a_revision() -> None:
+    """Done when all linked proxies show it or a later one."""
+    delivery = made(3, is_primary=True)
+    delivery.committed(1, 7, b"{}")
+    mark = delivery.await_revision(7)
+    delivery.shown(0, 7)
+    delivery.shown(1, 6)
+    delivery.shown(2, 9)
+    assert mark.missing == 1
+    delivery.shown(1, 7)
+    assert mark.done
+    assert delivery.await_revision(7).done
+
+
+def test_welcomes_are_few() -> None:
+    """Many changes in a short time make one more round."""
+    delivery = made()
+    for number in range(12):
+        join(delivery, 10, number)
+    assert sum(isinstance(message, Welcome) for _, message in delivery.take()) == 12
+    delivery.tick(10)
+    delivery.tick(10 + WELCOME_S / 2)
+    assert delivery.take() == []
+    delivery.tick(10 + WELCOME_S)
+    rounds = [message for _, message in delivery.take() if isinstance(message, Welcome)]
+    assert len(rounds) == 12
+    assert {message.proxies for message in rounds} == {12}
+    assert all(len(set(message.neighbours)) == 8 for message in rounds)
+    delivery.tick(20)
+    assert delivery.take() == []
+
+
+@given(st.integers(0, 10**6))
+def test_counts_hold_under_random_load(seed: int) -> None:
+    """Numbers rise by one on each link, revisions never fall, and a mark is done exactly when all that it waits for
+    have acknowledged or are gone."""
+    random = Random(seed)
+    delivery = Delivery("c", random)
+    numbers: dict[Hashable, int] = {}
+    revisions: dict[Hashable, int] = {}
+    marks: list[tuple[Mark, dict[Hashable, int]]] = []
+    now, revision, links = 0.0, 0, 0
+    for _ in range(80):
+        now += random.random() / 5
+        link = random.choice(list(numbers)) if numbers else None
+        match random.randrange(7):
+            case 0:
+                links += 1
+                numbers[links], revisions[links] = 0, 0
+                older = join(delivery, now, random.randrange(5), link=links)
+                for waiting in (waits for _, waits in marks):
+                    waiting.pop(older, None)
+                numbers.pop(older, None)
+            case 1 if link is not None and random.random() < 0.5:
+                delivery.leave(link)
+                del numbers[link]
+                for _, waits in marks:
+                    waits.pop(link, None)
+            case 2:
+                mark = delivery.tell((backend(str(random.random())),))
+                marks.append((mark, {known: number + 1 for known, number in numbers.items()}))
+            case 3 if link is not None:
+                number = random.randint(0, numbers[link])
+                delivery.acknowledged(link, number)
+                for _, waits in marks:
+                    if waits.get(link, number + 1) <= number:
+                        del waits[link]
+            case 4:
+                revision += random.randint(-1, 2)
+                delivery.committed(now, revision, b"{}")
+            case 5:
+                delivery.become(now, random.random() < 0.5)
+            case _:
+                delivery.tick(now)
+        for to, message in delivery.take():
+            if to in numbers and isinstance(message, Push):
+                assert message.number == numbers[to] + 1
+                numbers[to] += 1
+            elif isinstance(message, ConfigPush):
+                assert message.revision > revisions[to]
+                revisions[to] = message.revision
+        for mark, waits in marks:
+            assert mark.missing == len(waits)
+            assert mark.done == (not waits)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,222 @@
+"""Heartbeats, leaves, losses and what controllers tell one another."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranebank.control import registry as registry_module
+from cranebank.control.registry import KEPT_S, REJOIN_S, BadHeartbeat, Registry
+from cranebank.transport.messages import Backend
+
+BEAT_S = 1.2
+LOST_S = 3.5 * BEAT_S + 1
+QUIET_S = 3 * BEAT_S + 1
+
+
+def beat(call_seq: int = 1, phase: str = "ready", address: str = "10.0.0.9:80", **changes: Any) -> bytes:
+    """A heartbeat as a backend sends it."""
+    return json.dumps({"target": "s", "address": address, "zone": "z", "revision": "v1", "capacity": 32,
+                       "phase": phase, "cold_left_ms": 0, "stage": "decode",
+                       "models": [{"name": "m", "revision": 1, "loras": []}], "call_seq": call_seq, **changes}).encode()
+
+
+def phases(registry: Registry) -> dict[str, str]:
+    """Phase by id."""
+    return {record.id: record.phase for record in registry.everything()}
+
+
+def test_a_heartbeat_is_news_once() -> None:
+    """The first is news; later ones that tell the same are not; a drain is."""
+    registry = Registry(0, BEAT_S)
+    found = registry.heartbeat(1, "i", beat())
+    assert found == Backend("i", "s", "10.0.0.9:80", "z", "decode", 32, "ready", 1, 0, ("m",))
+    assert registry.changes() == (found,)
+    registry.heartbeat(2, "i", beat(2, cold_left_ms=5))
+    assert registry.changes() == ()
+    registry.heartbeat(3, "i", beat(3, "draining"))
+    assert [record.phase for record in registry.changes()] == ["draining"]
+
+
+def test_an_old_heartbeat_changes_nothing() -> None:
+    """One that was overtaken is taken without effect, also after a drain or an end."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(1, "i", beat(5))
+    registry.heartbeat(1, "i", beat(4, capacity=1))
+    assert registry.records["i"].capacity == 32
+    registry.heartbeat(1, "i", beat(6, "draining"))
+    registry.heartbeat(1, "i", beat(5))
+    registry.heartbeat(1, "i", beat(9))
+    assert phases(registry) == {"i": "draining"}
+    registry.leave(2, "i")
+    registry.heartbeat(2, "i", beat(10))
+    assert phases(registry) == {"i": "gone"}
+    assert registry.leave(2, "never-heard") is None
+
+
+@pytest.mark.parametrize(("sent", "key"), [
+    (b"{", "body"), (b"[]", "body"), (beat(phase="odd"), "phase"), (beat(address="nowhere"), "address"),
+    (json.dumps({"target": "s"}).encode(), "body"), (beat(capacity="many"), "body"), (b"\xff", "body"),
+])
+def test_bad_heartbeats(sent: bytes, key: str) -> None:
+    """What can't be read is refused by type and changes nothing."""
+    registry = Registry(0, BEAT_S)
+    with pytest.raises(BadHeartbeat) as caught:
+        registry.heartbeat(1, "i", sent)
+    assert caught.value.key == key
+    assert not registry.records
+
+
+def test_a_backend_of_a_plain_deployment() -> None:
+    """Stage and models are left out where prompts aren't split from answers."""
+    sent = json.dumps({"target": "s", "address": "1.2.3.4:5", "phase": "ready", "call_seq": 1, "new": 1}).encode()
+    assert Registry(0, 1).heartbeat(1, "i", sent) == Backend("i", "s", "1.2.3.4:5", "", "", 1, "ready", 1)
+
+
+def test_lost_and_found() -> None:
+    """Silence for three and a half beats and a second means lost; a later heartbeat lifts it."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(10, "i", beat(1))
+    assert registry.expire(10 + LOST_S) == []
+    assert [record.phase for record in registry.expire(10.01 + LOST_S)] == ["lost"]
+    assert registry.expire(12 + LOST_S) == []
+    registry.heartbeat(20, "i", beat(2))
+    assert phases(registry) == {"i": "ready"}
+    assert [record.phase for record in registry.changes()] == ["ready"]
+
+
+def test_a_drain_that_falls_silent_is_an_end() -> None:
+    """A drain is never taken back, so what is lost while it drains is gone."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(10, "i", beat(1, "draining"))
+    assert [record.phase for record in registry.expire(20)] == ["gone"]
+
+
+def test_nothing_expires_after_a_start_or_out_of_touch() -> None:
+    """A controller that has just begun, or was cut off from most others, doesn't know who beats elsewhere."""
+    registry = Registry(0, 0.01)
+    registry.heartbeat(0, "i", beat(1))
+    assert registry.expire(1.02) == []
+    assert registry.expire(50, in_touch=False) == []
+    assert registry.expire(51) == []
+    assert registry.expire(50.9 + REJOIN_S) == []
+    assert [record.id for record in registry.expire(51 + REJOIN_S)] == ["i"]
+
+
+def test_a_beat_heard_elsewhere_counts() -> None:
+    """Ages come from whichever controller heard it, in its own time."""
+    here, there = Registry(0, BEAT_S), Registry(100, BEAT_S)
+    here.heartbeat(10, "i", beat(1))
+    there.merge(110, here.changes())
+    there.heartbeat(115, "i", beat(2))
+    told = there.take_heard(115.4)
+    assert told == (("i", 2, 400),)
+    assert there.take_heard(116) == ()
+    here.heard(15.4, told)
+    assert here.records["i"].call_seq == 2
+    assert here.expire(15 + LOST_S) == []
+    assert [record.call_seq for record in here.expire(15.01 + LOST_S)] == [2]
+    here.heard(30, (("i", 1, 0), ("unknown", 1, 0)))
+    assert phases(here) == {"i": "lost"}
+
+
+def test_who_tells_old_news_is_told_better() -> None:
+    """A controller that missed beats calls a backend lost; one that heard them tells everybody again."""
+    here, there = Registry(0, BEAT_S), Registry(0, BEAT_S)
+    here.heartbeat(10, "i", beat(1))
+    there.merge(10, here.changes())
+    for number in range(2, 9):
+        there.heartbeat(10 + number, "i", beat(number))
+    there.changes()
+    here.expire(18)
+    there.merge(18, here.changes())
+    retold = there.changes()
+    assert [(record.phase, record.call_seq) for record in retold] == [("ready", 8)]
+    here.merge(18, retold)
+    assert phases(here) == phases(there) == {"i": "ready"}
+
+
+def test_an_address_taken_by_another() -> None:
+    """A new incarnation at an address ends the claim of the one that was there."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(1, "old", beat(7))
+    registry.heartbeat(2, "new", beat(1))
+    assert phases(registry) == {"old": "lost", "new": "ready"}
+    registry.heartbeat(3, "old", beat(7))
+    assert phases(registry)["old"] == "lost"
+
+
+def test_rebuilt_from_proxies_while_young() -> None:
+    """A controller that has just begun learns from proxies; later it corrects what nobody vouches for."""
+    records = [Backend("a", "s", "1.1.1.1:1", "z", "", 1, "ready", 3),
+               Backend("b", "s", "1.1.1.1:2", "z", "", 1, "gone", 3)]
+    registry = Registry(0, BEAT_S)
+    assert registry.greet(1, records) == []
+    assert phases(registry) == {"a": "ready", "b": "gone"}
+    old = Registry(0, BEAT_S)
+    stray = old.greet(QUIET_S + 1, records)
+    assert [(record.id, record.phase) for record in stray] == [("a", "lost")]
+    assert phases(old) == {"b": "gone"}
+
+
+def test_ends_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ends are kept for a minute, and a bounded number of them."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(10, "i", beat(1))
+    registry.leave(11, "i")
+    registry.expire(11 + KEPT_S - 0.1)
+    assert phases(registry) == {"i": "gone"}
+    registry.expire(11 + KEPT_S)
+    assert phases(registry) == {}
+    monkeypatch.setattr(registry_module, "KEPT_MOST", 3)
+    for number in range(9):
+        registry.heartbeat(100, str(number), beat(1, address=f"10.0.0.{number}:80"))
+        registry.leave(100, str(number))
+    registry.expire(100)
+    assert list(phases(registry)) == ["6", "7", "8"]
+
+
+@given(st.integers(0, 10**6))
+def test_controllers_agree_in_the_end(seed: int) -> None:
+    """Under random beats, drains, leaves and cuts, controllers that then tell all to each other hold the same (of
+    who is gone, that it is); nobody who drained or left is ever ready again."""
+    random = Random(seed)
+    registries = [Registry(0, BEAT_S) for _ in range(3)]
+    sequences = dict.fromkeys("abcd", 0)
+    phase_of = dict.fromkeys("abcd", "ready")
+    ended: list[set[str]] = [set() for _ in registries]
+    now = 0.0
+    for _ in range(60):
+        now += random.random()
+        name = random.choice("abcd")
+        index = random.randrange(3)
+        registry = registries[index]
+        match random.randrange(8):
+            case 0:
+                registry.expire(now, in_touch=random.random() < 0.7)
+            case 1:
+                other = random.choice(registries)
+                other.merge(now, registry.changes())
+                other.heard(now, registry.take_heard(now))
+            case 2 if random.random() < 0.3:
+                phase_of[name] = "draining"
+            case 3 if random.random() < 0.2:
+                registry.leave(now, name)
+            case _:
+                sequences[name] += 1
+                registry.heartbeat(now, name, beat(sequences[name], phase_of[name], f"10.0.0.{ord(name)}:80"))
+        for seen, held in zip(ended, registries, strict=True):
+            seen |= {key for key, phase in phases(held).items() if phase in {"draining", "gone"}}
+            assert all(phases(held)[key] in {"draining", "gone"} for key in seen)
+    for _ in range(3):
+        for registry in registries:
+            for other in registries:
+                other.merge(now, registry.everything())
+    assert len({tuple(sorted((record.id, "gone") if record.phase == "gone" else (record.id, *map(str, record.models),
+                             record.phase, str(record.call_seq)) for record in registry.everything()))
+                for registry in registries}) == 1
