--- /dev/null
+++ b/tests/test_pair.py
@@ -0,0 +1,194 @@
+"""The choice of a pair: the (1+beta) process at both stages, seen in the choices themselves; the budget; the cache."""
+
+from __future__ import annotations
+
+from collections import Counter
+from math import log, sqrt
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane.budget import Budget
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.pair import PairChooser
+from cranebank.dataplane.prompt import Prompt
+from cranebank.dataplane.routes import Document, Engine, Route, RouteTable
+from cranebank.transport.messages import Backend
+
+ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6)
+SHORT = prompts.read({"x-token-counts": "383,6", "x-prompt-prefix": "a:55,b:37,c:291"})
+LONG = prompts.read({"x-token-counts": "17020,17", "x-prompt-prefix": "s:13300,o:3720"})
+SIZE = 8
+
+
+def chooser(makers: int = SIZE, readers: int = 4, seed: int = 1) -> tuple[PairChooser, Candidates]:
+    """A chooser over backends that nobody has called yet."""
+    candidates = Candidates()
+    candidates.merge([Backend(f"d{i}", "svc", f"10.0.0.{i}:1", "z", "decode", 32, "ready", 1) for i in range(makers)])
+    candidates.merge([Backend(f"p{i}", "svc", f"10.0.1.{i}:1", "z", "prefill", 32, "ready", 1) for i in range(readers)])
+    return PairChooser(candidates, CacheView(), Random(seed)), candidates
+
+
+def load(candidates: Candidates, now: float, stage: str = "d") -> None:
+    """Backend number i has i calls out; the figures are of this moment."""
+    for name, seen in candidates.seen.items():
+        if name.startswith(stage):
+            seen.calls, seen.tokens, seen.figured_at = int(name[1:]), 400 * int(name[1:]), now
+
+
+def rate(choose: PairChooser, now: float, calls: int, stage: str = "decode") -> None:
+    """So many calls within the last moment."""
+    for _ in range(calls):
+        choose.called(now, "svc", stage)
+
+
+def shares(choose: PairChooser, now: float, count: int = 20_000) -> Counter[str]:
+    """How often each maker is chosen."""
+    found: Counter[str] = Counter()
+    for _ in range(count):
+        plan = choose.choose(now, "svc", ENGINE, SHORT, 300.0, set())
+        assert plan is not None
+        found[plan.maker.backend.id] += 1
+    return found
+
+
+def expected(blend: float, size: int = SIZE) -> list[float]:
+    """Shares of two different uniform draws, the lower with probability ``blend``; number 0 is the lowest."""
+    pairs = size * (size - 1)
+    return [blend * 2 * (size - 1 - i) / pairs + (1 - blend) / size for i in range(size)]
+
+
+@pytest.mark.parametrize(("calls", "proxies", "age"), [(1, 1, 0.0), (40, 9, 0.5), (400, 9, 1.0), (40, 90, 0.5)])
+def test_the_shares_are_those_of_the_blend(calls: int, proxies: int, age: float) -> None:
+    choose, candidates = chooser()
+    choose.proxies = proxies
+    load(candidates, 100.0 - age)
+    rate(choose, 100.0, calls)
+    b = calls / 2.0 * proxies * age  # calls a second are averaged over two seconds
+    edge = SIZE * log(SIZE)
+    blend = 1.0 if b <= edge else sqrt(edge / b)
+    found = shares(choose, 100.0)
+    for i, share in enumerate(expected(blend)):
+        assert abs(found[f"d{i}"] / 20_000 - share) < 4 * sqrt(share / 20_000) + 0.002
+
+
+def test_the_blend_falls_with_the_figures_age_and_the_number_of_proxies() -> None:
+    choose, candidates = chooser()
+    load(candidates, 100.0)
+    rate(choose, 100.0, 200)
+    listed = candidates.ready(100.0, "svc", "decode")
+    drawn = (listed[0], listed[1])
+    choose.proxies = 4
+    ages = [choose.blend(100.0 + age, "svc", "decode", listed, drawn) for age in (0.0, 0.2, 0.6, 1.0)]
+    assert ages[0] == 1.0 and ages == sorted(ages, reverse=True) and ages[-1] < ages[1]
+    counts = []
+    for choose.proxies in (1, 4, 40, 350):
+        counts.append(choose.blend(100.5, "svc", "decode", listed, drawn))
+    assert counts == sorted(counts, reverse=True) and counts[-1] < 0.1
+
+
+def test_ties_break_at_random() -> None:
+    choose, _ = chooser(makers=2)
+    found = shares(choose, 100.0, 4_000)
+    assert abs(found["d0"] - 2_000) < 200
+
+
+def test_the_readers_are_drawn_in_the_same_way() -> None:
+    choose, candidates = chooser(readers=4)
+    load(candidates, 100.0, "p")
+    own = Prompt(6_000, 10, (("o", 6_000),))
+    found: Counter[str] = Counter()
+    for _ in range(6_000):
+        reading = choose.reader(100.0, "svc", own, set())
+        assert reading is not None
+        found[reading[0].backend.id] += 1
+    for i, share in enumerate(expected(1.0, 4)):
+        assert abs(found[f"p{i}"] / 6_000 - share) < 0.03
+
+
+def test_a_long_shared_prompt_is_read_at_its_home_which_all_proxies_agree_on() -> None:
+    homes = set()
+    for seed in range(20):
+        choose, _ = chooser(seed=seed)
+        for _ in range(5):
+            plan = choose.choose(100.0, "svc", ENGINE, LONG, 600.0, set())
+            assert plan is not None and plan.reader is not None
+            homes.add(plan.reader.backend.id)
+    assert len(homes) == 1
+
+
+def test_a_home_that_is_far_behind_is_joined_by_the_next_one() -> None:
+    choose, candidates = chooser()
+    plan = choose.choose(100.0, "svc", ENGINE, LONG, 600.0, set())
+    assert plan is not None and plan.reader is not None
+    home = plan.reader.backend.id
+    candidates.seen[home].tokens = 40_000
+    found = {choose.choose(100.0, "svc", ENGINE, LONG, 600.0, set()) for _ in range(50)}
+    assert {p.reader.backend.id for p in found if p is not None and p.reader is not None} != {home}
+
+
+def test_homes_move_only_where_a_backend_left() -> None:
+    choose, candidates = chooser(readers=6)
+    prompts_ = [Prompt(17_000, 1, ((f"s{i}", 13_000), (f"o{i}", 4_000))) for i in range(60)]
+
+    def homes() -> list[str]:
+        found = [choose.reader(100.0, "svc", prompt, set()) for prompt in prompts_]
+        return [reading[0].backend.id for reading in found if reading is not None]
+
+    before = homes()
+    candidates.merge([Backend("p3", "svc", "10.0.1.3:1", "z", "prefill", 32, "gone", 2)])
+    assert all(old == new for old, new in zip(before, homes(), strict=True) if old != "p3")
+
+
+def test_nobody_ready_is_told() -> None:
+    choose, _ = chooser(makers=0)
+    assert choose.choose(100.0, "svc", ENGINE, SHORT, 300.0, set()) is None
+
+
+@given(st.lists(st.tuples(st.floats(0, 60), st.booleans()), max_size=200), st.integers(1, 20))
+def test_all_parts_together_stay_within_the_budget(steps: list[tuple[float, bool]], proxies: int) -> None:
+    """Every proxy spends all that it may, at the worst moments; the sum holds in every window."""
+    ratio, slack, window = 0.2, 58.0, 10.0
+    parts = [Budget(ratio, slack, window, 0.0) for _ in range(proxies)]
+    asked: list[float] = []
+    spent: list[float] = []
+    for at, asks in sorted(steps):
+        for part in parts:
+            if asks:
+                part.request(at)
+                asked.append(at)
+            while part.may(at, proxies):
+                part.spend(at)
+                spent.append(at)
+    for end in spent:
+        within = sum(end - window <= at <= end for at in spent)
+        assert within <= ratio * sum(end - window <= at <= end for at in asked) + slack
+
+
+def test_a_later_life_spends_nothing_of_the_slack_in_its_first_window() -> None:
+    budget = Budget(0.2, 58.0, 10.0, fresh_until=110.0)
+    assert not budget.may(100.0, 1) and budget.may(110.0, 1)
+
+
+def test_parts_are_kept_only_behind_all_that_come_before_them_and_within_bounds() -> None:
+    view = CacheView()
+    view.touch("d0", (("a", 50), ("b", 30)), 1_000)
+    assert view.kept("d0", (("a", 50), ("b", 30), ("c", 5))) == 80
+    assert view.kept("d0", (("x", 50), ("b", 30))) == 0
+    view.touch("d0", (("big", 790),), 1_000)
+    assert view.kept("d0", (("a", 50),)) == 0 and view.kept("d0", (("big", 790),)) == 790
+    view.forget("d0")
+    assert view.kept("d0", (("big", 790),)) == 0
+
+
+def test_routes_match_the_longest_prefix_of_the_host() -> None:
+    table = RouteTable(Document(3, (Route("r1", "a.example", "/x/"), Route("r2", "a.example", "/x/y/"),
+                                    Route("r3", "b.example", "/"))))
+    found = [table.match(host, path) for host, path in (
+        ("a.example", "/x/y/z?q=/x/"), ("A.example:80", "/x/1"), ("b.example", "/"), ("a.example", "/z/"),
+        ("c.example", "/"))]
+    assert [route and route.name for route in found] == ["r2", "r1", "r3", None, None]
