Streams: a client's own Last-Event-Id goes by the leg's header, once

Ruled out: the cutting into events, late second answers (doubles looked for by id in two trials). Test: test_a_client_that_resumes_itself_is_resumed_behind_what_came_since.

--- a/cranebank/dataplane/events_stream.py
+++ b/cranebank/dataplane/events_stream.py
@@ -12,11 +12,11 @@
 
 
 class EventSplitter:
-    """Bytes in, whole events out. ``last_id`` is the id of the last whole event, None before the first."""
+    """Bytes in, whole events out. ``last_id`` is the id of the last whole event; before the first, where to begin."""
 
-    def __init__(self) -> None:
+    def __init__(self, last_id: str | None = None) -> None:
         self._rest = b""
-        self.last_id: str | None = None
+        self.last_id = last_id
 
     def feed(self, data: bytes) -> bytes:
         """The whole events that these bytes complete, as they came. Raises EventTooLong."""
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -190,10 +190,14 @@
 
 
 class Exchange:
-    """One request. Times in seconds on the steady clock; ``deadline`` is when the client stops waiting."""
+    """One request. Times in seconds on the steady clock; ``deadline`` is when the client stops waiting.
+
+    ``last_event_id``: where the client itself resumes a stream; it goes to the backend by a leg's own header, of which
+    there must be one only: a later run must not begin where the client's own try did.
+    """
 
     def __init__(self, shared: Shared, route: Route, service: str, engine: Engine, prompt: Prompt, now: float,
-                 deadline: float) -> None:
+                 deadline: float, last_event_id: str | None = None) -> None:
         self._shared, self._route, self._service, self._engine = shared, route, service, engine
         self._prompt, self._begun = prompt, now
         self._until = min(deadline, now + route.timeout_ms / 1e3)
@@ -205,7 +209,7 @@
         self._without: set[str] = set()  # backends that failed this request
         self._handle: Handle | None = None
         self._plan: Plan | None = None
-        self._splitter = EventSplitter() if route.resumable else None
+        self._splitter = EventSplitter(last_event_id) if route.resumable else None
         self._maybe_run = False  # some backend may have begun work on it
         self._headed = False
         self._actions: list[Action] = []
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -43,6 +43,7 @@
 from cranebank.transport.messages import Backend
 
 NO_ENGINE = Engine()
+OWN_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
 DEADLINE_MS = 60_000.0  # where a client names none
 
 
@@ -70,7 +71,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.paused = False
         lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
-        lines += [f"{name}: {value}\r\n" for name, value in request.headers if name.lower() != "x-deadline-left"]
+        lines += [f"{name}: {value}\r\n" for name, value in request.headers if name.lower() not in OWN_HEADERS]
         if request.body or "content-length" in request.named or "transfer-encoding" in request.named:
             lines.append(f"Content-Length: {len(request.body)}\r\n")
         self.prefix = "".join(lines)
@@ -271,7 +272,8 @@
         service = route.service(self._random)
         known = self.table.services.get(service)
         engine = (known.engine if known is not None else None) or NO_ENGINE
-        exchange = Exchange(self.shared, route, service, engine, prompts.read(request.named), now, until)
+        exchange = Exchange(self.shared, route, service, engine, prompts.read(request.named), now, until,
+                            request.named.get("last-event-id"))
         self.shared.count("requests")
         opened = Open(self, client, request, exchange, min(until, now + route.timeout_ms / 1e3))
         self._open[client] = opened
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -63,9 +63,9 @@
                               "resumable": True, **route})
         self.log: list[Action] = []
 
-    def begin(self, tokens: str = "383,6", parts: str = "a:55,b:37,c:291") -> list[Action]:
+    def begin(self, tokens: str = "383,6", parts: str = "a:55,b:37,c:291", last: str | None = None) -> list[Action]:
         found = prompts.read({"x-token-counts": tokens, "x-prompt-prefix": parts})
-        self.exchange = Exchange(self.shared, self.route, "svc", ENGINE, found, self.now, self.now + 3.0)
+        self.exchange = Exchange(self.shared, self.route, "svc", ENGINE, found, self.now, self.now + 3.0, last)
         return self.do(Begin())
 
     def do(self, event: Event, after: float = 0.0) -> list[Action]:
@@ -159,6 +159,17 @@
     assert [a.headers for a in story.log if isinstance(a, Head)] == [SEALED]
 
 
+def test_a_client_that_resumes_itself_is_resumed_behind_what_came_since() -> None:
+    """Found by a hunt: the client's own header went along with ours, and the next run began where the client's did."""
+    story = Story()
+    (call,) = calls(story.begin(last="13"))
+    assert [value for name, value in call.headers if name == "Last-Event-Id"] == ["13"]
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 14\ndata: a\n\n"))
+    (again,) = calls(story.do(LegFailed(call.leg, True)))
+    assert [value for name, value in again.headers if name == "Last-Event-Id"] == ["14"]
+
+
 def test_a_stream_that_can_not_be_resumed_breaks_off_and_does_not_look_whole() -> None:
     story = Story(tries=1, resumable=False)
     (call,) = calls(story.begin())
