--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -12,14 +12,17 @@
 
 
 class Seen:
-    """One backend as seen from here. ``calls`` and ``tokens`` are out at it from this proxy."""
+    """One backend as seen from here. ``calls`` and ``tokens`` are out at it from this proxy, ``others_calls`` and
+    ``others_tokens`` from the neighbours that tell us theirs."""
 
-    __slots__ = ("answered_at", "away_for", "away_until", "backend", "calls", "figured_at", "tokens")
+    __slots__ = ("answered_at", "away_for", "away_until", "backend", "calls", "figured_at", "others_calls",
+                 "others_tokens", "tokens")
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
         self.calls = 0
         self.tokens = 0
+        self.others_calls = self.others_tokens = 0
         self.figured_at = 0.0  # when the figures last changed, by a call sent or ended
         self.answered_at = 0.0
         self.away_until = self.away_for = 0.0
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -183,6 +183,7 @@
     cache: CacheView
     budget: Callable[[str], Budget]
     counters: dict[str, int]
+    on_read: Callable[[str, str, int], None] | None = None  # backend, last long shared part, tokens up to it
 
     def count(self, name: str) -> None:
         """One more of something."""
@@ -317,6 +318,12 @@
         self._shared.count("reads" if reads else "makes")
         self._actions.append(Call(self._made, seen.backend, headers))
 
+    def _tell_read(self, leg: Leg, tokens: int) -> None:
+        """A backend has read so many tokens: where shared ones were among them, others want to know."""
+        prompt, tell = self._prompt, self._shared.on_read
+        if tell is not None and prompt.home_key and tokens > prompt.tokens - prompt.shared_tokens:
+            tell(leg.seen.backend.id, prompt.home_key, prompt.shared_tokens)
+
     def _settle(self, now: float, leg: Leg) -> None:
         """A leg is over, for the figures."""
         self._legs.pop(leg.number, None)
@@ -349,6 +356,7 @@
                 self._abort(now, other)
         if leg.answering and read:
             self._shared.chooser.pace(self._service, "decode").learn(read, (now - leg.sent_at) * 1e3)
+            self._tell_read(leg, read)
 
     def _data(self, now: float, number: int, data: bytes) -> None:
         leg = self._legs.get(number)
@@ -410,6 +418,7 @@
         handle = _handle_name(leg.body) if leg.status == 200 else ""
         if handle:
             self._shared.chooser.pace(self._service, "prefill").learn(leg.tokens, (now - leg.sent_at) * 1e3)
+            self._tell_read(leg, leg.tokens)
             self._handle = Handle(backend, handle, now + self._engine.handle_ttl_s - HANDLE_MARGIN_S)
             maker = self._maker(now)
             if maker is None:
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -245,6 +245,13 @@
             self.pool.drop(over)
             self.shared.cache.forget(over)
 
+    def noted(self, backend: str, part: str, tokens: int) -> None:
+        """A neighbour had this backend read a prompt up to and with this shared part."""
+        record = self.shared.candidates.records.get(backend)
+        service = self.table.services.get(record.target) if record is not None and self.table is not None else None
+        if service is not None and service.engine is not None and tokens > 0:
+            self.shared.cache.note(backend, part, tokens, service.engine.cache_tokens)
+
     @property
     def ready(self) -> bool:
         """A configuration is in force, and somebody is there to send to."""
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -6,7 +6,7 @@
 import gc
 import secrets
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 from loguru import logger
@@ -14,9 +14,11 @@
 from cranebank.dataplane.front import Readiness
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.membership.fleet import FleetLinks
+from cranebank.membership.loads import Sums
+from cranebank.membership.neighbours import Neighbours
 from cranebank.programs.ring import Ring
 from cranebank.programs.settings import NodeSettings, SettingsError, load
-from cranebank.transport.messages import Backend, Hello
+from cranebank.transport.messages import Backend, Hello, Note
 
 HOUSEKEEPING_S = 1.0
 LEAVE_S = 2.4  # after SIGTERM clients are still sent for so long: the platform asks every second and forgives once
@@ -24,10 +26,12 @@
 
 
 class _Plane:
-    """The data plane as the links see it."""
+    """The data plane as the links and the neighbours see it."""
 
     def __init__(self, proxy: Proxy) -> None:
         self._proxy = proxy
+        self.neighbours: Neighbours | None = None
+        self.document = b""  # kept for neighbours only
 
     @property
     def revision(self) -> int:
@@ -36,12 +40,39 @@
 
     def configure(self, document: bytes) -> bool:
         """Take a configuration."""
-        return self._proxy.configure(document)
+        before = self._proxy.revision
+        taken = self._proxy.configure(document)
+        if self.neighbours is not None and self._proxy.revision > before:
+            self.document = document
+        return taken
 
     def learn(self, backends: Iterable[Backend]) -> None:
         """Take records of backends."""
+        if self.neighbours is not None:
+            backends = tuple(backends)
+            self.neighbours.changes(backends)
         self._proxy.learn(backends)
 
+    def records(self) -> Mapping[str, Backend]:
+        """All records by id."""
+        return self._proxy.shared.candidates.records
+
+    def out(self) -> Iterable[tuple[str, int, int]]:
+        """Calls and tokens that this proxy has out at each backend."""
+        return [(seen.backend.id, seen.calls, seen.tokens) for seen in self._proxy.shared.candidates.seen.values()
+                if seen.calls or seen.tokens]
+
+    def others(self, sums: Sums) -> None:
+        """Calls and tokens that neighbours have out at these backends."""
+        for backend, (calls, tokens) in sums.items():
+            seen = self._proxy.shared.candidates.seen.get(backend)
+            if seen is not None:
+                seen.others_calls, seen.others_tokens = calls, tokens
+
+    def noted(self, note: Note) -> None:
+        """A neighbour had a backend read a shared part."""
+        self._proxy.noted(note.backend, note.part, note.tokens)
+
     def known(self) -> tuple[Backend, ...]:
         """All records."""
         return self._proxy.shared.candidates.known()
@@ -54,7 +85,7 @@
 class Edge:
     """One proxy process."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, with_neighbours: bool = True) -> None:
         self._settings = settings
         bounds = settings.bounds
         loop = asyncio.get_running_loop()
@@ -63,6 +94,10 @@
         self._plane = _Plane(self.proxy)
         self._life = secrets.randbits(63)
         self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
+        if with_neighbours:
+            neighbours = Neighbours(self._plane, lambda: self.links.neighbours, settings.ip, settings.link_port,
+                                    Random())
+            self._plane.neighbours, self.proxy.shared.on_read = neighbours, neighbours.read
         self.stopping = False
 
     def _hello(self) -> Hello:
@@ -77,6 +112,8 @@
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.links.name(settings.seed_ips)
+        if self._plane.neighbours is not None:
+            await self._plane.neighbours.start()
         front = await _serve(self.proxy.front, settings.binds["front"])
         ready = await _serve(lambda: Readiness(lambda: self.proxy.ready and not self.stopping),
                              settings.binds["ready_addr"])
@@ -97,6 +134,8 @@
         keeper.cancel()
         ready.close()
         self.links.stop()
+        if self._plane.neighbours is not None:
+            self._plane.neighbours.stop()
         return 0
 
     def reload(self) -> None:
--- a/cranebank/transport/frames.py
+++ b/cranebank/transport/frames.py
@@ -74,3 +74,17 @@
                 found.append(_decoder.decode(body))
             except msgspec.MsgspecError as error:
                 raise BadFrame("body", str(error)) from None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing unfinished is held."""
+        return not self._held and not self._wanted
+
+
+def decode_datagram(data: bytes) -> Message:
+    """The message of a datagram, which is one whole frame and nothing else. Raises BadFrame."""
+    decoder = Decoder()
+    found = decoder.feed(data)
+    if len(found) != 1 or not decoder.is_empty:
+        raise BadFrame("length", f"expected one frame in a datagram of {len(data)} bytes")
+    return found[0]
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -3,6 +3,7 @@
 A proxy dials every controller and says Hello; the controller answers Welcome and from then on pushes: numbered lists of
 changed backends (Push, acknowledged by number) and configurations (ConfigPush, acknowledged by ConfigAck). Between
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync).
+Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
 
@@ -94,14 +95,13 @@
 
 
 class Shuffle(msgspec.Struct, frozen=True, tag=10, array_like=True):
-    """Between proxies: part of the sender's view of the fleet, its configuration's revision, and whether it wants
-    a part back. Who is behind asks with Fetch."""
+    """Between proxies: part of the sender's view as (IP, age in rounds), and which configuration it has. Whoever
+    gets one that is no reply sends one back. Who is behind asks with Fetch."""
 
-    ip: str
-    view: tuple[str, ...]
+    view: tuple[tuple[str, int], ...]
     revision: int
-    backends: tuple[Backend, ...] = ()
-    reply: bool = False
+    digest: int  # CRC-32 of the configuration's document
+    is_reply: bool = False
 
 
 class Fetch(msgspec.Struct, frozen=True, tag=11, array_like=True):
@@ -110,5 +110,33 @@
     revision: int
 
 
+class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What the sender itself has out at a backend: calls, and tokens to be read."""
+
+    backend: str
+    calls: int
+    tokens: int
+
+
+class Note(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A backend has just read a prompt up to and with this shared part: so many tokens, all of which it keeps."""
+
+    backend: str
+    part: str
+    tokens: int
+
+
+class Gossip(msgspec.Struct, frozen=True, tag=12, array_like=True):
+    """Between proxies, to every neighbour: which configuration the sender has, its own loads, notes of prompts that
+    were read, and backends whose phase changed. ``number`` rises with each; it orders the loads."""
+
+    number: int
+    revision: int
+    digest: int
+    loads: tuple[Load, ...] = ()
+    notes: tuple[Note, ...] = ()
+    news: tuple[Backend, ...] = ()
+
+
 Message = (Hello | Welcome | Push | PushAck | ConfigPush | ConfigAck | Pulse | Custodial | RegistrySync | Shuffle
-           | Fetch)
+           | Fetch | Gossip)
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,115 @@
+"""Neighbours' figures: sums that follow what was told, and what is told and how often."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from cranebank.membership.loads import BACKENDS, KEPT_S, PROXIES, Loads, Sums
+from cranebank.membership.outbox import HELD, NOTE_BYTES, Outbox
+from cranebank.transport.frames import encode
+from cranebank.transport.messages import Backend, Gossip, Load, Note
+
+
+def test_the_newest_figures_of_each_neighbour_are_summed() -> None:
+    loads = Loads()
+    assert loads.merge(0.0, "a", 1, [Load("x", 2, 100), Load("y", 1, 0)]) == {"x": (2, 100), "y": (1, 0)}
+    assert loads.merge(0.1, "b", 7, [Load("x", 1, 50)]) == {"x": (3, 150)}
+    assert loads.merge(0.2, "a", 2, [Load("x", 0, 0)]) == {"x": (1, 50)}
+    assert loads.merge(0.3, "a", 1, [Load("x", 9, 9)]) == {}, "overtaken on its way"
+    assert loads.merge(0.3, "b", 8, [Load("x", 1, 50)]) == {}, "the same again"
+    assert loads.expire(0.0 + KEPT_S + 0.01) == {"y": (0, 0)}
+    assert loads.sums() == {"x": (1, 50)}
+    assert loads.expire(5.0) == {"x": (0, 0)} and loads.sums() == {}
+    assert loads.merge(6.0, "b", 1, [Load("x", 4, 4)]) == {"x": (4, 4)}, "it has begun anew"
+
+
+def test_figures_are_bounded_and_senseless_ones_are_left_out() -> None:
+    loads = Loads()
+    assert loads.merge(0.0, "a", 1, [Load("x", -1, 5), Load("y", 1, 1 << 60)]) == {}
+    for number in range(PROXIES + 10):
+        loads.merge(0.0, f"p{number}", 1, [Load("x", 1, 0)])
+    assert loads.sums()["x"][0] < PROXIES + 1
+    loads.merge(0.1, "a", 2, [Load(f"z{number}", 1, 0) for number in range(2 * BACKENDS)])
+    assert len(loads.sums()) <= BACKENDS + 1
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_changes_lead_to_the_sums_and_these_are_what_a_plain_count_gives(seed: int) -> None:
+    """Random load: the changes that were returned, laid over one another, are always the sums."""
+    random, loads, now = Random(seed), Loads(), 0.0
+    followed: Sums = {}
+    plain: dict[tuple[str, str], tuple[int, int, float]] = {}
+    for number in range(600):
+        now += random.uniform(0.0, 0.2)
+        proxy = random.choice("abcd")
+        told = [Load(backend, random.randrange(3), random.choice([0, 10, 1000]))
+                for backend in random.sample("uvwxyz", random.randrange(4))]
+        followed |= loads.expire(now)
+        plain = {key: value for key, value in plain.items() if now - value[2] <= KEPT_S}
+        followed |= loads.merge(now, proxy, number, told)
+        plain |= {(proxy, load.backend): (load.calls, load.tokens, now) for load in told}
+        counted: Sums = {}
+        for (_, backend), (calls, tokens, _at) in plain.items():
+            old = counted.get(backend, (0, 0))
+            counted[backend] = (old[0] + calls, old[1] + tokens)
+        counted = {key: value for key, value in counted.items() if value != (0, 0)}
+        assert loads.sums() == counted == {key: value for key, value in followed.items() if value != (0, 0)}
+
+
+def play(outbox: Outbox, steps: int, out: list[tuple[str, int, int]], start: float = 0.0) -> list[Gossip]:
+    """The datagrams of so many tenths of a second."""
+    made = [outbox.next(start + step * 0.1, 3, 9, out) for step in range(steps)]
+    return [gossip for gossip in made if gossip is not None]
+
+
+def test_with_nothing_out_one_datagram_a_second_is_told_and_with_something_five() -> None:
+    outbox = Outbox()
+    assert len(play(outbox, 100, [])) == 10
+    busy = play(outbox, 100, [("x", 1, 20)], 10.0)
+    assert len(busy) == 50 and all(gossip.loads == (Load("x", 1, 20),) for gossip in busy)
+    idle = play(outbox, 100, [], 20.0)
+    assert idle[0].loads == (Load("x", 0, 0),) and not any(gossip.loads for gossip in idle[1:])
+    assert len(idle) == 10
+    numbers = [gossip.number for gossip in busy + idle]
+    assert numbers == sorted(set(numbers))
+
+
+def test_a_datagram_is_bounded_and_every_backend_has_its_turn() -> None:
+    outbox = Outbox()
+    out = [(f"i-{number:08x}", 200, 100_000 + number) for number in range(200)]
+    for number in range(20):
+        outbox.note(Note("i-7f3a91c2", f"{number:08x}", 13_300))
+    known = {f"b{number}": _backend(f"b{number}", "ready", 1) for number in range(9)}
+    outbox.changes([_backend(key, "draining", 2) for key in known], known)
+    told = play(outbox, 12, out)
+    assert max(len(encode(gossip)) for gossip in told) <= 1200
+    assert {load.backend for gossip in told for load in gossip.loads} == {backend for backend, _, _ in out}
+    assert {note.part for gossip in told for note in gossip.notes} == {f"{number:08x}" for number in range(20)}
+    assert all(len(gossip.notes) <= 2 for gossip in told)
+    assert sum(len(gossip.news) for gossip in told) == 9
+
+
+def test_notes_are_bounded_in_number_and_bytes() -> None:
+    outbox = Outbox()
+    for number in range(HELD + 5):
+        outbox.note(Note("i-7f3a91c2", f"{number:08x}", 13_300))
+    outbox.note(Note("i-7f3a91c2", "0" * NOTE_BYTES, 13_300))
+    assert outbox.left_out == 6
+    assert sum(len(gossip.notes) for gossip in play(outbox, 30, [])) == HELD
+
+
+def test_a_change_of_phase_is_told_once_and_what_is_no_change_never() -> None:
+    outbox, old = Outbox(), _backend("b", "ready", 5)
+    outbox.changes([_backend("b", "ready", 6), _backend("new", "ready", 1)], {"b": old})
+    outbox.changes([_backend("b", "lost", 4)], {"b": old})
+    assert not any(gossip.news for gossip in play(outbox, 20, []))
+    draining = _backend("b", "draining", 6)
+    outbox.changes([draining], {"b": old})
+    outbox.changes([draining], {"b": draining})
+    assert [gossip.news for gossip in play(outbox, 20, [], 5.0) if gossip.news] == [(draining,)]
+
+
+def _backend(key: str, phase: str, call_seq: int) -> Backend:
+    return Backend(key, "service", "10.1.0.1:80", "z", "decode", 8, phase, call_seq)
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,207 @@
+"""Two ends on addresses of this machine: what one learns reaches the other. Waits are for events, never for time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from random import Random
+
+import pytest
+
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates
+from cranebank.membership import neighbours as ends
+from cranebank.membership.loads import Sums
+from cranebank.membership.neighbours import Neighbours
+from cranebank.transport.frames import BadFrame, decode_datagram, encode
+from cranebank.transport.messages import Backend, Fetch, Gossip, Load, Note, Push, Shuffle
+
+A, B = "127.0.0.11", "127.0.0.12"
+
+
+class Plane:
+    """A data plane of records; its candidates are the real ones."""
+
+    def __init__(self) -> None:
+        self.candidates, self.revision, self.document = Candidates(), 0, b""
+        self.end: Neighbours | None = None
+        self.load: list[tuple[str, int, int]] = []
+        self.notes: list[Note] = []
+        self.changed = asyncio.Event()
+
+    def configure(self, document: bytes) -> bool:
+        revision = int(document.split()[0])
+        if revision > self.revision:
+            self.revision, self.document = revision, document
+            self.changed.set()
+        return True
+
+    def learn(self, backends: Iterable[Backend]) -> None:
+        backends = tuple(backends)
+        if self.end is not None:
+            self.end.changes(backends)
+        self.candidates.merge(backends)
+        self.changed.set()
+
+    def known(self) -> tuple[Backend, ...]:
+        return self.candidates.known()
+
+    def records(self) -> Mapping[str, Backend]:
+        return self.candidates.records
+
+    def out(self) -> Iterable[tuple[str, int, int]]:
+        return self.load
+
+    def others(self, sums: Sums) -> None:
+        for backend, (calls, tokens) in sums.items():
+            seen = self.candidates.seen[backend]
+            seen.others_calls, seen.others_tokens = calls, tokens
+            self.changed.set()
+
+    def noted(self, note: Note) -> None:
+        self.notes.append(note)
+        self.changed.set()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(20):
+            while not condition():
+                self.changed.clear()
+                await self.changed.wait()
+
+
+def _backend(phase: str = "ready", call_seq: int = 1) -> Backend:
+    return Backend("i-1", "service", "10.1.0.1:80", "z", "decode", 8, phase, call_seq)
+
+
+def _port() -> int:
+    with socket.socket() as one:
+        one.bind((A, 0))
+        return int(one.getsockname()[1])
+
+
+def play(story: Callable[[Plane, Plane, Neighbours, Neighbours], Coroutine[None, None, None]]) -> None:
+    """Two planes and their ends; only the first was told of the other."""
+
+    async def run() -> None:
+        port, planes = _port(), (Plane(), Plane())
+        first = Neighbours(planes[0], lambda: (A, B), A, port, Random(1))
+        second = Neighbours(planes[1], lambda: (), B, port, Random(2))
+        planes[0].end, planes[1].end = first, second
+        for plane in planes:
+            plane.learn([_backend()])
+        await first.start()
+        await second.start()
+        try:
+            await story(*planes, first, second)
+        finally:
+            first.stop()
+            second.stop()
+
+    asyncio.run(run())
+
+
+def test_news_loads_and_notes_reach_the_neighbour() -> None:
+    async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
+        a.load = [("i-1", 3, 700)]
+        first.read("i-1", "5c1e07a2", 13_300)
+        await b.until(lambda: b.candidates.seen["i-1"].others_tokens == 700 and bool(b.notes))
+        assert b.candidates.seen["i-1"].others_calls == 3
+        assert b.notes == [Note("i-1", "5c1e07a2", 13_300)]
+        a.load = []
+        await b.until(lambda: b.candidates.seen["i-1"].others_calls == 0)
+        assert second.views.neighbours == (A,), "by the shuffle"
+        b.learn([_backend("draining", 2)])
+        await a.until(lambda: not a.candidates.may_take("i-1"))
+        assert a.candidates.seen["i-1"].others_calls == 0
+
+    play(story)
+
+
+def test_who_is_behind_fetches_configuration_and_backends() -> None:
+    async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
+        b.configure(b"4 routes")
+        b.learn([_backend("lost", 9)])
+        await a.until(lambda: a.revision == 4 and a.candidates.records["i-1"].call_seq == 9)
+        assert a.document == b"4 routes"
+        assert second.counters.get("fetched", 0) == 0
+
+    play(story)
+
+
+def test_damaged_datagrams_are_dropped_and_counted() -> None:
+    async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
+        random = Random(3)
+        whole = encode(Gossip(1, 0, 0, (Load("i-1", 1, 1),), (Note("i-1", "x", 1),), (_backend("gone", 5),)))
+        bad = [b"", b"x", whole[:-1], whole + b"x", whole + whole, encode(Push(1, ())), encode(Fetch(1))]
+        bad += [random.randbytes(random.randrange(200)) for _ in range(200)]
+        for place in range(len(whole)):
+            bad.append(whole[:place] + bytes([whole[place] ^ 0x55]) + whole[place + 1:])
+        for data in bad:
+            first.datagram(1.0, B, data)
+        assert first.counters == {"damaged": len(bad)}
+        assert a.candidates.may_take("i-1")
+
+    play(story)
+
+
+def test_two_configurations_of_one_revision_are_counted() -> None:
+    async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
+        a.configure(b"4 routes")
+        first.datagram(1.0, B, encode(Shuffle((), 4, first.digest, True)))
+        assert "digests_differ" not in first.counters
+        first.datagram(1.0, B, encode(Shuffle((), 4, first.digest ^ 1, True)))
+        assert first.counters["digests_differ"] == 1
+
+    play(story)
+
+
+def test_without_the_port_a_proxy_goes_on_alone() -> None:
+    async def run() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind((A, 0))
+            end = Neighbours(Plane(), lambda: (B,), A, taken.getsockname()[1], Random(1))
+            await end.start()
+            end.tick(1.0)
+            end.stop()
+
+    asyncio.run(run())
+
+
+def test_a_fetch_from_one_that_is_not_there_ends_and_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ends, "DIAL_S", 0.2)
+
+    async def run() -> None:
+        plane = Plane()
+        end = Neighbours(plane, lambda: (), A, _port(), Random(1))
+        for now in (0.0, 0.1, 0.7):
+            end.datagram(now, B, encode(Gossip(1, 7, 0)))
+            end.tick(now)
+        fetch = end._fetch
+        assert fetch is not None
+        await fetch
+        assert end.counters["not_fetched"] == 1
+
+    asyncio.run(run())
+
+
+def test_a_datagram_is_one_whole_frame() -> None:
+    frame = encode(Fetch(3))
+    assert decode_datagram(frame) == Fetch(3)
+    for data in (b"", frame[:-1], frame + b"\x00", frame + frame):
+        with pytest.raises(BadFrame):
+            decode_datagram(data)
+
+
+def test_a_note_counts_for_all_that_comes_before_its_part() -> None:
+    cache, parts = CacheView(), (("a", 800), ("b", 410), ("own", 250))
+    cache.note("i-1", "b", 1210, 100_000)
+    assert cache.kept("i-1", parts) == 1210 and cache.kept("i-2", parts) == 0
+    cache.touch("i-1", (("a", 800),), 100_000)
+    assert cache.kept("i-1", (("a", 800), ("c", 5))) == 800
+    for number in range(1000):
+        cache.note("i-1", f"p{number}", 1000, 100_000)
+    assert cache.kept("i-1", parts) == 800
+    assert sum(cache.kept("i-1", ((f"p{number}", 1000),)) for number in range(1000)) <= 80_000
+    cache.forget("i-1")
+    assert cache.kept("i-1", (("p999", 1000),)) == 0
