--- a/cranebank/transport/frames.py
+++ b/cranebank/transport/frames.py
@@ -58,7 +58,7 @@
                 try:
                     head = HEADER.parse(bytes(self._held[:SIZE]))
                 except construct.ConstructError as error:
-                    raise BadFrame("magic", str(error).splitlines()[0]) from None
+                    raise BadFrame("magic", type(error).__name__) from None
                 if head.kind != 1 or not 0 < head.length <= MOST:
                     raise BadFrame("length", f"expected up to {MOST} bytes of kind 1, got {head.length} of {head.kind}")
                 self._wanted, self._checksum = head.length, head.checksum
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -246,3 +246,14 @@
         splitter = EventSplitter()
         found = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
         assert found == stream and splitter.last_id == "3" and not splitter.take_rest()
+
+
+def test_a_reading_of_a_long_shared_part_is_told_once() -> None:
+    story, told = Story(readers=1, tries=1, resumable=False, goal_ms=600.0), list[tuple[str, str, int]]()
+    story.shared.on_read = lambda backend, part, tokens: told.append((backend, part, tokens))
+    for _ in range(2):
+        (read,) = calls(story.begin("17020,17", "r:300,s:13000,o:3720"))
+        story.do(LegHead(read.leg, 200, {}), 0.3)
+        story.do(LegData(read.leg, b'{"prompt_handle":"h1","tokens":17020,"revision":1}'))
+        story.do(LegEnd(read.leg))
+    assert told == [("p0", "s", 13_300)], "the second time it was kept there"
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -14,6 +14,8 @@
 from cranebank.membership import neighbours as ends
 from cranebank.membership.loads import Sums
 from cranebank.membership.neighbours import Neighbours
+from cranebank.programs.edge import Edge
+from cranebank.programs.settings import NodeSettings
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
 from cranebank.transport.messages import Backend, Fetch, Gossip, Load, Note, Push, Shuffle
 
@@ -205,3 +207,30 @@
     assert sum(cache.kept("i-1", ((f"p{number}", 1000),)) for number in range(1000)) <= 80_000
     cache.forget("i-1")
     assert cache.kept("i-1", (("p999", 1000),)) == 0
+
+
+@pytest.mark.parametrize("wanted", [True, False])
+def test_an_edge_has_neighbours_only_where_they_are_wanted(wanted: bool) -> None:
+    async def run() -> None:
+        settings = NodeSettings("edge-1", A, "z", (7000, 7010), ("10.0.0.1:80",))
+        edge = Edge(settings, with_neighbours=wanted)
+        plane, shared = edge.links._plane, edge.proxy.shared
+        assert (shared.on_read is not None) is wanted
+        plane.learn([_backend()])
+        services = b'[{"name":"service","engine":{"cache_tokens":9000}}]'
+        assert plane.configure(b'{"revision":3,"routes":[],"services":%b}' % services)
+        if not wanted:
+            return
+        end = edge._plane.neighbours
+        assert end is not None and edge._plane.document.startswith(b'{"revision":3')
+        seen = shared.candidates.seen["i-1"]
+        seen.calls, seen.tokens = 2, 500
+        assert list(edge._plane.out()) == [("i-1", 2, 500)]
+        gossip = Gossip(1, 3, end.digest, (Load("i-1", 4, 90),), (Note("i-1", "s", 5000),), (_backend("draining", 2),))
+        end.datagram(1.0, B, encode(gossip))
+        assert (seen.others_calls, seen.others_tokens) == (4, 90) and not shared.candidates.may_take("i-1")
+        assert shared.cache.kept("i-1", (("r", 100), ("s", 4900), ("own", 7))) == 5000
+        end.tick(1.0 + 1.1)
+        assert (seen.others_calls, seen.others_tokens) == (0, 0)
+
+    asyncio.run(run())
