Tests: the store under crashes, damage and refusing disks

Cause: the store had no tests. Change: a disk in memory crashes or refuses at every operation; files are damaged at every byte.

--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,317 @@
+"""The append-only file under every crash, damage and refusal; the asyncio end under load. Nothing here sleeps."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import threading
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from cranebank.storage.records import (
+    FRAME_LENGTH,
+    DamagedFile,
+    DiskRefused,
+    StorageCode,
+    TooManyRecords,
+    encode_batch,
+    read_records,
+)
+from cranebank.storage.store import REWRITE_FROM_BYTES, Disk, Folder, Store, open_store, set_aside
+
+
+class Crash(Exception):
+    """The power went."""
+
+
+class FakeFiles:
+    """Files that tell what is synced from what isn't; power fails, or the disk refuses, at a chosen operation."""
+
+    def __init__(self) -> None:
+        self.synced: dict[str, bytes] = {}  # what each file holds after its last sync
+        self.tails: dict[str, list[bytes]] = {}  # the writes since
+        self.names: dict[str, str] = {}  # the folder as it is: name to file
+        self.synced_names: dict[str, str] = {}
+        self.operations = 0
+        self.crash_at = -1
+        self.refuse_at: set[int] = set()
+        self.made = 0
+
+    def _operate(self) -> None:
+        self.operations += 1
+        if self.operations == self.crash_at:
+            raise Crash
+        if self.operations in self.refuse_at:
+            raise OSError(errno.EIO, "refused")
+
+    def read(self, name: str) -> bytes | None:
+        file = self.names.get(name)
+        return None if file is None else self.synced[file] + b"".join(self.tails[file])
+
+    def create(self, name: str, data: bytes) -> None:
+        self._operate()
+        self.made += 1
+        file = f"{name}#{self.made}"
+        self.synced[file], self.tails[file], self.names[name] = b"", [data], file
+        self._operate()
+        self.synced[file], self.tails[file] = data, []
+        self.synced_names.setdefault(name, file)  # a new file lasts once it is synced itself
+
+    def append(self, name: str, data: bytes) -> None:
+        self.tails[self.names[name]].append(data)  # may be there even where it is refused
+        self._operate()
+
+    def sync(self, name: str) -> None:
+        self._operate()
+        file = self.names[name]
+        self.synced[file], self.tails[file] = self.synced[file] + b"".join(self.tails[file]), []
+
+    def truncate(self, name: str, length: int) -> None:
+        self._operate()
+        file = self.names[name]
+        self.synced[file], self.tails[file] = (self.synced[file] + b"".join(self.tails[file]))[:length], []
+
+    def rename(self, old: str, new: str) -> None:
+        self._operate()
+        self.names[new] = self.names.pop(old)
+
+    def remove(self, name: str) -> None:
+        self.names.pop(name, None)
+
+    def sync_folder(self) -> None:
+        self._operate()
+        self.synced_names = dict(self.names)
+
+    def close(self) -> None:
+        pass
+
+    def after_power_loss(self, random: Random) -> FakeFiles:
+        """What the disk holds after: the folder as synced or as it is, unsynced writes present, missing or torn."""
+        after = FakeFiles()
+        after.made = self.made
+        # Renames that weren't synced may have lasted or not, in their order (here there is at most one open).
+        after.names = dict(self.names if random.random() < 0.5 else self.synced_names)
+        after.synced_names = dict(after.names)
+        for file in after.names.values():
+            data = self.synced[file]
+            for tail in self.tails[file]:
+                data += _harmed(tail, random)
+            after.synced[file], after.tails[file] = data, []
+        return after
+
+
+def _harmed(tail: bytes, random: Random) -> bytes:
+    cut = random.randrange(len(tail) + 1)
+    return random.choice([tail, b"", tail[:cut], bytes(cut) + tail[cut:], tail[:cut] + bytes(len(tail) - cut),
+                          bytes(len(tail)), random.randbytes(cut)])
+
+
+NAME = "state"
+
+
+def test_values_are_read_back_newest_first_by_key(tmp_path: Path) -> None:
+    store = Store(Folder(tmp_path), NAME)
+    store.put({"a": b"1", "b": b"2"})
+    store.put({"a": b"3", "": b""})
+    store.put({})
+    store.close()
+    again = Store(Folder(tmp_path), NAME)
+    assert again.values == {"a": b"3", "b": b"2", "": b""}
+    again.put({"b": b"4"})
+    again.close()
+    assert Store(Folder(tmp_path), NAME).values == {"a": b"3", "b": b"4", "": b""}
+
+
+def test_a_long_file_is_rewritten(tmp_path: Path) -> None:
+    store = Store(Folder(tmp_path), NAME)
+    for number in range(20):
+        store.put({"big": bytes([number]) * 300_000, "n": b"%d" % number})
+    store.close()
+    assert (tmp_path / NAME).stat().st_size <= REWRITE_FROM_BYTES + 300_100
+    assert [path.name for path in tmp_path.iterdir()] == [NAME]
+    assert Store(Folder(tmp_path), NAME).values["n"] == b"19"
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_after_a_crash_at_any_operation_each_put_is_there_in_full_or_not_at_all(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("cranebank.storage.store.REWRITE_FROM_BYTES", 500)
+    random = Random(seed)
+    big = 450
+    puts = [{"k": b"%d" % n, "l": b"%d" % n, "big": bytes([n]) * (big if n in (3, 5) else 9)} for n in range(9)]
+    operations = 0
+    while True:
+        operations += 1
+        files = FakeFiles()
+        files.crash_at = operations
+        done: dict[str, bytes] = {}
+        tried: dict[str, bytes] = {}
+        try:
+            store = Store(files, NAME)
+            for put in puts:
+                tried = put
+                store.put(put)
+                done = put
+        except Crash:
+            pass
+        else:
+            break
+        for _ in range(8):
+            left = files.after_power_loss(random)
+            reopened = Store(left, NAME)
+            assert reopened.values in (done, tried)
+            reopened.put({"k": b"after"})
+            # Whoever opens it once more finds that, whatever the second loss of power does.
+            assert Store(left.after_power_loss(random), NAME).values["k"] == b"after"
+    assert operations > 2 * len(puts) + 8  # files were rewritten on the way
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_a_refusing_disk_did_not_take_is_not_done_and_the_next_put_is(seed: int) -> None:
+    random = Random(seed)
+    for refused in range(4, 40):
+        files = FakeFiles()
+        store = Store(files, NAME)
+        files.refuse_at = {refused, refused + random.randrange(3)}
+        done: dict[str, bytes] = {}
+        maybe: list[dict[str, bytes]] = [done]
+        for number in range(12):
+            put = {"k": b"%d" % number, "l": b"%d" % number}
+            try:
+                store.put(put)
+            except DiskRefused as error:
+                assert error.code is StorageCode.DISK_REFUSED
+                assert store.values == done
+                maybe.append(put)
+            else:
+                done, maybe = put, [put]
+            assert Store(files.after_power_loss(random), NAME).values in [done, *maybe]
+        files.refuse_at = set()
+        store.put({"k": b"last"})
+        assert Store(files.after_power_loss(random), NAME).values["k"] == b"last"
+
+
+def test_a_damaged_batch_below_a_later_one_is_told_wherever_it_is_hit() -> None:
+    batches = [encode_batch(number, {"a": b"x" * number, "b": b"y"}) for number in range(1, 5)]
+    data = b"".join(batches)
+    last = len(data) - len(batches[-1])
+    for position in range(len(data)):
+        harmed = data[:position] + bytes([data[position] ^ 0x41]) + data[position + 1 :]
+        if position < last:
+            with pytest.raises(DamagedFile) as raised:
+                read_records(harmed)
+            assert raised.value.code is StorageCode.DAMAGED_FILE
+        else:
+            # The last write can't be told from one that a loss of power tore: it is cut, as a whole.
+            contents = read_records(harmed)
+            assert (contents.good_length, contents.batch) == (last, 3)
+            assert contents.values == {"a": b"xxx", "b": b"y"}
+
+
+def test_any_tail_of_the_last_write_is_cut() -> None:
+    whole = encode_batch(1, {"a": b"1"})
+    last = encode_batch(2, {"a": b"2", "b": b"22", "c": b"222"})
+    for cut in range(len(last)):
+        for tail in (last[:cut], bytes(cut) + last[cut:], last[:cut] + bytes(len(last) - cut), last[cut:]):
+            contents = read_records(whole + tail)
+            assert contents.values in ({"a": b"1"}, {"a": b"2", "b": b"22", "c": b"222"})
+            assert (contents.values == {"a": b"1"}) == (tail != last)
+
+
+def test_a_missing_part_of_a_rewritten_file_is_damage() -> None:
+    data = encode_batch(7, {"a": b"1", "b": b"2"}) + encode_batch(8, {"a": b"3"})
+    with pytest.raises(DamagedFile):
+        read_records(data[FRAME_LENGTH:])
+    assert read_records(data).values == {"a": b"3", "b": b"2"}
+
+
+def test_a_damaged_file_is_set_aside_and_replaced_by_an_empty_one(tmp_path: Path) -> None:
+    (tmp_path / NAME).write_bytes(b"stray" + encode_batch(7, {"a": b"1"}))
+    store, damage = open_store(tmp_path, NAME)
+    assert damage is not None and dict(store.values) == {}
+    store.put({"a": b"2"})
+    store.close()
+    assert open_store(tmp_path, NAME)[1] is None
+    assert sorted(path.name for path in tmp_path.iterdir()) == [NAME, f"{NAME}.damaged-1"]
+    (tmp_path / NAME).write_bytes(b"other")
+    assert set_aside(Folder(tmp_path), NAME) == f"{NAME}.damaged-2"
+
+
+def test_too_many_records_are_refused_by_type() -> None:
+    with pytest.raises(TooManyRecords) as raised:
+        encode_batch(1, {str(number): b"" for number in range(0x10000)})
+    assert raised.value.code is StorageCode.TOO_MANY_RECORDS
+
+
+def test_a_folder_that_is_missing_is_told_by_type(tmp_path: Path) -> None:
+    with pytest.raises(DiskRefused):
+        Store(Folder(tmp_path / "missing"), NAME)
+    with pytest.raises(DiskRefused):
+        set_aside(Folder(tmp_path), NAME)
+
+
+class SlowStore:
+    """Holds each put until told, and notes what came in one."""
+
+    def __init__(self) -> None:
+        self.puts: list[dict[str, bytes]] = []
+        self.threads: set[int] = set()
+        self.go = threading.Semaphore(0)
+        self.refuse = False
+        self.closed = False
+
+    def put(self, values: dict[str, bytes]) -> None:
+        self.threads.add(threading.get_ident())
+        self.go.acquire()
+        self.puts.append(values)
+        if self.refuse:
+            raise DiskRefused(OSError(errno.EIO, "refused"))
+
+    def close(self) -> None:
+        self.closed = True
+
+
+async def _waiting_puts_go_together() -> None:
+    store = SlowStore()
+    disk = Disk(store)  # type: ignore[arg-type]
+    first = asyncio.create_task(disk.put({"a": b"1"}))
+    await asyncio.sleep(0)
+    others = [asyncio.create_task(disk.put({"a": b"%d" % n, f"k{n}": b""})) for n in range(2, 5)]
+    await asyncio.sleep(0)
+    others[1].cancel()  # the caller is gone; what it put is stored all the same
+    store.go.release(2)
+    await asyncio.gather(first, others[0], others[2])
+    assert store.puts == [{"a": b"1"}, {"a": b"4", "k2": b"", "k3": b"", "k4": b""}]
+    assert len(store.threads) == 1 and threading.get_ident() not in store.threads
+    store.refuse = True
+    store.go.release(1)
+    with pytest.raises(DiskRefused):
+        await disk.put({"a": b"5"})
+    store.refuse = False
+    store.go.release(1)
+    await disk.put({"a": b"6"})
+    last = asyncio.create_task(disk.put({"a": b"7"}))
+    await asyncio.sleep(0)
+    store.go.release(1)
+    await disk.close()
+    await last
+    assert store.closed and store.puts[-1] == {"a": b"7"}
+
+
+def test_puts_that_wait_go_in_one_write_and_never_block_the_loop() -> None:
+    asyncio.run(_waiting_puts_go_together())
+
+
+async def _through_the_disk(path: Path) -> None:
+    store, _ = open_store(path, NAME)
+    disk = Disk(store)
+    await asyncio.gather(*(disk.put({f"k{n}": b"%d" % n}) for n in range(50)))
+    await disk.close()
+
+
+def test_the_asyncio_end_stores_on_a_real_disk(tmp_path: Path) -> None:
+    asyncio.run(_through_the_disk(tmp_path))
+    assert len(open_store(tmp_path, NAME)[0].values) == 50
