Custody: a record that was found and completed doesn't make its finder primary

Change: only the very candidacy that made up a record becomes primary by it; late members are tried again, last.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -367,14 +367,13 @@
         for replica in self._members:
             self._send(replica, ev.Released(self._id, term))
 
-    def _learn(self, record: EpochRecord) -> bool:
-        """Take a chosen record; tell whether it was news."""
+    def _learn(self, record: EpochRecord, is_own: bool = False) -> None:
+        """Take a chosen record if it is news; `is_own` when this very candidacy made it up and got it chosen."""
         before = self._members
         if not self._acceptor.learn(record):
-            return False
+            return
         self._dirty.add("control")
         self._voter_lease.superseded(record)
-        proposal = self._proposal
         self._proposal = None
         if self._id not in record.members:
             self._change(State.OUTSIDER, "not a member")
@@ -386,9 +385,9 @@
             self._reign.lease.forget_others(record.members)
             self._reign.establish_by = self._now + self._settings.lease_s
             self._reign.ask_at = self._now
-        elif self._state is State.CANDIDATE and proposal is not None and record == proposal.own:
-            lease = self._new_lease()
-            self._reign = _Reign(record.term, lease, self._now)
+        elif self._state is State.CANDIDATE and is_own:
+            # One that was found and completed may be of an earlier life, which has acted and proposed more by it.
+            self._reign = _Reign(record.term, self._new_lease(), self._now)
             self._change(State.PRIMARY, "chosen")
         else:
             self._stand_at = self._now + (self._between(HASTE_S) if record.primary == self._id else self._stand_wait())
@@ -396,7 +395,6 @@
                 if record.primary not in ("", self._id):
                     self._stand_at += self._settings.lease_s / 2  # its first ask is on the way
                 self._change(State.FOLLOWER, "another record was chosen")
-        return True
 
     def _new_lease(self) -> HeldLease:
         return HeldLease(self._settings.lease_s, MARGIN_S)
@@ -518,7 +516,7 @@
         record = proposal.record
         if proposal.accepted(message.sender) and record is not None:
             told = proposal.voters - {self._id}
-            self._learn(record)
+            self._learn(record, is_own=record is proposal.own)
             for replica in sorted(told):
                 self._tell(replica)
 
@@ -710,12 +708,11 @@
         since = self._reign.since if self._reign is not None else self._now
         return self._now - self._heard.get(replica, since)
 
-    def _is_failing(self, replica: str) -> bool:
-        """Tell whether a replica can't be counted on to store a value now."""
-        if replica == self._id:
-            return False
-        if replica in self._down or self._silence_s(replica) > SILENT_S:
-            return True
+    def _is_away(self, replica: str) -> bool:
+        return replica != self._id and (replica in self._down or self._silence_s(replica) > SILENT_S)
+
+    def _is_late(self, replica: str) -> bool:
+        """Tell whether a replica was sent the value long enough ago and hasn't stored it."""
         reign = self._reign
         sent = reign.first_sent.get(replica) if reign is not None else None
         return (
@@ -725,21 +722,22 @@
 
     def _recruits(self, reign: _Reign, record: EpochRecord, good: list[str]) -> list[str]:
         """Return the members, best first, of whom as many as are missing are to become copies."""
-        fit = [replica for replica in record.members if replica not in record.copies and not self._is_failing(replica)]
+        fit = [replica for replica in record.members if replica not in record.copies and not self._is_away(replica)]
         holders = self._holders(reign)
         ordered = choose_by_zone(fit, good, self._settings.zones)
-        ordered.sort(key=lambda replica: replica not in holders)
+        # A late one comes last, but it is tried again: it may be a message that was lost.
+        ordered.sort(key=lambda replica: (replica not in holders, self._is_late(replica)))
         return ordered[: max(0, self._target(record) - len(good))]
 
     def _good_copies(self, record: EpochRecord) -> list[str]:
-        return [replica for replica in record.copies if not self._is_failing(replica)]
+        return [replica for replica in record.copies if not (self._is_away(replica) or self._is_late(replica))]
 
     def _send_stores(self, reign: _Reign, record: EpochRecord) -> None:
         value, now = self._value, self._now
         holders = self._holders(reign)
         wanted = self._must_hold(record) | set(self._recruits(reign, record, self._good_copies(record)))
         for replica in sorted(wanted - holders - {self._id}):
-            if replica in self._down or self._silence_s(replica) > SILENT_S:
+            if self._is_away(replica):
                 continue
             last = reign.last_sent.get(replica)
             if last is not None and last[0] == value.revision and now < last[1] + STORE_AGAIN_S:
--- /dev/null
+++ b/tests/simulated_control.py
@@ -0,0 +1,607 @@
+"""A simulated network, disks and clocks under controllers and two operators, with a judge over what is seen.
+
+One seed is one schedule: `python -m tests.simulated_control --schedules 10000`. Nothing sleeps; a second here is a
+number. The judge knows only what operators, watchers of commits and holders of fences see.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import sys
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from random import Random
+
+import msgspec
+
+from cranebank.control import events as ev
+from cranebank.control.custody import Custody, CustodySettings
+
+FAULTS_S = 12.0
+RECOVER_S = 5.0
+CATCH_UP_S = 4.0
+TICK_S = 0.05
+_MESSAGE = msgspec.msgpack.Decoder(ev.AnyMessage)
+
+
+class Violation(Exception):
+    """A rule was broken; the text says which and how."""
+
+
+class Judge:
+    """The rules. `acknowledged` holds for each base the one change that was taken on it."""
+
+    def __init__(self) -> None:
+        self.acknowledged: dict[int, tuple[int, bytes]] = {}
+        self.newest = 0
+        self.bases: dict[int, int] = {}
+        self.committed = 0
+        self.digests: dict[int, bytes] = {}
+        self.refused: set[int] = set()
+        self.fence = -1
+        self.fence_owner: object = None
+        self.acks = 0
+
+    def acknowledge(self, base: int, revision: int, digest: bytes) -> None:
+        taken = self.acknowledged.setdefault(base, (revision, digest))
+        if taken != (revision, digest):
+            raise Violation(f"both {taken[0]} and {revision} acknowledged on {base}")
+        if self.digests.get(revision) != digest:
+            raise Violation(f"{revision} acknowledged but not committed")
+        self.acks += 1
+        self.newest = max(self.newest, revision)
+
+    def commit(self, revision: int, digest: bytes) -> None:
+        if revision < self.committed:
+            raise Violation(f"committed {revision} after {self.committed}")
+        if self.digests.setdefault(revision, digest) != digest:
+            raise Violation(f"two contents of {revision}")
+        if revision > self.committed and self.bases[revision] != self.committed:
+            raise Violation(f"{revision}, made on {self.bases[revision]}, committed after {self.committed}")
+        if revision in self.refused:
+            raise Violation(f"{revision} committed though it was refused")
+        self.committed = revision
+
+    def refuse(self, revision: int) -> None:
+        if revision in self.digests:
+            raise Violation(f"{revision} refused though it was committed")
+        self.refused.add(revision)
+
+    def acts(self, holders: list[Life]) -> None:
+        if len(holders) > 1:
+            raise Violation(f"two hold the lease: {[life.machine.ip for life in holders]}")
+        for life in holders:
+            fence = life.custody.fence()
+            if fence < self.fence or (fence == self.fence and self.fence_owner is not life):
+                raise Violation(f"fence {fence} used after {self.fence}")
+            self.fence, self.fence_owner = fence, life
+
+    def read(self, revision: int, digest: bytes) -> None:
+        if revision < self.newest:
+            raise Violation(f"read {revision} though {self.newest} was acknowledged")
+        if revision and self.digests.get(revision) != digest:
+            raise Violation(f"read {revision} with another content")
+
+
+class Life:
+    """One process; what belongs to an earlier one of the same machine reaches it no longer."""
+
+    def __init__(self, machine: Machine, custody: Custody) -> None:
+        self.machine = machine
+        self.custody = custody
+        self.disk_free_at = 0.0
+        self.unsynced: deque[tuple[int, dict[str, bytes]]] = deque()
+        self.held_up: list[ev.Event] = []
+        self.next_tick = 0.0
+
+
+class Machine:
+    """A machine with its disk and its steady clock, which has its own start and a rate of its own."""
+
+    def __init__(self, ip: str, random: Random) -> None:
+        self.ip = ip
+        self.disk: dict[str, bytes] = {}
+        self.life: Life | None = None
+        self.offset = random.uniform(0, 1000)
+        self.rate = random.uniform(0.995, 1.005)
+        self.frozen_until = 0.0
+        self.slow_until = 0.0
+        self.stuck_until = 0.0
+        self.refuses_until = 0.0
+        self.cut_in_until = 0.0
+        self.cut_out_until = 0.0
+        self.troubled_until = 0.0
+        self.is_removed = False
+
+    def clock(self, now: float) -> float:
+        return self.offset + now * self.rate
+
+
+class Attempt:
+    """One change of an operator and its tries."""
+
+    def __init__(self, base: int, revision: int, digest: bytes) -> None:
+        self.base = base
+        self.revision = revision
+        self.digest = digest
+        self.tries = 0
+        self.is_open = False  # some try may still come into force
+
+
+class World:
+    """All of it. `kind` is the custody under test, or a subclass with a planted fault."""
+
+    def __init__(self, seed: int, kind: type[Custody] = Custody) -> None:
+        self.seed = seed
+        self.random = Random(seed)
+        self.kind = kind
+        self.now = 0.0
+        self.judge = Judge()
+        self.trace: deque[str] = deque(maxlen=400)
+        self.faults: dict[str, int] = {}
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self._requests: dict[int, tuple[Operator, Attempt]] = {}
+        self._revision = 0
+        count = self.random.choice([3, 3, 3, 4, 5, 5, 7])
+        self.tolerance = 1 if count < 5 else self.random.choice([1, 2])
+        self.loss = self.random.choice([0.0, 0.0, 0.01, 0.05])
+        self.doubled = self.random.choice([0.0, 0.02])
+        self.jumbled = self.random.choice([0.0, 0.0, 0.05])
+        ips = [f"10.0.{number}.1" for number in range(count)]
+        self.seeds = tuple(ips[:3])
+        self.machines = {ip: Machine(ip, self.random) for ip in ips}
+        self._next_ip = count
+        for ip in ips:
+            self.at(self.random.uniform(0, 0.3), partial(self.start, self.machines[ip]))
+        self.operators = [Operator(self), Operator(self)]
+        for operator in self.operators:
+            self.at(self.random.uniform(0.3, 1.0), operator.step)
+        self._is_over = False
+
+    # Time.
+
+    def at(self, delay: float, what: Callable[[], None]) -> None:
+        self._number += 1
+        heapq.heappush(self._heap, (self.now + delay, self._number, what))
+
+    def run_until(self, end: float) -> None:
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, what = heapq.heappop(self._heap)
+            what()
+        self.now = end
+
+    def note(self, text: str) -> None:
+        self.trace.append(f"{self.now:8.4f} {text}")
+
+    # Machines.
+
+    def start(self, machine: Machine) -> None:
+        if machine.life is not None or machine.is_removed:
+            return
+        is_first = self.now < 0.4 and machine.ip in self.seeds
+        settings = CustodySettings(machine.ip, self.seeds, is_first, self.tolerance)
+        custody = self.kind(settings, dict(machine.disk), self.random, machine.clock(self.now))
+        machine.life = Life(machine, custody)
+        self.note(f"{machine.ip} starts as {custody.id}")
+        self._tick(machine.life)
+
+    def _tick(self, life: Life) -> None:
+        if life.machine.life is life:
+            self.tell(life, ev.Tick())
+            self.at(self.random.uniform(TICK_S, TICK_S * 1.1), partial(self._tick, life))
+
+    def tell(self, life: Life, event: ev.Event) -> None:
+        machine = life.machine
+        if machine.life is not life:
+            return
+        if self.now < machine.frozen_until:
+            if not isinstance(event, ev.Tick) or not any(isinstance(one, ev.Tick) for one in life.held_up):
+                life.held_up.append(event)
+            return
+        for action in life.custody.handle(machine.clock(self.now), event):
+            self._do(life, action)
+        self._look()
+
+    def thaw(self, life: Life) -> None:
+        if life.machine.life is life and self.now >= life.machine.frozen_until:
+            events, life.held_up = life.held_up, []
+            for event in events:
+                self.tell(life, event)
+
+    def _look(self) -> None:
+        holders = []
+        for machine in self.machines.values():
+            life = machine.life
+            if life is not None and life.custody.holds(machine.clock(self.now)):
+                holders.append(life)
+        self.judge.acts(holders)
+        for life in holders:
+            current = life.custody.current
+            if current is not None and self.now >= life.machine.frozen_until:
+                self.judge.read(current[0], current[2])
+
+    def _do(self, life: Life, action: ev.Action) -> None:
+        if isinstance(action, ev.Send):
+            self._send(life, action)
+        elif isinstance(action, ev.Persist):
+            self._persist(life, action)
+        elif isinstance(action, ev.Committed):
+            self.note(f"{life.machine.ip} committed {action.revision}")
+            self.judge.commit(action.revision, action.digest)
+        elif isinstance(action, ev.Answer):
+            self._answer(life, action)
+        else:
+            self.note(f"{life.machine.ip} {action} {life.custody.record}")
+
+    # Network.
+
+    def _send(self, life: Life, action: ev.Send) -> None:
+        machine = life.machine
+        target = self.machines.get(action.ip)
+        if target is None or self.now < machine.cut_out_until or self.random.random() < self.loss:
+            return
+        encoded = msgspec.msgpack.encode(action.message)
+        for _ in range(2 if self.random.random() < self.doubled else 1):
+            delay = self.random.uniform(0.0003, 0.002)
+            if self.random.random() < self.jumbled:
+                delay += self.random.choice([0.01, 0.2, 1.0])
+            self.at(delay, partial(self._arrive, machine.ip, target, encoded))
+
+    def _arrive(self, sender: str, target: Machine, encoded: bytes) -> None:
+        if target.life is not None and self.now >= target.cut_in_until:
+            self.tell(target.life, ev.Received(sender, _MESSAGE.decode(encoded)))
+
+    def _links_down(self, ip: str) -> None:
+        for machine in self.machines.values():
+            if machine.ip != ip and machine.life is not None:
+                self.at(self.random.uniform(0.0003, 0.002), partial(self.tell, machine.life, ev.LinkDown(ip)))
+
+    # Disks.
+
+    def _persist(self, life: Life, action: ev.Persist) -> None:
+        machine = life.machine
+        slow = 60 if self.now < machine.slow_until else 1
+        begin = max(self.now, life.disk_free_at, machine.stuck_until)
+        life.disk_free_at = begin + self.random.uniform(0.002, 0.007) * slow
+        life.unsynced.append((action.token, action.values))
+        self.at(life.disk_free_at - self.now, partial(self._persisted, life))
+
+    def _persisted(self, life: Life) -> None:
+        machine = life.machine
+        if machine.life is not life:
+            return
+        token, values = life.unsynced.popleft()
+        if self.now < machine.refuses_until:
+            self.tell(life, ev.DiskTrouble(token))
+        else:
+            machine.disk.update(values)
+            self.tell(life, ev.Persisted(token))
+
+    def _end(self, machine: Machine) -> None:
+        life, machine.life = machine.life, None
+        if life is not None and self.now >= machine.refuses_until:
+            # Some of what wasn't told as stored may have got to the disk, in its order.
+            for _ in range(self.random.randrange(len(life.unsynced) + 1)):
+                machine.disk.update(life.unsynced.popleft()[1])
+
+    # Faults.
+
+    def trouble(self, machine: Machine, until: float) -> None:
+        machine.troubled_until = max(machine.troubled_until, until + CATCH_UP_S)
+
+    def may_lose(self, machine: Machine) -> bool:
+        """Tell whether the disk of this machine may be lost now, by the tolerance."""
+        others = [one for one in self.machines.values() if one is not machine and self.now < one.troubled_until]
+        return self.now > CATCH_UP_S and len(others) < self.tolerance
+
+    def fault(self) -> None:
+        if self._is_over:
+            return
+        self.at(self.random.choice([0.1, 0.6, 2.0, 5.0]) * self.random.uniform(0.3, 1.5), self.fault)
+        present = [machine for machine in self.machines.values() if not machine.is_removed]
+        machine = self.random.choice(present)
+        primary = self.primary()
+        if primary is not None and self.random.random() < 0.4:
+            machine = primary.machine
+        kinds = [self._kill, self._kill, self._power, self._wipe, self._wipe, self._freeze, self._freeze, self._cut,
+                 self._cut, self._slow_disk, self._refusing_disk, self._stuck_disk, self._replace, self._retire,
+                 self._all_killed, self._final]
+        kind = self.random.choice(kinds)
+        self.note(f"fault {kind.__name__} on {machine.ip}")
+        if kind(machine):
+            self.faults[kind.__name__] = self.faults.get(kind.__name__, 0) + 1
+
+    def _restart(self, machine: Machine, delay: float) -> None:
+        self.trouble(machine, self.now + delay)
+        self.at(delay, partial(self.start, machine))
+
+    def _kill(self, machine: Machine) -> bool:
+        self._end(machine)
+        self._links_down(machine.ip)
+        self._restart(machine, self.random.choice([0.05, 0.5, 2.5]) * self.random.uniform(0.5, 1.5))
+        return True
+
+    def _killed(self, machine: Machine) -> None:
+        self._kill(machine)
+
+    def _power(self, machine: Machine) -> bool:
+        self._end(machine)
+        self._restart(machine, self.random.uniform(0.3, 3.0))
+        return True
+
+    def _wipe(self, machine: Machine) -> bool:
+        if not self.may_lose(machine):
+            return False
+        self._end(machine)
+        machine.disk = {}
+        self._restart(machine, self.random.choice([0.02, 0.3, 2.0]) * self.random.uniform(0.5, 1.5))
+        return True
+
+    def _freeze(self, machine: Machine) -> bool:
+        length = self.random.choice([0.3, 1.0, 2.0, 4.0]) * self.random.uniform(0.8, 1.2)
+        machine.frozen_until = max(machine.frozen_until, self.now + length)
+        self.trouble(machine, machine.frozen_until)
+        if machine.life is not None:
+            self.at(machine.frozen_until - self.now + 1e-9, partial(self.thaw, machine.life))
+        return True
+
+    def _cut(self, machine: Machine) -> bool:
+        until = self.now + self.random.choice([0.05, 0.5, 3.0]) * self.random.uniform(0.5, 1.5)
+        ways = self.random.choice(["in", "out", "both", "both"])
+        if ways != "out":
+            machine.cut_in_until = max(machine.cut_in_until, until)
+        if ways != "in":
+            machine.cut_out_until = max(machine.cut_out_until, until)
+        self.trouble(machine, until)
+        if self.random.random() < 0.3:
+            self.at(0.3, partial(self._links_down, machine.ip))
+        return True
+
+    def _slow_disk(self, machine: Machine) -> bool:
+        machine.slow_until = self.now + self.random.uniform(0.5, 3.0)
+        self.trouble(machine, machine.slow_until)
+        return True
+
+    def _refusing_disk(self, machine: Machine) -> bool:
+        machine.refuses_until = self.now + self.random.uniform(0.1, 2.0)
+        self.trouble(machine, machine.refuses_until)
+        return True
+
+    def _stuck_disk(self, machine: Machine) -> bool:
+        machine.stuck_until = self.now + self.random.uniform(0.1, 3.0)
+        self.trouble(machine, machine.stuck_until)
+        return True
+
+    def _replace(self, machine: Machine) -> bool:
+        if not self.may_lose(machine) or self._next_ip > 12:
+            return False
+        new = Machine(f"10.0.{self._next_ip}.1", self.random)
+        self._next_ip += 1
+        self.machines[new.ip] = new
+        self.trouble(new, self.now)
+        self.trouble(machine, float("inf"))
+        if self.random.random() < 0.5:  # without a word
+            self._remove(machine)
+            self.at(self.random.uniform(0.0, 1.0), partial(self.start, new))
+        else:
+            self.start(new)
+            self.at(self.random.uniform(0.5, 3.0), partial(self._retire_for_good, machine))
+        return True
+
+    def _retire_for_good(self, machine: Machine) -> None:
+        if machine.life is not None:
+            self.tell(machine.life, ev.Retire())
+        self.at(self.random.uniform(0.1, 1.0), partial(self._remove, machine))
+
+    def _remove(self, machine: Machine) -> None:
+        self._end(machine)
+        machine.is_removed = True
+        machine.disk = {}
+        # It is lost until the rest have made up for it.
+        machine.troubled_until = self.now + CATCH_UP_S
+        self._links_down(machine.ip)
+
+    def _retire(self, machine: Machine) -> bool:
+        if machine.life is None:
+            return False
+        self.tell(machine.life, ev.Retire())
+        self.at(self.random.uniform(0.05, 0.5), partial(self._killed, machine))
+        return True
+
+    def _all_killed(self, machine: Machine) -> bool:
+        for one in self.machines.values():
+            if not one.is_removed:
+                self._end(one)
+                self._restart(one, self.random.uniform(0.05, 1.0))
+        return True
+
+    def _final(self, machine: Machine) -> bool:
+        """All lose power, and as many lose their disks as may be."""
+        lost = self.random.sample([one for one in self.machines.values() if not one.is_removed], self.tolerance)
+        if self.now < CATCH_UP_S or any(self.now < one.troubled_until for one in self.machines.values()):
+            return False
+        for one in self.machines.values():
+            self._end(one)
+            if one in lost:
+                one.disk = {}
+            if not one.is_removed:
+                self._restart(one, self.random.uniform(0.1, 1.0))
+        return True
+
+    def heal(self) -> None:
+        self._is_over = True
+        self.note("healed")
+        for machine in self.machines.values():
+            machine.frozen_until = min(machine.frozen_until, self.now)
+            machine.slow_until = machine.stuck_until = machine.refuses_until = 0.0
+            machine.cut_in_until = machine.cut_out_until = 0.0
+            if machine.life is not None:
+                machine.life.disk_free_at = min(machine.life.disk_free_at, self.now + 0.05)
+                self.thaw(machine.life)
+            else:
+                self.start(machine)
+
+    # Operators.
+
+    def primary(self) -> Life | None:
+        for machine in self.machines.values():
+            life = machine.life
+            if life is not None and self.now >= machine.frozen_until and life.custody.holds(machine.clock(self.now)):
+                return life
+        return None
+
+    def new_attempt(self, base: int) -> Attempt:
+        self._revision += self.random.randint(1, 3)
+        revision = max(self._revision, base + 1)
+        self._revision = revision
+        self.judge.bases[revision] = base
+        return Attempt(base, revision, self.random.randbytes(4))
+
+    def ask(self, operator: Operator, attempt: Attempt, ip: str) -> int:
+        self._number += 1
+        request = self._number
+        self._requests[request] = (operator, attempt)
+        life = self.machines[ip].life
+        if life is not None:
+            write = ev.Write(request, attempt.base, attempt.revision, b"doc" + attempt.digest, attempt.digest)
+            self.at(self.random.uniform(0.001, 0.003), partial(self.tell, life, write))
+        return request
+
+    def _answer(self, life: Life, action: ev.Answer) -> None:
+        result = action.result
+        self.note(f"{life.machine.ip} answers {action.request}: {result}")
+        if isinstance(result, ev.Accepted | ev.Conflict) and not life.custody.holds(life.machine.clock(self.now)):
+            return
+        operator, attempt = self._requests[action.request]
+        if isinstance(result, ev.Accepted):
+            self.judge.acknowledge(attempt.base, attempt.revision, attempt.digest)
+        operator.answered(action.request, result)
+
+    # The schedule.
+
+    def run(self) -> World:
+        self.at(self.random.uniform(0.1, 2.0), self.fault)
+        self.run_until(FAULTS_S)
+        self.heal()
+        acks = self.judge.acks
+        self.run_until(FAULTS_S + RECOVER_S)
+        life = self.primary()
+        if life is None or life.custody.current is None:
+            raise Violation(f"no recovery: {[self._describe(one) for one in self.machines.values()]}")
+        if self.judge.acks == acks:
+            raise Violation("no write was acknowledged after the faults")
+        record = life.custody.record
+        assert record is not None
+        if len(record.copies) < min(len(record.members), self.tolerance + 1):
+            raise Violation(f"too few copies: {record}")
+        present = {one.life.custody.id for one in self.machines.values() if one.life is not None}
+        if len(set(record.members) & present) < min(3, len(present)):
+            raise Violation(f"too few members: {record} of {present}")
+        return self
+
+    def _describe(self, machine: Machine) -> str:
+        life = machine.life
+        return f"{machine.ip}: {'down' if life is None else life.custody.status(machine.clock(self.now))}"
+
+
+class Operator:
+    """Changes the configuration again and again; often both read the same base and send at once."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.attempt: Attempt | None = None
+        self.request = -1
+        self.hint: str | None = None
+
+    def step(self) -> None:
+        world = self.world
+        if self.attempt is None:
+            life = world.primary()
+            current = life.custody.current if life is not None else None
+            if current is None:
+                world.at(0.1, self.step)
+                return
+            self.attempt = world.new_attempt(current[0])
+            other = next(one for one in world.operators if one is not self)
+            if other.attempt is None and world.random.random() < 0.4:
+                other.attempt = world.new_attempt(current[0])
+                other.hint = life.machine.ip if life is not None else None
+        attempt = self.attempt
+        attempt.tries += 1
+        ips = [ip for ip, machine in world.machines.items() if not machine.is_removed]
+        ip = self.hint if self.hint in ips else world.random.choice(ips)
+        self.hint = None
+        self.request = world.ask(self, attempt, ip)
+        world.note(f"operator sends {attempt.revision} on {attempt.base} to {ip} as {self.request}")
+        attempt.is_open = True
+        world.at(world.random.uniform(0.8, 1.5), partial(self._give_up, self.request, attempt.tries))
+
+    def _give_up(self, request: int, tries: int) -> None:
+        if self.request == request:
+            self.request = -1
+            self._again()
+
+    def _again(self) -> None:
+        if self.attempt is not None and self.attempt.tries > 10:
+            self.attempt = None
+        self.world.at(self.world.random.uniform(0.01, 0.3), self.step)
+
+    def answered(self, request: int, result: ev.Result) -> None:
+        attempt = self.attempt
+        if request != self.request or attempt is None:
+            return
+        self.request = -1
+        if isinstance(result, ev.NotPrimary | ev.Busy | ev.Conflict) and attempt.tries == 1:
+            attempt.is_open = False
+        if isinstance(result, ev.Conflict) and not attempt.is_open:
+            self.world.judge.refuse(attempt.revision)
+        if isinstance(result, ev.Accepted | ev.Conflict):
+            self.attempt = None
+        elif isinstance(result, ev.NotPrimary):
+            self.hint = result.primary_ip
+        self._again()
+
+
+def play(seed: int, kind: type[Custody] = Custody) -> str:
+    """Play one schedule; return "" or what was broken."""
+    world = World(seed, kind)
+    try:
+        world.run()
+    except Violation as violation:
+        return f"seed {seed}: {violation}"
+    return ""
+
+
+
+
+def main() -> int:
+    """Play many schedules; print those that broke a rule."""
+    parser = argparse.ArgumentParser(description="Play the custody against random faults.")
+    parser.add_argument("--schedules", type=int, default=300)
+    parser.add_argument("--first", type=int, default=0, help="seed of the first schedule")
+    parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--trace", type=int, help="play this seed alone and print its trace")
+    options = parser.parse_args()
+    if options.trace is not None:
+        world = World(options.trace)
+        try:
+            world.run()
+        except Exception as error:
+            print(*world.trace, sep="\n")
+            print(repr(error))
+            return 1
+        return 0
+    seeds = range(options.first, options.first + options.schedules)
+    with ProcessPoolExecutor(options.processes) as pool:
+        broken = [found for found in pool.map(play, seeds, chunksize=10) if found]
+    print(*broken, sep="\n")
+    print(f"{len(seeds)} schedules, {len(broken)} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
