Pair: keepers read, neighbours' loads count, what a reading holds up counts

Cause: on the burst pauses over 150 ms come from prompts read where tokens are made, and shared prompts are read again where homes move; proxies saw a ninth of the load.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -277,17 +277,21 @@
             self._reads += 1
             self._change(State.READING)
             estimate = self._shared.chooser.pace(self._service, "prefill").estimate(plan.read_tokens) / 1e3
-            self._send(now, plan.reader, plan.read_tokens, True, (("X-Stage", "prefill"),),
+            self._send(now, plan.reader, plan.read_tokens, True, (("X-Stage", "prefill"), self._priority()),
                        SILENT_START_S + SILENT_READ * estimate)
         else:
             self._make(now, plan.maker, plan.read_tokens)
 
+    def _priority(self) -> tuple[str, str]:
+        """A lower rank of the route is more urgent; the ends of the scale are left to others."""
+        return "Priority", str(min(9, 3 + self._route.rank))
+
     def _make(self, now: float, maker: Seen, tokens: int) -> None:
         """Send the request to the backend that makes the tokens."""
         if self._arrivals and not self._may_repeat(now):
             self._give_up(now)
             return
-        headers: list[tuple[str, str]] = [("Priority", str(min(9, 3 + self._route.rank)))]
+        headers: list[tuple[str, str]] = [self._priority()]
         if self._handle is not None:
             headers.append(("Kv-From", f"{self._handle.backend.address}/{self._handle.name}"))
             self._handle, tokens = None, 0
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -2,9 +2,10 @@
 
 At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
 probability beta = sqrt(n log n / b), ties at random, else the first draw. Who keeps a long shared prompt is ready to
-read it, and nobody else: its home, the same for all proxies (rendezvous hashing), joined by the next one while the home
-has so much to read that reading it anew is sooner done. The figure is an estimate in milliseconds of what a call costs
-there: what is to be read, behind what this proxy has out there, the move.
+read it, and nobody else, unless the keepers have so much to read that reading it anew elsewhere is sooner done; one
+that nobody is known to keep may go to its two homes, the same for all proxies (rendezvous hashing). The figure is an
+estimate in milliseconds of what a call costs there: what is to be read, behind what this proxy and its neighbours have
+out there, the move, and how much a reading holds up the streams that run there.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
 from cranebank.dataplane.routes import Engine
 from cranebank.decisions.balance import beta
 
+HOMES = 2  # where a long shared prompt that nobody keeps may be read
+HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
 ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
 LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
 SAFE = 0.6  # part of the goal for which an estimate may be relied on
@@ -90,6 +93,7 @@
     def __init__(self, candidates: Candidates, cache: CacheView, random: Random) -> None:
         self._candidates, self._cache, self._random = candidates, cache, random
         self.proxies = 1  # the told count
+        self.told_at = 0.0  # when neighbours told their figures last
         self._rates: dict[tuple[str, str], Rate] = {}
         self._paces: dict[tuple[str, str], Pace] = {}
         self._hashes: dict[tuple[str, str], bytes] = {}
@@ -108,17 +112,24 @@
 
     def blend(self, now: float, service: str, stage: str, listed: list[Seen], drawn: tuple[Seen, Seen]) -> float:
         """Beta for two draws: falls as their figures age and as proxies become more."""
-        age = now - min(drawn[0].figured_at, drawn[1].figured_at)
+        age = now - max(self.told_at, min(drawn[0].figured_at, drawn[1].figured_at))
         rate = self._rates.get((service, stage))
         calls = (rate.at(now) if rate else 0.0) * self.proxies * min(age, RATE_S)
         return min(1.0, beta(len(listed), calls))
 
-    def homes(self, listed: list[Seen], key: str, shared: int) -> list[Seen]:
-        """Who is ready to read a prompt with a long shared part of so many tokens: in the same order at every proxy."""
+    def keepers(self, listed: list[Seen], prompt: Prompt) -> list[Seen]:
+        """Who is ready to read a prompt with a long shared part."""
         if len(listed) <= 1:
             return listed
-        ranked = sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:2]
-        return ranked if ranked[0].tokens > ranked[1].tokens + shared else ranked[:1]
+        shared = prompt.shared_tokens
+        found = [seen for seen in listed if self._cache.kept(seen.backend.id, prompt.shared) >= shared]
+        if not found:
+            key = prompt.home_key
+            return sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:HOMES]
+        behind = min(seen.tokens + seen.others_tokens for seen in found)
+        if behind > shared + min(seen.tokens + seen.others_tokens for seen in listed):
+            return listed
+        return found
 
     def _hash(self, key: str, backend: str) -> bytes:
         found = self._hashes.get((key, backend))
@@ -143,13 +154,13 @@
             return None
         pace = self.pace(service, "prefill")
         if prompt.home_key:
-            listed = self.homes(listed, prompt.home_key, prompt.shared_tokens)
+            listed = self.keepers(listed, prompt)
         first, second = self._draw(listed)
         blend = self.blend(now, service, "prefill", listed, (first, second))
 
         def figure(seen: Seen) -> tuple[float, int]:
             tokens = max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
-            return pace.estimate(tokens) + pace.token * seen.tokens, tokens
+            return pace.estimate(tokens) + pace.token * (seen.tokens + seen.others_tokens), tokens
 
         (a, a_tokens), (b, b_tokens) = figure(first), figure(second)
         if self._random.random() < blend and (b < a or (b == a and self._random.random() < 0.5)):
@@ -164,7 +175,7 @@
             return None
         first, second = self._draw(listed)
         blend = self.blend(now, service, "decode", listed, (first, second))
-        reading = self.reader(now, service, prompt, without) if prompt.tokens > ALONE else None
+        reading = self.reader(now, service, prompt, without) if prompt.tokens else None
         plan = self._plan(first, reading, service, engine, prompt, goal_ms, blend)
         if second is not first:
             other = self._plan(second, reading, service, engine, prompt, goal_ms, blend)
@@ -176,14 +187,19 @@
     def _plan(self, maker: Seen, reading: tuple[Seen, float, int] | None, service: str, engine: Engine,
               prompt: Prompt, goal_ms: float, blend: float) -> Plan:
         pace = self.pace(service, "decode")
-        ahead = pace.token * maker.tokens + maker.calls
+        streams = maker.calls + maker.others_calls
+        ahead = pace.token * (maker.tokens + maker.others_tokens) + streams
         tokens = max(1, prompt.tokens - self._cache.kept(maker.backend.id, prompt.parts))
-        if reading is None or tokens <= ALONE:
-            return Plan(maker, None, tokens, self._cost(pace.estimate(tokens) + ahead, goal_ms), blend)
+        alone = self._cost(pace.estimate(tokens) + ahead, goal_ms) + HOLD_UP * streams * pace.token * tokens
+        if reading is None:
+            return Plan(maker, None, tokens, alone, blend)
         reader, read_ms, read_tokens = reading
         far = 1.0 if reader.backend.zone == maker.backend.zone else 2.0
         move = far * prompt.tokens * engine.token_bytes * 8 / max(1.0, engine.link_mbps) / 1e3
-        return Plan(maker, reader, read_tokens, self._cost(read_ms + pace.start + move + ahead, goal_ms), blend)
+        split = self._cost(read_ms + pace.start + move + ahead, goal_ms)
+        if tokens <= ALONE and alone <= split:
+            return Plan(maker, None, tokens, alone, blend)
+        return Plan(maker, reader, read_tokens, split, blend)
 
     @staticmethod
     def _cost(time: float, goal_ms: float) -> float:
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -64,6 +64,8 @@
 
     def others(self, sums: Sums) -> None:
         """Calls and tokens that neighbours have out at these backends."""
+        if sums:
+            self._proxy.shared.chooser.told_at = asyncio.get_running_loop().time()
         for backend, (calls, tokens) in sums.items():
             seen = self._proxy.shared.candidates.seen.get(backend)
             if seen is not None:
