--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -3,7 +3,7 @@
 At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
 probability beta = sqrt(n log n / b), ties at random, else the first draw. Who keeps a long shared prompt is ready to
 read it, and nobody else, unless the keepers have so much to read that reading it anew elsewhere is sooner done; one
-that nobody is known to keep may go to its two homes, the same for all proxies (rendezvous hashing). The figure is an
+that nobody is known to keep goes to its home, the same for all proxies (rendezvous hashing). The figure is an
 estimate in milliseconds of what a call costs there: what is to be read, behind what this proxy and its neighbours have
 out there, the move, and how much a reading holds up the streams that run there.
 """
@@ -22,7 +22,8 @@
 from cranebank.dataplane.routes import Engine
 from cranebank.decisions.balance import beta
 
-HOMES = 2  # where a long shared prompt that nobody keeps may be read
+HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
+FAR_BEHIND = 3  # so many readings of its shared part let a prompt go elsewhere: each costs work that others wait for
 HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
 ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
 LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
@@ -127,7 +128,7 @@
             key = prompt.home_key
             return sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:HOMES]
         behind = min(seen.tokens + seen.others_tokens for seen in found)
-        if behind > shared + min(seen.tokens + seen.others_tokens for seen in listed):
+        if behind > FAR_BEHIND * shared + min(seen.tokens + seen.others_tokens for seen in listed):
             return listed
         return found
 
