--- a/cranebank/transport/frames.py
+++ b/cranebank/transport/frames.py
@@ -58,7 +58,7 @@
                 try:
                     head = HEADER.parse(bytes(self._held[:SIZE]))
                 except construct.ConstructError as error:
-                    raise BadFrame("magic", str(error).splitlines()[0]) from None
+                    raise BadFrame("magic", type(error).__name__) from None
                 if head.kind != 1 or not 0 < head.length <= MOST:
                     raise BadFrame("length", f"expected up to {MOST} bytes of kind 1, got {head.length} of {head.kind}")
                 self._wanted, self._checksum = head.length, head.checksum
@@ -74,3 +74,17 @@
                 found.append(_decoder.decode(body))
             except msgspec.MsgspecError as error:
                 raise BadFrame("body", str(error)) from None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing unfinished is held."""
+        return not self._held and not self._wanted
+
+
+def decode_datagram(data: bytes) -> Message:
+    """The message of a datagram, which is one whole frame and nothing else. Raises BadFrame."""
+    decoder = Decoder()
+    found = decoder.feed(data)
+    if len(found) != 1 or not decoder.is_empty:
+        raise BadFrame("length", f"expected one frame in a datagram of {len(data)} bytes")
+    return found[0]
