Delivery: who starts without a configuration gets the last committed one at once

Cause: after all processes are killed at once proxies waited for a primary, that is for the voters' wait after a restart (1.2 s) and a takeover.

--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -106,7 +106,8 @@
         if is_proxy:
             slot = self._free.pop() if self._free else self._slots
             self._slots = max(self._slots, slot + 1)
-        peer = self.peers[link] = Peer(name, ip, slot, revision, now + (BACKUP_S if is_proxy else CONTROLLER_S))
+        wait = 0.0 if is_proxy and not revision else BACKUP_S if is_proxy else CONTROLLER_S  # who has none waits for it
+        peer = self.peers[link] = Peer(name, ip, slot, revision, now + wait)
         if is_proxy:
             self._stale_welcome = True
             self._welcome(link, peer)
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -47,6 +47,7 @@
 ALONE_S = 1.0  # without any other controller for so long, the settings file is read again
 RETIRE_S = 1.0
 FINISH_S = 2.0
+HANDED = "handed"  # key of the committed configuration that was handed out last
 TAKEN = 256  # configurations whose calls are still known when they are sent again
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -97,7 +98,8 @@
     """One control process: owner of its links, and the plane of its API."""
 
     def __init__(self, settings: NodeSettings, make_keeper: Callable[[float, Random], Keeper], storage: Storage,
-                 random: Random, reload: Callable[[], NodeSettings]) -> None:
+                 random: Random, reload: Callable[[], NodeSettings],
+                 handed: tuple[int, bytes] | None = None) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings, self._storage, self._reload = settings, storage, reload
         self._life = random.getrandbits(48)
@@ -123,6 +125,8 @@
         self._links: asyncio.Server | None = None
         if self._keeper.current is not None:
             self._commit(*self._keeper.current)
+        elif handed is not None:  # proxies that start with us need not wait for a primary
+            self._delivery.committed(now, *handed)
 
     async def start(self) -> None:
         """Listen and dial."""
@@ -421,6 +425,16 @@
         """A committed configuration, from the custody or from a controller that handed it on."""
         if self._delivery.committed(now, revision, document):
             self._tell_controllers(ConfigAck(revision))
+            task = self._loop.create_task(self._keep_handed(revision, document))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _keep_handed(self, revision: int, document: bytes) -> None:
+        """Keep what was committed for the next start. Nothing waits for it: a lower revision then is soon followed."""
+        try:
+            await self._storage.put({HANDED: _encode((revision, document))})
+        except StorageError as error:
+            logger.warning("disk: {}", error)
 
     # Time.
 
@@ -484,7 +498,8 @@
             stored, random, now)
         return made
 
-    return Controller(settings, keeper, storage, SystemRandom(), reload)
+    handed = msgspec.msgpack.decode(stored[HANDED], type=tuple[int, bytes]) if HANDED in stored else None
+    return Controller(settings, keeper, storage, SystemRandom(), reload, handed)
 
 
 async def run(settings: NodeSettings, ring: ring_module.Ring | None = None) -> int:
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -300,6 +300,26 @@
     play(story)
 
 
+def test_what_was_handed_out_is_handed_out_again_before_there_is_a_primary(tmp_path: Path) -> None:
+    """All controllers and proxies were killed at once: who starts anew has no wait for a lease to end."""
+    async def story(ports: tuple[int, int]) -> None:
+        sent = body(document(revision=7))
+        async with controller(tmp_path, ports), caller(ports) as client:
+            assert (await client.call("POST", REPLACE, sent, 0))[0] == 200
+        settings = msgspec.structs.replace(settings_of(ONE, ports), data_dir=str(tmp_path),
+                                           tolerance=Tolerance(machines=1), seed_addrs=(f"{ONE}:1", f"{TWO}:1"))
+        made = await make_controller(settings, lambda: settings)
+        await made.start()
+        try:
+            async with proxy(ports) as edge:
+                assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+                assert not made.holds()
+        finally:
+            await made.stop()
+
+    play(story)
+
+
 def test_what_a_controller_lost_is_rebuilt(tmp_path: Path) -> None:
     """A proxy's Hello tells a controller that has just begun which backends there are."""
     async def story(ports: tuple[int, int]) -> None:
--- a/tests/test_custody_simulated.py
+++ b/tests/test_custody_simulated.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from simulated_control import Violation, World, play
 
 from cranebank.control import events as ev
 from cranebank.control.custody import Custody, InvariantBroken
 from cranebank.control.epochs import NO_BALLOT, DurableState, EpochRecord, HeldLease, initial_record
-from tests.simulated_control import Violation, World, play
 
 SCHEDULES = 300
 IN_ONE_TEST = 20
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -120,13 +120,22 @@
     delivery.shown(0, 7)
     delivery.tick(1 + BACKUP_S)
     assert configured(delivery.take()) == [(1, 7)]
-    join(delivery, 5, 5)
+    join(delivery, 5, 5, revision=6)
     delivery.tick(5)
     assert configured(delivery.take()) == []
     delivery.tick(5 + BACKUP_S)
     assert configured(delivery.take()) == [(5, 7)]
 
 
+def test_a_proxy_without_any_configuration_gets_one_from_whoever_has_it() -> None:
+    """It serves nobody until then, and there may be no primary for a while."""
+    delivery = made(1)
+    delivery.committed(1, 7, b"{}")
+    delivery.take()
+    join(delivery, 5, 5)
+    assert configured(delivery.take()) == [(5, 7)]
+
+
 def test_a_new_primary_hands_out_what_is_missing() -> None:
     """Whoever takes over pushes at once to those that are behind."""
     delivery = made(2)
