--- /dev/null
+++ b/cranebank/fleetlab/backend.py
@@ -0,0 +1,391 @@
+"""A model backend on a loopback address: HTTP/1.1 in front of the model, heartbeats, and faults switched by name."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+import msgspec
+
+from cranebank.fleetlab import model as m
+from cranebank.fleetlab.records import Arrival, Drain
+from cranebank.fleetlab.wire import ask_once
+
+FAULTS = ("dark", "crash", "cut", "late", "silent")
+CUT_AFTER = 2  # events, before an answer is cut short
+LEAVE_AFTER_S = 0.3  # beyond drain_ms
+UNACKED_S = 4.0  # without an acknowledgement a drain ends all the same
+DEADLINE_MS = 60_000.0
+RUNS = itertools.count(1)  # of all backends of this process
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 409: "Conflict",
+           412: "Precondition Failed", 421: "Misdirected Request", 503: "Service Unavailable"}
+
+
+class Call:
+    """One request that is open at the backend."""
+
+    __slots__ = ("arrival", "connection", "headed", "number", "request")
+
+    def __init__(self, number: int, connection: BackendConnection, arrival: Arrival | None,
+                 request: m.GenerationRequest | None) -> None:
+        self.number, self.connection, self.arrival, self.request = number, connection, arrival, request
+        self.headed = False
+
+
+class BackendConnection(asyncio.Protocol):
+    """One caller's connection; it serves one request at a time."""
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self.call: Call | None = None
+        self._waiting: list[tuple[str, str, dict[str, str], bytes]] = []
+        self.last: bytes = b""  # the latest whole answer, for one that comes again
+        self._begin()
+
+    def _begin(self) -> None:
+        self._url, self._body = b"", b""
+        self._headers: dict[str, str] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A caller has connected."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.backend.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is over."""
+        self.transport = None
+        self.backend.connections.discard(self)
+        if self.call is not None:
+            self.backend.gone(self.call)
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes of requests."""
+        if "dark" in self.backend.faults:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
+    def on_url(self, url: bytes) -> None:
+        """Part of the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One field of the head."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Part of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """A whole request."""
+        method = self._parser.get_method().decode("latin-1")
+        self._waiting.append((method, self._url.decode("latin-1"), self._headers, self._body))
+        self._begin()
+        self.next()
+
+    def next(self) -> None:
+        """Take the next request, if none is open."""
+        if self.call is None and self._waiting:
+            self.backend.take(self, *self._waiting.pop(0))
+
+    def write(self, data: bytes) -> None:
+        """Send."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def abort(self) -> None:
+        """End it now."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Backend:
+    """One incarnation of a backend."""
+
+    def __init__(self, spec: m.EngineSpec, instance: str, service: str, stage: str, address: str, zone: str,
+                 controllers: Callable[[], list[str]], beat_s: float, drain_s: float,
+                 arrivals: list[Arrival], drains: list[Drain], handles: dict[str, str]) -> None:
+        self.model = m.ModelBackend(spec, instance, stage)
+        self.instance, self.service, self.address, self.zone = instance, service, address, zone
+        self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
+        self._arrivals, self._drains = arrivals, drains
+        self._handles = handles  # whose prompt each handle is, for the judge
+        self.faults: set[str] = set()
+        self.connections: set[BackendConnection] = set()
+        self._calls: dict[int, Call] = {}
+        self._numbers = itertools.count(1)
+        self._beats = itertools.count(1)
+        self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.phase = "ready"
+        self._turn = 0
+        self.ended = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, and begin to send heartbeats."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: BackendConnection(self), host, int(port), reuse_address=True)
+        self._spawn(self._beat_on())
+
+    def fault(self, name: str, on: bool = True) -> None:
+        """Switch a fault; a crash can't be switched off."""
+        assert name in FAULTS
+        if name == "crash":
+            self.stop()
+        elif on:
+            self.faults.add(name)
+        else:
+            self.faults.discard(name)
+
+    def stop(self) -> None:
+        """End at once and say nothing."""
+        if self.ended.is_set():
+            return
+        self.ended.set()
+        for call in self._calls.values():
+            if call.arrival is not None:
+                call.arrival.broke_off = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    def drain(self) -> None:
+        """Announce the end, serve on, leave and end."""
+        if self.phase == "ready":
+            self.phase = "draining"
+            self._spawn(self._leave())
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Heartbeats.
+
+    async def _beat_on(self) -> None:
+        while self.phase == "ready":
+            if "dark" not in self.faults:
+                await self._beat()
+            await asyncio.sleep(self._beat_s)
+
+    async def _beat(self) -> bool:
+        stage = self.model.stage
+        body = {"target": self.service, "address": self.address, "zone": self.zone, "revision": "v1",
+                "capacity": self.model.spec.capacity, "phase": self.phase, "cold_left_ms": 0, "stage": stage,
+                "models": [{"name": "m", "revision": 1, "loras": []}], "call_seq": next(self._beats)}
+        return await self._tell("Heartbeat", msgspec.json.encode(body))
+
+    async def _tell(self, what: str, body: bytes) -> bool:
+        """Tell one controller; after a failure the next one is used."""
+        controllers = self._controllers()
+        for _ in controllers:
+            at = controllers[self._turn % len(controllers)]
+            answer = await ask_once(at, "POST", f"/api/Servers.{what}/{self.instance}", body)
+            if 200 <= answer.status < 300 and answer.whole:
+                return True
+            self._turn += 1
+        return False
+
+    async def _leave(self) -> None:
+        loop = asyncio.get_running_loop()
+        record = Drain(self.instance, loop.time())
+        self._drains.append(record)
+        while loop.time() < record.announced + UNACKED_S:
+            if await self._beat():
+                record.acked = loop.time()
+                break
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(self._drain_s + LEAVE_AFTER_S)
+        while self._calls and loop.time() < record.announced + 10.0:  # what it took is finished
+            await asyncio.sleep(0.05)
+        await self._tell("Leave", b"{}")
+        record.ended = loop.time()
+        self._tasks.discard(cast("asyncio.Task[None]", asyncio.current_task()))
+        self.stop()
+
+    # Requests.
+
+    def take(self, connection: BackendConnection, method: str, path: str, headers: dict[str, str],
+             body: bytes) -> None:
+        """A whole request is in."""
+        now = asyncio.get_running_loop().time()
+        number = next(self._numbers)
+        call = connection.call = self._calls[number] = Call(number, connection, None, None)
+        if path == "/health":
+            self._answer(call, 200 if self.phase == "ready" else 503, b"ok", {"X-Instance": self.instance})
+        elif path == "/api/report":
+            self._feed(m.ReportAsked(number))
+        elif path == "/api/order":
+            self._feed(m.Ordered(number, _order(body, headers)))
+        elif path.startswith("/api/kv-handle/") and method == "DELETE":
+            self._feed(m.DeleteHandle(number, path.removeprefix("/api/kv-handle/")))
+        else:
+            request = call.request = read_request(headers, now)
+            call.arrival = Arrival(now, self.service, self.instance, request.attempt, method, path, digest(body),
+                                   "read" if request.is_prefill else "make", request.after)
+            if request.kv_from:
+                call.arrival.handle_of = self._handles.get(request.kv_from.rpartition("/")[2], "?")
+            self._arrivals.append(call.arrival)
+            self._feed(m.Asked(number, request))
+
+    def gone(self, call: Call) -> None:
+        """The caller of a call has left."""
+        if self._calls.pop(call.number, None) is not None and not self.ended.is_set():
+            self._feed(m.Gone(call.number))
+
+    def _feed(self, event: m.Event) -> None:
+        if self.ended.is_set():
+            return
+        for action in self.model.handle(asyncio.get_running_loop().time(), event):
+            self._do(action)
+
+    def _do(self, action: m.Action) -> None:
+        if isinstance(action, m.WakeAt):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = asyncio.get_running_loop().call_at(action.at, self._feed, m.Wake())
+            return
+        call = self._calls.get(action.call)
+        if call is None:
+            return
+        match action:
+            case m.Respond(_, status, body, not_run):
+                if call.request is not None and call.request.is_prefill and status == 200:
+                    self._handles[msgspec.json.decode(body)["prompt_handle"]] = call.request.attempt
+                self._answer(call, status, body, {"X-Not-Run": "1"} if not_run else {})
+            case m.Began(_, kept, read):
+                if call.arrival is not None:
+                    call.arrival.run = f"{self.instance}.{next(RUNS)}"
+                    call.arrival.ran_at = asyncio.get_running_loop().time()
+                    call.arrival.kept, call.arrival.read = kept, read
+            case m.Emit(_, number, last):
+                self._emit(call, number, last)
+            case m.Cut():
+                self._break(call)
+            case m.TakeHandle(_, source):
+                self._spawn(self._take_handle(call.number, source))
+
+    async def _take_handle(self, number: int, source: str) -> None:
+        address, _, handle = source.partition("/")
+        answer = await ask_once(address, "DELETE", f"/api/kv-handle/{handle}")
+        self._feed(m.HandleTaken(number, answer.status == 200))
+
+    def _answer(self, call: Call, status: int, body: bytes, more: dict[str, str]) -> None:
+        """A whole answer of known length."""
+        connection = call.connection
+        arrival = call.arrival
+        if arrival is not None:
+            arrival.status, arrival.not_run, arrival.whole = status, "X-Not-Run" in more or status == 421, True
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}", "Content-Type: application/json",
+                 f"Content-Length: {len(body)}", *(f"{name}: {value}" for name, value in more.items())]
+        if arrival is not None:
+            lines.append(f"X-Attempt-Id: {arrival.attempt}")
+        self._finish(call)
+        if "silent" in self.faults and arrival is not None:
+            return
+        connection.write("\r\n".join((*lines, *self._closing(), "", "")).encode() + body)
+        self._done(connection)
+
+    def _closing(self) -> list[str]:
+        return ["Connection: close"] if self.phase == "draining" else []
+
+    def _emit(self, call: Call, number: int, last: bool) -> None:
+        """One event of a stream."""
+        arrival, connection = call.arrival, call.connection
+        assert arrival is not None
+        if "silent" in self.faults:
+            if last:
+                self._finish(call)
+            return
+        out = b""
+        if not call.headed:
+            call.headed, arrival.status = True, 200
+            seal = f"{arrival.run}.{arrival.attempt}"
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", f"X-Attempt-Id: {arrival.attempt}",
+                     f"X-Server-Seal: {seal}", "Transfer-Encoding: chunked", *self._closing()]
+            out = "\r\n".join((*lines, "", "")).encode()
+            if "late" in self.faults:
+                out = connection.last + out  # one answer more than expected, where the next is due
+        if number:
+            event = f"id: {number}\ndata: {arrival.attempt} {arrival.run} {number}\n\n".encode()
+            out += b"%x\r\n%b\r\n" % (len(event), event)
+            arrival.events_made += 1
+        if "cut" in self.faults and arrival.events_made >= CUT_AFTER:
+            arrival.broke_off = True
+            connection.write(out)
+            self._break(call)
+            return
+        if last:
+            out += b"0\r\n\r\n"
+            arrival.whole = True
+        connection.write(out)
+        if last:
+            stale = f"late {arrival.attempt}".encode()
+            connection.last = (f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {arrival.attempt}\r\nX-Server-Seal: {arrival.run}"
+                               f".{arrival.attempt}\r\nContent-Length: {len(stale)}\r\n\r\n").encode() + stale
+            self._finish(call)
+            self._done(connection)
+
+    def _break(self, call: Call) -> None:
+        if call.arrival is not None:
+            call.arrival.broke_off = True
+        self._finish(call)
+        if call.connection.transport is not None:
+            call.connection.transport.close()  # what was written still goes out
+        self._feed(m.Gone(call.number))
+
+    def _finish(self, call: Call) -> None:
+        self._calls.pop(call.number, None)
+        call.connection.call = None
+
+    def _done(self, connection: BackendConnection) -> None:
+        if self.phase == "draining":
+            if connection.transport is not None:
+                connection.transport.close()
+        else:
+            connection.next()
+
+
+def digest(body: bytes) -> str:
+    """What a body is known by."""
+    return hashlib.blake2b(body, digest_size=8).hexdigest()
+
+
+def read_request(headers: dict[str, str], now: float) -> m.GenerationRequest:
+    """A request by its headers."""
+    tokens, _, out = headers.get("x-token-counts", "1,1").partition(",")
+    parts = []
+    for part in filter(None, headers.get("x-prompt-prefix", "").split(",")):
+        name, _, size = part.partition(":")
+        parts.append((name, int(size)))
+    attempt = headers.get("x-attempt-id", "")
+    return m.GenerationRequest(
+        attempt, tuple(parts) or ((attempt, int(tokens)),), int(out or 1),
+        now + float(headers.get("x-deadline-left", DEADLINE_MS)) / 1e3, headers.get("x-stage") == "prefill",
+        headers.get("kv-from", ""), int(headers.get("priority", 5)), headers.get("x-target-instance", ""),
+        int(headers.get("last-event-id", 0)))
+
+
+def _order(body: bytes, headers: dict[str, str]) -> m.Order:
+    try:
+        order = msgspec.json.decode(body, type=m.Order)
+    except msgspec.MsgspecError:
+        order = m.Order()
+    return msgspec.structs.replace(order, target=headers.get("x-target-instance", ""))
+
--- /dev/null
+++ b/cranebank/fleetlab/records.py
@@ -0,0 +1,144 @@
+"""What clients, backends and the operator of a day wrote down. Times in seconds on one steady clock."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """The figures of the rules, named as in the settings file."""
+
+    contact_ms: float = 3000
+    ack_ms: float = 4000
+    drain_ms: float = 2000
+    grace_s: float = 8
+    loss_slack_ms: float = 200
+    apply_ms: float = 2000
+    revert_ms: float = 250
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 20
+
+
+class StreamEvent(msgspec.Struct, frozen=True):
+    """One event of a stream: its number, and the attempt and the run it says it belongs to."""
+
+    number: int
+    attempt: str
+    run: str
+
+
+class Try(msgspec.Struct):
+    """One try of a client, and what came back."""
+
+    request: int  # tries of one request share it
+    attempt: str
+    proxy: str
+    life: int  # of the proxy's process, as far as the platform knows
+    method: str
+    host: str
+    path: str
+    digest: str  # of the body
+    sent: float
+    repeatable: bool
+    events_due: int
+    is_probe: bool = False  # sent directly, to see which configuration is in force
+    gave_up: float = 0.0  # when the client stopped waiting
+    connected: bool = False
+    status: int = 0  # 0: no head came
+    whole: bool = False  # it looked complete
+    is_http: bool = True  # the bytes could be read
+    answer_attempt: str = ""
+    seal: str = ""
+    events: tuple[StreamEvent, ...] = ()
+    event_times: tuple[float, ...] = ()
+    ended: float = 0.0
+
+
+class Arrival(msgspec.Struct):
+    """One request that reached a backend."""
+
+    at: float
+    service: str
+    instance: str
+    attempt: str
+    method: str
+    path: str
+    digest: str
+    kind: str  # make, or read: X-Stage was prefill
+    after: int = 0  # Last-Event-Id
+    status: int = 0
+    not_run: bool = False
+    run: str = ""  # once it has begun
+    ran_at: float = 0.0
+    kept: int = 0
+    read: int = 0
+    events_made: int = 0
+    whole: bool = False  # the last piece was written
+    broke_off: bool = False  # by the backend itself
+    handle_of: str = ""  # the attempt whose prompt handle it went on from
+
+
+class RouteRule(msgspec.Struct, frozen=True):
+    """What a configuration says of one host and prefix."""
+
+    host: str
+    prefix: str
+    services: tuple[str, ...]
+
+
+class Change(msgspec.Struct):
+    """One configuration that an operator sent."""
+
+    revision: int
+    base: int
+    routes: tuple[RouteRule, ...]  # of the whole configuration that it makes
+    digest: str  # of that whole configuration
+    sent: float
+    valid: bool = True
+    acked: float | None = None
+    refused: bool = False
+
+
+class Drain(msgspec.Struct):
+    """A backend that announced its end."""
+
+    instance: str
+    announced: float
+    acked: float | None = None
+    ended: float | None = None
+
+
+class Trouble(msgspec.Struct, frozen=True):
+    """A time in which a machine (a proxy's name, or ``core``) was in trouble; planned: by SIGTERM."""
+
+    machine: str
+    begin: float
+    end: float
+    what: str
+    planned: bool = False
+
+
+class ReadBack(msgspec.Struct, frozen=True):
+    """The configuration as read at the end; revision 0: it didn't come."""
+
+    at: float
+    revision: int
+    digest: str
+
+
+class DayRecord(msgspec.Struct):
+    """Everything."""
+
+    bounds: Bounds = Bounds()
+    begun: float = 0.0
+    ended: float = 0.0
+    tries: list[Try] = []
+    arrivals: list[Arrival] = []
+    changes: list[Change] = []
+    drains: list[Drain] = []
+    troubles: list[Trouble] = []
+    read_back: ReadBack | None = None
+    stray: list[str] = []  # bytes on clients' connections where no request was waiting
+    primaries: list[tuple[float, str]] = []  # who was primary
+    exits: list[tuple[str, int]] = []  # processes that ended by themselves
