--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -183,6 +183,7 @@
     cache: CacheView
     budget: Callable[[str], Budget]
     counters: dict[str, int]
+    on_read: Callable[[str, str, int], None] | None = None  # backend, last long shared part, tokens up to it
 
     def count(self, name: str) -> None:
         """One more of something."""
@@ -190,10 +191,14 @@
 
 
 class Exchange:
-    """One request. Times in seconds on the steady clock; ``deadline`` is when the client stops waiting."""
+    """One request. Times in seconds on the steady clock; ``deadline`` is when the client stops waiting.
+
+    ``last_event_id``: where the client itself resumes a stream; it goes to the backend by a leg's own header, of which
+    there must be one only: a later run must not begin where the client's own try did.
+    """
 
     def __init__(self, shared: Shared, route: Route, service: str, engine: Engine, prompt: Prompt, now: float,
-                 deadline: float) -> None:
+                 deadline: float, last_event_id: str | None = None) -> None:
         self._shared, self._route, self._service, self._engine = shared, route, service, engine
         self._prompt, self._begun = prompt, now
         self._until = min(deadline, now + route.timeout_ms / 1e3)
@@ -205,7 +210,7 @@
         self._without: set[str] = set()  # backends that failed this request
         self._handle: Handle | None = None
         self._plan: Plan | None = None
-        self._splitter = EventSplitter() if route.resumable else None
+        self._splitter = EventSplitter(last_event_id) if route.resumable else None
         self._maybe_run = False  # some backend may have begun work on it
         self._headed = False
         self._actions: list[Action] = []
@@ -272,17 +277,21 @@
             self._reads += 1
             self._change(State.READING)
             estimate = self._shared.chooser.pace(self._service, "prefill").estimate(plan.read_tokens) / 1e3
-            self._send(now, plan.reader, plan.read_tokens, True, (("X-Stage", "prefill"),),
+            self._send(now, plan.reader, plan.read_tokens, True, (("X-Stage", "prefill"), self._priority()),
                        SILENT_START_S + SILENT_READ * estimate)
         else:
             self._make(now, plan.maker, plan.read_tokens)
 
+    def _priority(self) -> tuple[str, str]:
+        """A lower rank of the route is more urgent; the ends of the scale are left to others."""
+        return "Priority", str(min(9, 3 + self._route.rank))
+
     def _make(self, now: float, maker: Seen, tokens: int) -> None:
         """Send the request to the backend that makes the tokens."""
         if self._arrivals and not self._may_repeat(now):
             self._give_up(now)
             return
-        headers: list[tuple[str, str]] = [("Priority", str(min(9, 3 + self._route.rank)))]
+        headers: list[tuple[str, str]] = [self._priority()]
         if self._handle is not None:
             headers.append(("Kv-From", f"{self._handle.backend.address}/{self._handle.name}"))
             self._handle, tokens = None, 0
@@ -317,6 +326,12 @@
         self._shared.count("reads" if reads else "makes")
         self._actions.append(Call(self._made, seen.backend, headers))
 
+    def _tell_read(self, leg: Leg, tokens: int) -> None:
+        """A backend has read so many tokens: where shared ones were among them, others want to know."""
+        prompt, tell = self._prompt, self._shared.on_read
+        if tell is not None and prompt.home_key and tokens > prompt.tokens - prompt.shared_tokens:
+            tell(leg.seen.backend.id, prompt.home_key, prompt.shared_tokens)
+
     def _settle(self, now: float, leg: Leg) -> None:
         """A leg is over, for the figures."""
         self._legs.pop(leg.number, None)
@@ -349,6 +364,7 @@
                 self._abort(now, other)
         if leg.answering and read:
             self._shared.chooser.pace(self._service, "decode").learn(read, (now - leg.sent_at) * 1e3)
+            self._tell_read(leg, read)
 
     def _data(self, now: float, number: int, data: bytes) -> None:
         leg = self._legs.get(number)
@@ -410,6 +426,7 @@
         handle = _handle_name(leg.body) if leg.status == 200 else ""
         if handle:
             self._shared.chooser.pace(self._service, "prefill").learn(leg.tokens, (now - leg.sent_at) * 1e3)
+            self._tell_read(leg, leg.tokens)
             self._handle = Handle(backend, handle, now + self._engine.handle_ttl_s - HANDLE_MARGIN_S)
             maker = self._maker(now)
             if maker is None:
