--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -355,5 +355,14 @@
 
 
 def play(plan: DayPlan, progress: Callable[[str], None] = lambda text: None, folder: Path | None = None) -> DayRecord:
-    """Play a day; settings, logs and disks are left in the folder, if one is named."""
-    return asyncio.run(Day(plan, progress, folder).play())
+    """Play a day; settings, logs and disks are left in the folder, if one is named. SIGTERM ends it as Ctrl-C does:
+    the processes are ended first."""
+    async def run() -> DayRecord:
+        playing = asyncio.ensure_future(Day(plan, progress, folder).play())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
+        return await playing
+
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        raise KeyboardInterrupt from None
