Operators' calls: a new primary that is still settling answers 503, not 412

The custody tells a settled primary without a configuration (revision 0) from one that doesn't know yet (None). Test seen to fail without the change.

--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -109,7 +109,7 @@
         current = self._plane.current()
         if not self._plane.holds():
             return self._elsewhere(request)
-        if current is None:
+        if current is None or not current[0]:
             return refusal(503, "no_configuration", headers=_RETRY)
         return Response(200, current[1])
 
@@ -161,7 +161,9 @@
         if self._was_taken(revision, digest):
             return await self._in_force(request, revision)
         current = self._plane.current()
-        at, document = (current[0], current[1]) if current is not None else (0, b"")
+        if current is None:  # it has just taken over: what is current here isn't known to be committed yet
+            return refusal(503, "settling", headers=_RETRY)
+        at, document = current[0], current[1]
         if base != at:
             if not self._plane.holds():
                 return self._elsewhere(request)
--- a/tests/lone_keeper.py
+++ b/tests/lone_keeper.py
@@ -13,7 +13,7 @@
 
     def __init__(self, ip: str, stored: Mapping[str, bytes], leader_ip: str | None = None) -> None:
         self.ip, self.leader_ip = ip, leader_ip or ip
-        self.current: tuple[int, bytes, bytes] | None = None
+        self.current: tuple[int, bytes, bytes] | None = (0, b"", b"")
         self._pending: dict[int, events.Write] = {}
         self._tokens = itertools.count(1)
         self._said = False
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -208,6 +208,23 @@
     play(story)
 
 
+def test_who_has_just_taken_over_refuses_no_valid_change(tmp_path: Path) -> None:
+    """Found by the demo day: the base was compared with nothing, and the operator gave the change up on 412."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as made, caller(ports) as client:
+            assert (await client.call("POST", REPLACE, body(document(revision=7)), 0))[0] == 200
+            keeper = made._keeper
+            assert isinstance(keeper, LoneKeeper)
+            settled, keeper.current = keeper.current, None
+            for call in (REPLACE, AMEND):
+                status, headers, _ = await client.call("POST", call, body(document(revision=9)), 7)
+                assert status == 503 and "retry-after" in headers
+            keeper.current = settled
+            assert (await client.call("POST", REPLACE, body(document(revision=9)), 7))[0] == 200
+
+    play(story)
+
+
 def test_large_configurations(tmp_path: Path) -> None:
     """Megabytes, and chunked bodies; beyond the bound it's refused."""
     async def story(ports: tuple[int, int]) -> None:
