Front: what is written to a client must fit its request, or the connection breaks off

The front now asserts one head, one end and no byte beyond the promised length for each request, and an exchange that breaks an invariant ends its client's connection and writes the log ring.

--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -138,12 +138,12 @@
             self._take()
 
     def _refuse(self, error: RequestError) -> None:
-        self.open = True
+        self.open, self._headed = True, False
         self.reply(error, None, close=True)
 
     def _take(self) -> None:
         """A whole request is in."""
-        self.open, self._reading = True, False
+        self.open, self._reading, self._headed = True, False, False
         method = self._parser.get_method().decode("latin-1")
         request = ClientRequest(method, self._target.decode("latin-1"), self._headers, self._named,
                                 b"".join(self._body), self.since)
@@ -211,7 +211,9 @@
     # The answer.
 
     def head(self, status: int, headers: dict[str, str]) -> bytes:
-        """The bytes of an answer's head; its body follows with ``data``."""
+        """The bytes of an answer's head; its body follows with ``frame`` and ``tail``."""
+        assert self.open and not self._headed, "a head where no request waits for one"
+        self._headed = True
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"]
         length = headers.get("content-length")
         lines += [f"{name}: {value}\r\n" for name, value in headers.items() if name not in HOP
@@ -236,14 +238,17 @@
 
     def frame(self, data: bytes) -> bytes:
         """Part of the body as it goes on the wire."""
+        assert self._headed, "a body without its head"
         if not data or self._bodiless:
             return b""
         if self._left is not None:
             self._left -= len(data)
+            assert self._left >= 0, "more bytes than the head promised"
         return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
 
     def tail(self) -> bytes:
         """The end of the body."""
+        assert self._headed, "an end without its head"
         return b"0\r\n\r\n" if self._chunked else b""
 
     def write(self, data: bytes) -> None:
@@ -273,6 +278,7 @@
 
     def reply(self, error: RequestError, retry_after_s: float | None, close: bool = False) -> None:
         """An answer of our own."""
+        assert self.open and not self._headed, "a reply where no request waits for one"
         body = msgspec.json.encode({"code": error.code, "detail": str(error)})
         lines = [f"HTTP/1.1 {error.status} {REASONS.get(error.status, 'Status')}\r\n",
                  f"content-type: application/json\r\ncontent-length: {len(body)}\r\n"]
@@ -289,7 +295,7 @@
         else:
             self.finish()
 
-    _keep, _old = True, False
+    _keep, _old, _headed = True, False, False
 
     def break_off(self) -> None:
         """End it so that the answer doesn't look complete."""
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -79,7 +79,16 @@
     def do(self, event: Event) -> None:
         """Give the exchange an event and carry out what it decides."""
         now = asyncio.get_running_loop().time()
-        self._carry_out(self.exchange.handle(now, event))
+        try:
+            self._carry_out(self.exchange.handle(now, event))
+        except AssertionError as error:  # better no answer than one that is none
+            logger.opt(exception=error).error("{}: {!r} in {}", self.attempt, event, self.exchange.state)
+            self.client.break_off()
+            for leg in {*self.legs, *self.dialling}:
+                self._abort(leg)
+            if self.timer is not None:
+                self.timer.cancel()
+            self.proxy.closed(self)
 
     def _carry_out(self, actions: list[Action]) -> None:
         out: list[bytes] = []
