Proxy: a time to wake that has passed already breaks nothing

Ruled out before: doubled heads, bytes after the end. The time is now kept here, and whatever breaks inside a request ends its client's connection. Tests on real sockets and uvloop, two of them seen to fail without the change.

--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -60,7 +60,7 @@
     """One request that is open: its exchange, its client, its legs."""
 
     __slots__ = ("attempt", "client", "dialling", "exchange", "legs", "paused", "prefix", "proxy", "request", "timer",
-                 "until")
+                 "until", "wakes_at")
 
     def __init__(self, proxy: Proxy, client: ClientConnection, request: ClientRequest, exchange: Exchange,
                  until: float) -> None:
@@ -69,6 +69,7 @@
         self.legs: dict[int, Connection] = {}
         self.dialling: dict[int, asyncio.Task[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.wakes_at = 0.0
         self.paused = False
         lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
         lines += [f"{name}: {value}\r\n" for name, value in request.headers if name.lower() not in OWN_HEADERS]
@@ -81,7 +82,7 @@
         now = asyncio.get_running_loop().time()
         try:
             self._carry_out(self.exchange.handle(now, event))
-        except AssertionError as error:  # better no answer than one that is none
+        except Exception as error:  # better no answer than one that is none, whatever was half done
             logger.opt(exception=error).error("{}: {!r} in {}", self.attempt, event, self.exchange.state)
             self.client.break_off()
             for leg in {*self.legs, *self.dialling}:
@@ -124,9 +125,11 @@
 
     def _wake_at(self, at: float) -> None:
         if self.timer is not None:
-            if self.timer.when() <= at and not self.timer.cancelled():
+            if self.wakes_at <= at:
                 return  # it looks again then
             self.timer.cancel()
+        # The time is kept here: uvloop's handle of a time that has passed already has none to ask for.
+        self.wakes_at = at
         self.timer = asyncio.get_running_loop().call_at(at + 0.001, self._wake)
 
     def _wake(self) -> None:
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,141 @@
+"""The data plane's asyncio end on real loopback sockets and the loop that it runs on in service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import msgspec
+import pytest
+import uvloop
+
+from cranebank.dataplane import proxy as plane
+from cranebank.dataplane.exchange import Exchange, WakeAt
+from cranebank.dataplane.proxy import Proxy, RetryRule
+from cranebank.transport.messages import Backend
+
+DOCUMENT = msgspec.json.encode({
+    "revision": 3, "services": [{"name": "svc", "engine": {"capacity": 4, "cache_tokens": 9000}}],
+    "routes": [{"name": "r", "hostname": "h.example", "path_prefix": "/", "variant": "streaming", "timeout_ms": 3000,
+                "goal_ms": 300, "target": "svc", "tries": 2, "resumable": True}]})
+EVENT = b"id: 1\ndata: a\n\n"
+ANSWER = (b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: t1\r\nContent-Type: text/event-stream\r\n"
+          b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT), EVENT))
+REQUEST = (b"POST /x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: t1\r\nX-Token-Counts: 383,6\r\n"
+           b"X-Prompt-Prefix: a:55,b:328\r\nX-Deadline-Left: 3000\r\nContent-Length: 2\r\n\r\nhi")
+
+Story = Callable[[Proxy, tuple[str, int]], Awaitable[None]]
+
+
+def play(story: Story, answer: bytes = ANSWER) -> None:
+    """A proxy before one backend that answers everything the same."""
+    async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readuntil(b"\r\n\r\nhi"):
+            writer.write(answer)
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        host = await asyncio.start_server(backend, "127.0.0.1", 0)
+        made = Proxy(RetryRule(0.2, 50.0, 10.0, True), Random(1), loop.time())
+        assert made.configure(DOCUMENT)
+        address = "{}:{}".format(*host.sockets[0].getsockname())
+        made.learn([Backend("d0", "svc", address, "z", "decode", 4, "ready", 1)])
+        front = await loop.create_server(made.front, "127.0.0.1", 0)
+        try:
+            async with asyncio.timeout(10.0):
+                await story(made, front.sockets[0].getsockname())
+        finally:
+            front.close()
+            host.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
+async def ask(address: tuple[str, int], request: bytes = REQUEST) -> bytes:
+    """What comes for a request up to the end of a chunked answer, or of the connection."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(request)
+    found = b""
+    while not found.endswith(b"0\r\n\r\n"):
+        part = await reader.read(65536)
+        if not part:
+            break
+        found += part
+    writer.close()
+    return found
+
+
+def test_a_stream_passes_through_unaltered() -> None:
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        found = await ask(address)
+        assert found.startswith(b"HTTP/1.1 200 OK\r\n") and b"x-server-seal: s\r\n" in found and EVENT in found
+        assert made.counters["served"] == 1 and not made.open
+
+    play(story)
+
+
+def test_a_time_to_wake_that_has_passed_does_no_harm(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by a hunt (MIXED): uvloop answers call_at of a past time with a handle that knows no time; the exception
+    came between an answer's head and its body, and the next run's body went out without a head."""
+    handle = Exchange.handle
+
+    def late(self: Exchange, now: float, event: object) -> list[object]:
+        found: list[object] = list(handle(self, now, event))  # type: ignore[arg-type]
+        return [WakeAt(now - 1.0), WakeAt(now - 2.0), *found] if not self.over else found
+
+    monkeypatch.setattr(Exchange, "handle", late)
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        found = await ask(address)
+        assert found.startswith(b"HTTP/1.1 200 OK\r\n") and EVENT in found
+
+    play(story)
+
+
+def test_what_breaks_inside_ends_the_connection_and_shows_no_half_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(self: plane.Open, at: float) -> None:
+        if self.client.transport is not None and self.legs:
+            raise RuntimeError("planted")
+
+    monkeypatch.setattr(plane.Open, "_wake_at", broken)
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        with pytest.raises(ConnectionResetError):
+            assert not await ask(address)
+            raise ConnectionResetError
+        assert not made.open
+
+    play(story)
+
+
+@pytest.mark.parametrize(("request_", "status"), [
+    (REQUEST.replace(b"h.example", b"other"), b"404"),
+    (REQUEST.replace(b"Content-Length: 2", b"Content-Length: 2\r\nContent-Length: 2"), b"400"),
+    (REQUEST.replace(b"Content-Length: 2", b"Content-Length: 2\r\nTransfer-Encoding: chunked"), b"400"),
+    (REQUEST.replace(b"X-Attempt-Id: t1", b"X-Attempt-Id: t1\r\nX-Attempt-Id: t2"), b"400"),
+    (REQUEST.replace(b"X-Deadline-Left: 3000", b"X-Deadline-Left: soon"), b"400"),
+    (REQUEST.replace(b"Content-Length: 2", b"Content-Length: 99999999"), b"413"),
+    (REQUEST.replace(b"X-Attempt-Id: t1", b"X-Long: " + b"x" * 20_000), b"431"),
+    (b"nonsense\r\n\r\n", b"400"),
+])
+def test_bad_requests_get_the_status_that_says_why(request_: bytes, status: bytes) -> None:
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request_)
+        line = await reader.readline()
+        assert line.split()[1] == status
+        writer.close()
+
+    play(story)
+
+
+def test_an_answer_for_another_request_is_read_and_dropped() -> None:
+    other = ANSWER.replace(b"X-Attempt-Id: t1", b"X-Attempt-Id: t0").replace(b"data: a", b"data: b")
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        found = await ask(address)
+        assert EVENT in found and b"data: b" not in found
+
+    play(story, other + ANSWER)
