--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -82,6 +82,7 @@
         self._stale_welcome = False
         self._stale_since: float | None = None
         self.revision, self.document = 0, b""
+        self._handed: ConfigPush | None = None
         self.is_primary = False
 
     def take(self) -> list[tuple[Hashable, Message]]:
@@ -110,7 +111,7 @@
         peer = self.peers[link] = Peer(name, ip, slot, revision, now + wait)
         if is_proxy:
             self._stale_welcome = True
-            self._welcome(link, peer)
+            self._welcome(link, peer, sorted(self.proxies))
             self._push(link, peer, tuple(records))
         self._configure(now, link, peer)
         return older
@@ -195,9 +196,10 @@
             self._stale_since = now
         if self._stale_since is not None and now - self._stale_since >= WELCOME_S:
             self._stale_welcome, self._stale_since = False, None
+            proxies = sorted(self.proxies)
             for link, peer in self.peers.items():
                 if peer.slot >= 0:
-                    self._welcome(link, peer)
+                    self._welcome(link, peer, proxies)
 
     def _await(self, marks: list[Mark], needs: dict[int, int]) -> Mark:
         mark = Mark(needs, self._slots)
@@ -214,11 +216,10 @@
         self._out.append((link, Push(peer.number, records)))
         return peer.number
 
-    def _welcome(self, link: Hashable, peer: Peer) -> None:
-        proxies = self.proxies
-        others = sorted(proxies - {peer.ip})
-        drawn = self._random.sample(others, min(NEIGHBOURS, len(others)))
-        self._out.append((link, Welcome(self._name, self._controllers, len(proxies), tuple(drawn))))
+    def _welcome(self, link: Hashable, peer: Peer, proxies: list[str]) -> None:
+        drawn = self._random.sample(proxies, min(NEIGHBOURS + 1, len(proxies)))  # one to spare: it may be itself
+        others = [ip for ip in drawn if ip != peer.ip][:NEIGHBOURS]
+        self._out.append((link, Welcome(self._name, self._controllers, len(proxies), tuple(others))))
 
     def _configure(self, now: float, link: Hashable, peer: Peer) -> None:
         """The one place where configurations are handed out."""
@@ -226,4 +227,6 @@
             return
         if now >= peer.due or (self.is_primary and peer.slot >= 0):
             peer.sent = self.revision
-            self._out.append((link, ConfigPush(self.revision, self.document)))
+            if self._handed is None or self._handed.revision != self.revision:
+                self._handed = ConfigPush(self.revision, self.document)
+            self._out.append((link, self._handed))  # one object for all links, so that it is encoded once
--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -28,6 +28,11 @@
         self.away_until = self.away_for = 0.0
 
 
+def _place(backend: Backend) -> tuple[str, str] | None:
+    """Which ready list it stands in, if any."""
+    return (backend.target, backend.stage) if backend.phase == "ready" else None
+
+
 class Candidates:
     """All backends that were heard of; the ready ones by service and stage."""
 
@@ -35,6 +40,8 @@
         self.records: dict[str, Backend] = {}
         self.seen: dict[str, Seen] = {}
         self._ready: dict[tuple[str, str], list[Seen]] = {}
+        self.version = 0  # rises whenever a ready list changes
+        self._away: set[str] = set()  # those that failed lately
         self._gone: dict[str, None] = {}
 
     def merge(self, records: Iterable[Backend]) -> list[str]:
@@ -46,7 +53,10 @@
             if record.phase == "gone":
                 over.append(record.id)
                 self.records.pop(record.id, None)
-                self.seen.pop(record.id, None)
+                ended = self.seen.pop(record.id, None)
+                if ended is not None:
+                    self._unlist(ended)
+                self._away.discard(record.id)
                 self._gone[record.id] = None
                 while len(self._gone) > GONE_KEPT:
                     del self._gone[next(iter(self._gone))]
@@ -54,18 +64,27 @@
             self.records[record.id] = record
             known = self.seen.get(record.id)
             if known is None:
-                self.seen[record.id] = Seen(record)
+                known = self.seen[record.id] = Seen(record)
+                self._list(known)
+            elif _place(known.backend) == _place(record):
+                known.backend = record
             else:
+                self._unlist(known)
                 known.backend = record
-        self._rebuild()
+                self._list(known)
         return over
 
-    def _rebuild(self) -> None:
-        self._ready = {}
-        for seen in self.seen.values():
-            backend = seen.backend
-            if backend.phase == "ready":
-                self._ready.setdefault((backend.target, backend.stage), []).append(seen)
+    def _list(self, seen: Seen) -> None:
+        place = _place(seen.backend)
+        if place is not None:
+            self._ready.setdefault(place, []).append(seen)
+            self.version += 1
+
+    def _unlist(self, seen: Seen) -> None:
+        place = _place(seen.backend)
+        if place is not None:
+            self._ready[place].remove(seen)
+            self.version += 1
 
     def known(self) -> tuple[Backend, ...]:
         """Everything to tell a controller that has forgotten."""
@@ -77,7 +96,11 @@
         return record is not None and record.phase in {"ready", "lost"}
 
     def ready(self, now: float, service: str, stage: str, without: Set[str] = frozenset()) -> list[Seen]:
-        """The ready list; those that failed us lately stand back, unless all did."""
+        """The ready list, which is not to be changed; those that failed us lately stand back, unless all did."""
+        if self._away:
+            self._away = {name for name in self._away if self.seen[name].away_until > now}
+        if not without and not self._away:
+            return self._ready.get((service, stage), [])
         listed = [s for s in self._ready.get((service, stage), ()) if s.backend.id not in without]
         well = [s for s in listed if s.away_until <= now]
         return well or listed
@@ -97,6 +120,7 @@
             return
         seen.away_for = min(max(2 * seen.away_for, AWAY_S[0]), AWAY_S[1])
         seen.away_until = now + seen.away_for
+        self._away.add(backend)
 
     def answered(self, now: float, backend: str) -> None:
         """An answer came."""
@@ -104,3 +128,4 @@
         if seen is not None:
             seen.answered_at = now
             seen.away_until = seen.away_for = 0.0
+            self._away.discard(backend)
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from heapq import nlargest
 from math import exp
 from random import Random
 
@@ -22,6 +23,7 @@
 from cranebank.dataplane.routes import Engine
 from cranebank.decisions.balance import beta
 
+KEPT_HOMES = 4096  # shared parts of a service whose homes are remembered
 HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
 FAR_BEHIND = 3  # so many readings of its shared part let a prompt go elsewhere: each costs work that others wait for
 HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
@@ -88,6 +90,10 @@
         return self._value * exp(-(now - self._at) / RATE_S)
 
 
+def _hash(key: str, backend: str) -> bytes:
+    return blake2b(f"{key}/{backend}".encode(), digest_size=8).digest()
+
+
 class PairChooser:
     """Pairs for the requests of one proxy."""
 
@@ -97,7 +103,7 @@
         self.told_at = 0.0  # when neighbours told their figures last
         self._rates: dict[tuple[str, str], Rate] = {}
         self._paces: dict[tuple[str, str], Pace] = {}
-        self._hashes: dict[tuple[str, str], bytes] = {}
+        self._homes: dict[str, tuple[list[Seen], int, dict[str, list[Seen]]]] = {}  # by service: list, version, homes
 
     def pace(self, service: str, stage: str) -> Pace:
         """What reading takes there; the priors are middling figures, soon outweighed by what is seen."""
@@ -125,20 +131,21 @@
         shared = prompt.shared_tokens
         found = [seen for seen in listed if self._cache.kept(seen.backend.id, prompt.shared) >= shared]
         if not found:
-            key = prompt.home_key
-            return sorted(listed, key=lambda seen: self._hash(key, seen.backend.id), reverse=True)[:HOMES]
+            return self._home(listed, prompt.home_key)
         behind = min(seen.tokens + seen.others_tokens for seen in found)
         if behind > FAR_BEHIND * shared + min(seen.tokens + seen.others_tokens for seen in listed):
             return listed
         return found
 
-    def _hash(self, key: str, backend: str) -> bytes:
-        found = self._hashes.get((key, backend))
+    def _home(self, listed: list[Seen], key: str) -> list[Seen]:
+        """The homes of a shared part; remembered while the list stays as it is."""
+        service, version = listed[0].backend.target, self._candidates.version
+        known = self._homes.get(service)
+        if known is None or known[0] is not listed or known[1] != version or len(known[2]) >= KEPT_HOMES:
+            known = self._homes[service] = (listed, version, {})
+        found = known[2].get(key)
         if found is None:
-            if len(self._hashes) > 50_000:
-                self._hashes.clear()
-            found = blake2b(f"{key}/{backend}".encode(), digest_size=8).digest()
-            self._hashes[key, backend] = found
+            found = known[2][key] = nlargest(HOMES, listed, key=lambda seen: _hash(key, seen.backend.id))
         return found
 
     def _draw(self, listed: list[Seen]) -> tuple[Seen, Seen]:
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -27,6 +27,7 @@
 from cranebank.programs import ring as ring_module
 from cranebank.programs.settings import NodeSettings, SettingsError, load
 from cranebank.storage.records import StorageError
+from cranebank.transport.frames import encode
 from cranebank.transport.links import Dialer, Link, listen
 from cranebank.transport.messages import (
     ConfigAck,
@@ -363,9 +364,12 @@
                 link.send(message)
 
     def _flush(self) -> None:
+        same, frame = None, b""
         for link, message in self._delivery.take():
             assert isinstance(link, Link)
-            link.send(message)
+            if message is not same:
+                same, frame = message, encode(message)
+            link.send_frame(frame)
 
     # The custody.
 
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -59,8 +59,8 @@
 
     def out(self) -> Iterable[tuple[str, int, int]]:
         """Calls and tokens that this proxy has out at each backend."""
-        return [(seen.backend.id, seen.calls, seen.tokens) for seen in self._proxy.shared.candidates.seen.values()
-                if seen.calls or seen.tokens]
+        return ((seen.backend.id, seen.calls, seen.tokens) for seen in self._proxy.shared.candidates.seen.values()
+                if seen.calls or seen.tokens)  # looked for only when loads are due
 
     def others(self, sums: Sums) -> None:
         """Calls and tokens that neighbours have out at these backends."""
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -238,3 +238,26 @@
         for mark, waits in marks:
             assert mark.missing == len(waits)
             assert mark.done == (not waits)
+
+
+def test_one_message_for_all_links() -> None:
+    """A configuration may be large: it is made, and so encoded, once for all."""
+    delivery = made(5, is_primary=True)
+    delivery.committed(1, 3, b"{}")
+    handed = [message for _, message in delivery.take() if isinstance(message, ConfigPush)]
+    assert len(handed) == 5 and all(message is handed[0] for message in handed)
+    delivery.committed(2, 4, b"{ }")
+    handed = [message for _, message in delivery.take() if isinstance(message, ConfigPush)]
+    assert [(message.revision, message.document) for message in handed] == [(4, b"{ }")] * 5
+
+
+def test_nobody_is_named_its_own_neighbour() -> None:
+    delivery = made()
+    for number in range(30):
+        join(delivery, 10, number)
+    delivery.tick(10)
+    delivery.take()
+    delivery.tick(10 + WELCOME_S)
+    for link, message in delivery.take():
+        assert isinstance(message, Welcome)
+        assert len(set(message.neighbours)) == 8 and f"10.0.0.{link}" not in message.neighbours
--- /dev/null
+++ b/tests/test_fleet_links.py
@@ -0,0 +1,91 @@
+"""A proxy's links to controllers: what it answers, and to whom; over real loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+import uvloop
+from test_control_program import free_port
+
+from cranebank.membership.fleet import FleetLinks
+from cranebank.transport.links import Link, listen
+from cranebank.transport.messages import Backend, ConfigAck, ConfigPush, Hello, Message, Push, PushAck
+
+PROXY, CONTROLLERS = "127.0.12.9", ("127.0.12.1", "127.0.12.2", "127.0.12.3")
+
+
+class Plane:
+    """A data plane that takes everything."""
+
+    revision = 0
+
+    def configure(self, document: bytes) -> bool:
+        """Take it."""
+        self.revision = int(document)
+        return True
+
+    def learn(self, backends: Iterable[Backend]) -> None:
+        """Nothing is kept."""
+
+    def known(self) -> tuple[Backend, ...]:
+        """Nothing."""
+        return ()
+
+    def told_proxies(self, count: int) -> None:
+        """Not wanted."""
+
+
+class Controllers:
+    """The other end of all links."""
+
+    def __init__(self) -> None:
+        self.heard: list[tuple[Link, Message]] = []
+
+    def link_up(self, link: Link) -> None:
+        """A connection stands."""
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """A message came."""
+        self.heard.append((link, message))
+
+    def link_down(self, link: Link) -> None:
+        """It is over."""
+
+    def of(self, kind: type[Message]) -> list[tuple[Link, Message]]:
+        """Who heard such a message, and it."""
+        return [(link, message) for link, message in self.heard if isinstance(message, kind)]
+
+
+async def until(controllers: Controllers, kind: type[Message], count: int) -> None:
+    """So many came."""
+    async with asyncio.timeout(5):
+        while len(controllers.of(kind)) < count:
+            await asyncio.sleep(0.01)
+
+
+async def scene() -> None:
+    """Three controllers; one pushes backends, another a configuration."""
+    port, owner, plane = free_port(), Controllers(), Plane()
+    servers = [await listen(owner, ip, port) for ip in CONTROLLERS]
+    links = FleetLinks(plane, lambda: Hello("p", "proxy", PROXY, "z", 1), PROXY, port)
+    links.name(CONTROLLERS)
+    try:
+        await until(owner, Hello, 3)
+        ends = [link for link, _ in owner.of(Hello)]
+        ends[1].send(Push(1, ()))
+        await until(owner, PushAck, 1)
+        ends[0].send(ConfigPush(7, b"7"))
+        await until(owner, ConfigAck, 3)
+        assert [link for link, _ in owner.of(PushAck)] == [ends[1]]
+        assert {link for link, _ in owner.of(ConfigAck)} == set(ends)
+        assert {message for _, message in owner.of(ConfigAck)} == {ConfigAck(7)}
+    finally:
+        links.stop()
+        for server in servers:
+            server.close()
+
+
+def test_a_configuration_is_acknowledged_to_all_controllers_a_push_to_its_own() -> None:
+    """Who does not hear of it soon would send the whole document again."""
+    uvloop.run(scene())
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -202,3 +202,58 @@
         ("a.example", "/x/y/z?q=/x/"), ("A.example:80", "/x/1"), ("b.example", "/"), ("a.example", "/z/"),
         ("c.example", "/"))]
     assert [route and route.name for route in found] == ["r2", "r1", "r3", None, None]
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(["ready", "draining", "lost", "gone"]),
+                          st.sampled_from(["prefill", "decode"]), st.integers(1, 9)), max_size=40))
+def test_ready_lists_are_those_of_the_records_whatever_changes(steps: list[tuple[int, str, str, int]]) -> None:
+    candidates = Candidates()
+    for number, phase, stage, call_seq in steps:
+        before = {stage: list(candidates.ready(0.0, "svc", stage)) for stage in ("prefill", "decode")}
+        version = candidates.version
+        candidates.merge([Backend(f"b{number}", "svc", "10.0.0.1:1", "z", stage, 1, phase, call_seq)])
+        after = {stage: list(candidates.ready(0.0, "svc", stage)) for stage in ("prefill", "decode")}
+        for name, listed in after.items():
+            assert len(set(listed)) == len(listed) == candidates.count("svc", name)
+            assert {seen.backend.id for seen in listed} == {
+                record.id for record in candidates.records.values() if record.phase == "ready" and record.stage == name}
+        assert before == after or candidates.version > version
+        assert candidates.any_ready() == any(after.values())
+
+
+def test_who_failed_stands_back_and_comes_again() -> None:
+    _, candidates = chooser()
+
+    def ready(now: float) -> set[str]:
+        return {seen.backend.id for seen in candidates.ready(now, "svc", "prefill")}
+
+    everybody = {"p0", "p1", "p2", "p3"}
+    candidates.failed(100.0, "p0")
+    candidates.failed(100.0, "p1")
+    assert ready(100.1) == {"p2", "p3"}
+    candidates.answered(100.1, "p1")
+    assert ready(100.1) == everybody - {"p0"}
+    assert ready(100.6) == everybody
+    candidates.failed(101.0, "p0")
+    candidates.merge([Backend("p0", "svc", "10.0.1.0:1", "z", "prefill", 32, "gone", 2)])
+    assert ready(101.1) == everybody - {"p0"}
+
+
+def test_a_remembered_home_is_looked_for_again_once_the_list_changes() -> None:
+    choose, candidates = chooser(readers=6)
+    prompt = Prompt(17_000, 1, (("s", 13_000), ("o", 4_000)))
+
+    def home() -> str:
+        found, = choose.keepers(candidates.ready(100.0, "svc", "prefill"), prompt)
+        return found.backend.id
+
+    first = home()
+    assert home() == first
+    place = candidates.records[first].address
+    candidates.merge([Backend(first, "svc", place, "z", "prefill", 32, "draining", 2)])
+    second = home()
+    assert second != first
+    candidates.failed(100.0, second)
+    assert home() not in {first, second}
+    candidates.answered(100.0, second)
+    assert home() == second
