Registry: backends that come together make one push; drains and ends still go at once

Cause: each heartbeat of a new backend made one Push for each proxy.

Change: news of ready backends waits for the next tick (50 ms) where a push went out within the last; what is alone goes at once as before, and so does every drain, end and loss, with all that waited.

--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -66,8 +66,8 @@
     def await_revision(self, revision: int) -> Mark:
         """The mark of the linked proxies' having a revision in force."""
 
-    def spread(self) -> None:
-        """Tell all what is news in the registry."""
+    def spread(self, at_once: bool = True) -> None:
+        """Tell all what is news in the registry; unless ``at_once``, together with what comes next."""
 
     def ending(self, backend_id: str) -> Mark | None:
         """The mark of the linked proxies' knowing that this backend drains or is gone, while it is open."""
@@ -119,7 +119,7 @@
             record = self._plane.registry.heartbeat(self._plane.now(), request.argument, request.body)
         except BadHeartbeat as error:
             return refusal(400, error.code, error.key, error.expected)
-        self._plane.spread()
+        self._plane.spread(at_once=record.phase != "ready")
         if record.phase != "ready":
             await self._ended(record.id)
         return _DONE
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -119,6 +119,7 @@
         self._touched = now  # when another controller was last linked
         self._reloaded = now
         self._synced = 0.0
+        self._spread_at = now - TICK_S
         self._is_retiring = False
         self.broken = asyncio.Event()  # the custody found its own state wrong
         self._timers: list[asyncio.TimerHandle] = []
@@ -248,11 +249,16 @@
         except TimeoutError:
             logger.info("{} proxies have not acknowledged in {} s", mark.missing, seconds)
 
-    def spread(self) -> None:
-        """Tell proxies and controllers what is news in the registry."""
+    def spread(self, at_once: bool = True) -> None:
+        """Tell proxies and controllers what is news in the registry. What need not go at once waits for the next tick
+        where something went within the last: many that come together make one push."""
+        now = self.now()
+        if not at_once and now - self._spread_at < TICK_S:
+            return
         news = self.registry.changes()
         if not news:
             return
+        self._spread_at = now
         mark = self._delivery.tell(news)
         for record in news:
             if record.phase in {"draining", "gone"} and not mark.done:
@@ -445,6 +451,7 @@
     def _tick(self) -> None:
         self._timers[:1] = [self._loop.call_later(TICK_S, self._tick)]
         self._feed(events.Tick())
+        self.spread()
         self._delivery.tick(self.now())
         self._flush()
 
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -20,7 +20,7 @@
 from test_registry import beat
 
 from cranebank.programs import __main__ as program
-from cranebank.programs.control import Controller, make_controller
+from cranebank.programs.control import TICK_S, Controller, make_controller
 from cranebank.programs.ring import Ring, install
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.storage.store import Disk, open_store
@@ -282,6 +282,33 @@
     play(story)
 
 
+def test_backends_that_come_together_make_one_push_and_a_drain_goes_at_once(tmp_path: Path) -> None:
+    """One that comes alone is told at once; what comes right after it waits for the tick, or for a drain."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as made, proxy(ports) as edge:
+            def hear(name: str, call_seq: int = 1, phase: str = "ready") -> None:
+                made.registry.heartbeat(made.now(), name, beat(call_seq, phase, f"10.0.0.{name[1:]}:80"))
+                made.spread(at_once=phase != "ready")
+
+            async def told() -> list[tuple[str, str]]:
+                return [(record.id, record.phase) for record in (await edge.next(Push)).backends]
+
+            assert await told() == []
+            for name in ("i1", "i2", "i3"):
+                hear(name)
+            assert await told() == [("i1", "ready")]
+            assert await told() == [("i2", "ready"), ("i3", "ready")]
+            await asyncio.sleep(2 * TICK_S)
+            for name in ("i4", "i5"):
+                hear(name)
+            hear("i1", 2, "draining")
+            assert made.registry.changes() == ()
+            assert await told() == [("i4", "ready")]
+            assert await told() == [("i5", "ready"), ("i1", "draining")]
+
+    play(story)
+
+
 def test_configurations_reach_proxies(tmp_path: Path) -> None:
     """A 200 waits for the linked proxies; who comes later, or is behind, is handed the newest."""
     async def story(ports: tuple[int, int]) -> None:
