--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -48,7 +48,7 @@
     amends: float = 0.0  # a second, at most: each waits for the one before
     tenants: int = 50
     connect: str = "held"  # or each: a connection for each heartbeat
-    acks: str = "all"  # ConfigAck to all controllers, or to the one that pushed: "one"
+    acks: str = "one"  # ConfigAck goes to the controller that pushed, as proxies do, or to "all"
     warm_s: float = 5.0
     seconds: float = 8.0
     link_port: int = 0
--- a/benchmarks/plane.py
+++ b/benchmarks/plane.py
@@ -30,9 +30,10 @@
 from cranebank.dataplane.pair import PairChooser
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine, RouteTable
+from cranebank.membership.loads import Loads
 from cranebank.membership.outbox import Outbox
-from cranebank.transport.frames import Decoder, encode
-from cranebank.transport.messages import Backend, ConfigPush, Hello, Load, Pulse, Push
+from cranebank.transport.frames import Decoder, decode_datagram, encode
+from cranebank.transport.messages import Backend, ConfigPush, Gossip, Hello, Load, Pulse, Push
 
 ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6)
 
@@ -178,6 +179,27 @@
             "hello_encode_us": micros(lambda: encode(Push(1, tuple(made.records.values()))), 3)}
 
 
+def neighbours(loads: int) -> dict[str, float]:
+    """A neighbour's datagram with so many loads, and a part that the cache view keeps."""
+    told = tuple(Load(f"backend-{number:06d}-a1b2c3", 3, 4000 + number) for number in range(loads))
+    data, number, sums = encode(Gossip(1, 7, 9, told)), [0], Loads()
+
+    def take() -> None:
+        message = decode_datagram(data)
+        assert isinstance(message, Gossip)
+        number[0] += 1
+        sums.merge(0.0, "10.0.0.1", number[0], message.loads)
+
+    view = CacheView()
+    tracemalloc.start()
+    for turn in range(2000):
+        view.touch(f"b{turn % 20}", ((f"o{turn:05d}-0123456789abcdef", 400),), 400_000)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {"loads": loads, "datagram_bytes": len(data), "take_us": micros(take, 200),
+            "encode_us": micros(lambda: encode(Gossip(1, 7, 9, told)), 200), "held_bytes_a_part": round(held / 2000)}
+
+
 def process(count: int, tenants: int) -> dict[str, float]:
     """Memory of this process, with a proxy's programs loaded, before and after it learns of a fleet."""
     from cranebank.programs import edge  # noqa: F401, PLC0415
@@ -207,6 +229,8 @@
         print(json.dumps(peers(count)), flush=True)
     for count in (50, 500, 2000, 5700):
         print(json.dumps(registry(count)), flush=True)
+    for loads in (0, 7, 38):
+        print(json.dumps(neighbours(loads)), flush=True)
     pulse, load = encode(Pulse(7)), msgspec.msgpack.encode(Load("backend-000001-a1b2c3", 3, 4000))
     print(json.dumps({"pulse_bytes": len(pulse), "load_bytes": len(load), "encode_pulse_us": micros(
         lambda: encode(Pulse(7)), 2000), "decode_pulse_us": micros(lambda: Decoder().feed(pulse), 2000),
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -98,9 +98,8 @@
                 self._plane.learn(backends)
                 link.send(PushAck(number))
             case ConfigPush(_, document):
-                if self._plane.configure(document):  # told to all: who learns it late sends it again
-                    for known in {link, *(dialer.link for dialer in self._dialers.values() if dialer.link is not None)}:
-                        known.send(ConfigAck(self._plane.revision))
+                if self._plane.configure(document):
+                    link.send(ConfigAck(self._plane.revision))
             case Welcome(_, controllers, proxies, neighbours):
                 self._counts[link] = proxies
                 self.neighbours = neighbours
