--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -27,14 +27,17 @@
 from cranebank.programs import ring as ring_module
 from cranebank.programs.settings import NodeSettings, SettingsError, load
 from cranebank.storage.records import StorageError
+from cranebank.transport.frames import encode, encode_items
 from cranebank.transport.links import Dialer, Link, listen
 from cranebank.transport.messages import (
     ConfigAck,
     ConfigPush,
     Custodial,
+    EncodedPush,
     Hello,
     Message,
     Pulse,
+    Push,
     PushAck,
     RegistrySync,
     Welcome,
@@ -118,6 +121,7 @@
         self._touched = now  # when another controller was last linked
         self._reloaded = now
         self._synced = 0.0
+        self._spread_at = now - TICK_S
         self._is_retiring = False
         self.broken = asyncio.Event()  # the custody found its own state wrong
         self._timers: list[asyncio.TimerHandle] = []
@@ -247,11 +251,16 @@
         except TimeoutError:
             logger.info("{} proxies have not acknowledged in {} s", mark.missing, seconds)
 
-    def spread(self) -> None:
-        """Tell proxies and controllers what is news in the registry."""
+    def spread(self, at_once: bool = True) -> None:
+        """Tell proxies and controllers what is news in the registry. What need not go at once waits for the next tick
+        where something went within the last: many that come together make one push."""
+        now = self.now()
+        if not at_once and now - self._spread_at < TICK_S:
+            return
         news = self.registry.changes()
         if not news:
             return
+        self._spread_at = now
         mark = self._delivery.tell(news)
         for record in news:
             if record.phase in {"draining", "gone"} and not mark.done:
@@ -363,9 +372,18 @@
                 link.send(message)
 
     def _flush(self) -> None:
+        same, frame = None, b""  # what goes to many links is encoded once
+        records, encoded = None, msgspec.Raw()
         for link, message in self._delivery.take():
             assert isinstance(link, Link)
-            link.send(message)
+            if isinstance(message, Push):
+                if message.backends is not records:
+                    records, encoded = message.backends, encode_items(message.backends)
+                link.send_frame(encode(EncodedPush(message.number, encoded)))
+                continue
+            if message is not same:
+                same, frame = message, encode(message)
+            link.send_frame(frame)
 
     # The custody.
 
@@ -441,6 +459,7 @@
     def _tick(self) -> None:
         self._timers[:1] = [self._loop.call_later(TICK_S, self._tick)]
         self._feed(events.Tick())
+        self.spread()
         self._delivery.tick(self.now())
         self._flush()
 
