--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -101,7 +101,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Say who we are."""
         self.transport = transport
-        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # type: ignore
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         proxy = self.proxy
         self.send(Hello(proxy.name, "proxy", proxy.ip, "z", 1, proxy.revision))
         asyncio.get_running_loop().call_later(PULSE_S, self.beat)
