Restart: backends are recalled from disk, and a dark machine's connection is not waited on for long

Ruled out: the wait for a primary (it was there 0.15 s after the start). Controllers keep the registry on disk and recall it; dials to controllers are given up after 0.35 s, to backends after 0.3 s.

--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -101,6 +101,12 @@
             if not self._take(now, record) and old is not None and old.phase != record.phase:
                 self._news[old.id] = old
 
+    def recall(self, now: float, records: Iterable[Backend]) -> None:
+        """What this controller knew in its life before, from its disk. Whoever was heard since knows better; who does
+        not beat again is lost as usual."""
+        for record in records:
+            self._take(now, record)
+
     def greet(self, now: float, records: Iterable[Backend]) -> list[Backend]:
         """Records from a proxy that has just come. While this controller is young it learns from them; later it knows
         better, and returns those that nobody vouches for, as lost: for that proxy alone."""
--- a/cranebank/dataplane/legs.py
+++ b/cranebank/dataplane/legs.py
@@ -17,7 +17,7 @@
 from cranebank.http.peek import readable
 from cranebank.transport.messages import Backend
 
-DIAL_S = 1.0
+DIAL_S = 0.3  # many times the way between zones; a backend that has gone dark costs a request no more
 UNACKED_MS = 1000  # bytes that a silent machine has not acknowledged for so long end the connection
 REST_S = 0.005  # before a connection is used again: what belongs to no answer comes right behind it
 IDLE_S = 4.0  # kept idle where a backend names no time
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -9,7 +9,7 @@
 import gc
 import signal
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from pathlib import Path
 from random import Random, SystemRandom
 from typing import Any, Protocol
@@ -30,6 +30,7 @@
 from cranebank.transport.frames import encode, encode_items
 from cranebank.transport.links import Dialer, Link, listen
 from cranebank.transport.messages import (
+    Backend,
     ConfigAck,
     ConfigPush,
     Custodial,
@@ -51,6 +52,8 @@
 RETIRE_S = 1.0
 FINISH_S = 2.0
 HANDED = "handed"  # key of the committed configuration that was handed out last
+KNOWN = "known"  # key of the registry's records
+KEEP_S, KEEP_FEW, KEEP_MANY_S = 0.4, 500, 5.0  # between writes of the registry: with few records, and with more
 TAKEN = 256  # configurations whose calls are still known when they are sent again
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -102,13 +105,15 @@
 
     def __init__(self, settings: NodeSettings, make_keeper: Callable[[float, Random], Keeper], storage: Storage,
                  random: Random, reload: Callable[[], NodeSettings],
-                 handed: tuple[int, bytes] | None = None) -> None:
+                 handed: tuple[int, bytes] | None = None, recalled: tuple[Backend, ...] = ()) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings, self._storage, self._reload = settings, storage, reload
         self._life = random.getrandbits(48)
         now = self.now()
         self._keeper = make_keeper(now, random)
         self.registry = Registry(now, settings.beat_ms / 1000)
+        self.registry.recall(now, recalled)
+        self._kept_at, self._unkept = now, False  # the registry on disk
         self._delivery = Delivery(settings.node_name, random)
         self._api = Server(OperatorApi(self).calls(), self.now)
         self._dialers: dict[str, Dialer] = {}
@@ -260,6 +265,7 @@
         news = self.registry.changes()
         if not news:
             return
+        self._unkept = True
         self._spread_at = now
         mark = self._delivery.tell(news)
         for record in news:
@@ -443,14 +449,25 @@
         """A committed configuration, from the custody or from a controller that handed it on."""
         if self._delivery.committed(now, revision, document):
             self._tell_controllers(ConfigAck(revision))
-            task = self._loop.create_task(self._keep_handed(revision, document))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._later(self._keep(HANDED, _encode((revision, document))))  # nothing waits for it
 
-    async def _keep_handed(self, revision: int, document: bytes) -> None:
-        """Keep what was committed for the next start. Nothing waits for it: a lower revision then is soon followed."""
+    def _keep_registry(self, now: float) -> None:
+        """Keep the registry for the next start, now and then: after a loss of all power proxies need not wait a beat
+        for each backend. Nothing waits for it; what is older there than in life is corrected by the next heartbeat."""
+        records = self.registry.everything()
+        if not self._unkept or now - self._kept_at < (KEEP_S if len(records) < KEEP_FEW else KEEP_MANY_S):
+            return
+        self._kept_at, self._unkept = now, False
+        self._later(self._keep(KNOWN, _encode(records)))
+
+    def _later(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _keep(self, key: str, value: bytes) -> None:
         try:
-            await self._storage.put({HANDED: _encode((revision, document))})
+            await self._storage.put({key: value})
         except StorageError as error:
             logger.warning("disk: {}", error)
 
@@ -478,6 +495,7 @@
             heard = self.registry.take_heard(now)
             if heard:
                 self._tell_controllers(RegistrySync((), heard))
+        self._keep_registry(now)
         self._endings = {key: mark for key, mark in self._endings.items() if not mark.done}
         self._dial()
         self._api.sweep()
@@ -518,7 +536,8 @@
         return made
 
     handed = msgspec.msgpack.decode(stored[HANDED], type=tuple[int, bytes]) if HANDED in stored else None
-    return Controller(settings, keeper, storage, SystemRandom(), reload, handed)
+    recalled = msgspec.msgpack.decode(stored[KNOWN], type=tuple[Backend, ...]) if KNOWN in stored else ()
+    return Controller(settings, keeper, storage, SystemRandom(), reload, handed, recalled)
 
 
 async def run(settings: NodeSettings, ring: ring_module.Ring | None = None) -> int:
--- a/cranebank/transport/links.py
+++ b/cranebank/transport/links.py
@@ -19,8 +19,8 @@
 BACKLOG = 12 << 20  # bytes that wait for a peer: one configuration of the largest size, and room
 PULSE_S = 0.4
 SILENCE_S = 1.3  # three pulses: a link is noticed dead well within the time that a drain has to bind
-DIAL_S = 0.8
-REDIAL_S = (0.05, 0.4)  # first pause and longest
+DIAL_S = 0.35  # a machine without power says nothing: one that comes back is not waited on for long
+REDIAL_S = (0.05, 0.2)  # first pause and longest
 
 
 class Owner(Protocol):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -220,3 +220,15 @@
     assert len({tuple(sorted((record.id, "gone") if record.phase == "gone" else (record.id, *map(str, record.models),
                              record.phase, str(record.call_seq)) for record in registry.everything()))
                 for registry in registries}) == 1
+
+
+def test_what_was_known_before_a_restart_counts_until_somebody_knows_better() -> None:
+    """After a loss of all power: the recalled serve at once, the next heartbeats correct them, the silent are lost."""
+    registry = Registry(0.0, BEAT_S)
+    registry.recall(0.0, [Backend(f"i-{n}", "s", f"10.0.0.{n}:80", "z", "decode", 32, "ready", 4) for n in (1, 2, 3)])
+    assert {found.id for found in registry.changes()} == {"i-1", "i-2", "i-3"}
+    registry.heartbeat(0.5, "i-1", beat(5, address="10.0.0.1:80"))
+    registry.heartbeat(0.6, "i-2", beat(5, "draining", "10.0.0.2:80"))
+    assert phases(registry) == {"i-1": "ready", "i-2": "draining", "i-3": "ready"}
+    assert not registry.expire(QUIET_S - 0.1)
+    assert [found.id for found in registry.expire(LOST_S + 0.1)] == ["i-3"]
