--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -475,7 +475,9 @@
         self._shared.count("legs_broken" if sent else "legs_unsent")
         if not sent:
             self._unsent += 1
-            if not leg.reads:
+            if leg.reads:
+                self._reads -= 1
+            else:
                 self._attempts -= 1
                 self._arrivals -= 1
             if self._unsent >= UNSENT:
@@ -490,7 +492,13 @@
         self._again_or_end(now, leg)
 
     def _can_repeat(self) -> bool:
-        return self._route.repeatable and self._attempts < self._route.tries
+        fixed = self._headed and self._splitter is None  # what was passed on can't be continued by another run
+        return self._route.repeatable and self._attempts < self._route.tries and not fixed
+
+    def _can_go_on(self, now: float) -> bool:
+        """Whether there is what another run needs: a try, budget, and somebody to run it."""
+        return (self._can_repeat() and self._budget.may(now, self._shared.chooser.proxies)
+                and bool(self._shared.candidates.ready(now, self._service, "decode", self._without)))
 
     def _again_or_end(self, now: float, leg: Leg) -> None:
         """A run that may have begun has come to nothing."""
@@ -510,7 +518,8 @@
             if self._headed:
                 self._break(now)
             else:
-                self._reply(now, OutOfTime() if self._maybe_run or self._legs else NotRun())
+                self._reply(now, OutOfTime() if self._maybe_run or any(not leg.reads for leg in self._legs.values())
+                            else NotRun())
             return
         for leg in list(self._legs.values()):
             if leg.silent_at is None or now < leg.silent_at:
@@ -519,13 +528,15 @@
             self._shared.count("silent")
             self._shared.candidates.failed(now, leg.seen.backend.id)
             self._without.add(leg.seen.backend.id)
+            if leg.answering and not self._can_go_on(now):
+                continue  # its silence alone gives no reason to end it
             if leg.reads or leg.answering:
                 self._abort(now, leg)
                 if leg.reads:
                     self._replan(now)
                 else:
                     self._again_or_end(now, leg)
-            elif self._can_repeat() and self._budget.may(now, self._shared.chooser.proxies):
+            elif self._can_go_on(now):
                 self._replan(now)  # a second copy beside the first; whoever answers first is passed on
 
     # Ends.
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -268,3 +268,61 @@
         story.do(LegData(read.leg, b'{"prompt_handle":"h1","tokens":17020,"revision":1}'))
         story.do(LegEnd(read.leg))
     assert told == [("p0", "s", 13_300)], "the second time it was kept there"
+
+
+def test_an_answer_without_ids_is_never_continued_by_another_run() -> None:
+    """Found by a review (MIXED, ORDER): an idempotent answer that broke went on with the next run's body."""
+    story = Story(variant="idempotent", resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"half of "))
+    end = story.do(LegFailed(call.leg, True))
+    assert not calls(end) and any(isinstance(a, Break) for a in end) and passed(story.log) == b"half of "
+
+
+def test_an_answer_without_ids_is_not_given_up_for_its_silence() -> None:
+    story = Story(variant="idempotent", resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"half of "))
+    assert not any(isinstance(a, Abort | Break | Call) for a in story.do(Wake(), 1.0))
+    story.do(LegData(call.leg, b"it"))
+    assert any(isinstance(a, Finish) for a in story.do(LegEnd(call.leg)))
+
+
+@pytest.mark.parametrize("means", [{"slack": 0.0}, {"makers": 1}], ids=["no budget", "nobody else"])
+def test_a_silent_stream_is_kept_where_it_could_not_go_on_elsewhere(means: dict[str, Any]) -> None:
+    """Found by a review: a pause broke the stream off, though nothing was there to resume it with."""
+    story = Story(**means)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 1\ndata: a\n\n"))
+    assert not any(isinstance(a, Abort | Break) for a in story.do(Wake(), 1.0))
+    story.do(LegData(call.leg, b"id: 2\ndata: b\n\n"))
+    assert any(isinstance(a, Finish) for a in story.do(LegEnd(call.leg))) and not story.out()
+
+
+def test_a_silent_stream_goes_on_elsewhere_where_it_can() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 1\ndata: a\n\n"))
+    (again,) = calls(story.do(Wake(), 1.0))
+    assert dict(again.headers)["Last-Event-Id"] == "1" and story.out() == {again.backend.id: 1}
+
+
+def test_a_reading_that_never_left_counts_nowhere() -> None:
+    """Found by a review: without budget the request was refused when its first reader could not be reached."""
+    story = Story(tries=1, resumable=False, goal_ms=600.0, slack=0.0)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    (again,) = calls(story.do(LegFailed(read.leg, False)))
+    assert again.backend.stage == "prefill" and again.backend.id != read.backend.id
+    assert not story.budget.may(story.now, 1)
+
+
+def test_out_of_time_while_only_the_prompt_was_read_is_a_refusal() -> None:
+    """A reading runs nothing: the client may come back, where the route's time ended before its own."""
+    story = Story(tries=1, resumable=False, goal_ms=600.0)
+    story.begin("17020,17", "s:13300,o:3720")
+    end = story.do(Wake(), 3.1)
+    assert [a.error.status for a in end if isinstance(a, Reply)] == [503] and not story.out()
