Proxy: what a connection reset at once never took is unsent; crossings stay unread

Cause: an independent review. A backend that resets a new connection beyond its bound made a request count as sent that had never left: 502 where it may run once only. Change: a dialled connection that is closing already is an unsent leg; idle connections are closed at once.

--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -329,7 +329,7 @@
     def dismiss(self) -> None:
         """Close it if nothing is open on it and nothing is on its way in."""
         if not self.open and not self._reading and not self._ending and self.transport is not None:
-            self._end()
+            self.transport.close()  # a request that crosses it is left unread, so that its client may send it again
 
 
 class Front:
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -153,6 +153,9 @@
             self.do(LegFailed(call.leg, False))
             return
         self.dialling.pop(call.leg, None)
+        if connection.transport is None or connection.transport.is_closing():  # reset at once: nothing has left us
+            self.do(LegFailed(call.leg, False))
+            return
         if self.exchange.over or not self.proxy.shared.candidates.may_take(call.backend.id):
             self.proxy.pool.give_back(connection)
             if not self.exchange.over:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -12,6 +13,8 @@
 
 from cranebank.dataplane import proxy as plane
 from cranebank.dataplane.exchange import Exchange, WakeAt
+from cranebank.dataplane.front import ClientConnection
+from cranebank.dataplane.legs import Connection, Pool
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.transport.messages import Backend
 
@@ -139,3 +142,53 @@
         assert EVENT in found and b"data: b" not in found
 
     play(story, other + ANSWER)
+
+
+def test_a_connection_that_is_reset_at_once_took_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by a review: a backend that resets connections beyond its bound made requests that never left us count as
+    sent."""
+    dial, resets = Pool.dial, [True]
+
+    async def reset(self: Pool, to: Backend) -> Connection:
+        connection = await dial(self, to)
+        if resets:
+            resets.pop()
+            connection.abort()
+        return connection
+
+    monkeypatch.setattr(Pool, "dial", reset)
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        (known,) = made.shared.candidates.known()
+        made.learn([msgspec.structs.replace(known, id="d1")])
+        assert EVENT in await ask(address)
+        assert made.counters["legs_unsent"] == 1 and "legs_broken" not in made.counters
+
+    play(story)
+
+
+def test_a_request_that_crosses_the_end_of_an_idle_connection_is_left_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by a review (LOST): it was read and dropped, and what may run once only could not be sent again."""
+    read: list[bytes] = []
+    received = ClientConnection.data_received
+
+    def data_received(self: ClientConnection, data: bytes) -> None:
+        read.append(data)
+        received(self, data)
+
+    monkeypatch.setattr(ClientConnection, "data_received", data_received)
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        while not made.front.count:
+            await asyncio.sleep(0.01)
+        made.front.dismiss()
+        writer.write(REQUEST)
+        with contextlib.suppress(ConnectionError):
+            assert not await reader.read()
+        while made.front.count:
+            await asyncio.sleep(0.01)
+        assert not read
+        writer.close()
+
+    play(story)
