Custody: no more copies are asked for than the majority that must be left to vote

Where whole zones or regions may be lost the settings name no number of machines: as many copies as a majority are kept then, so that whoever can still vote has one. Before, a tolerance above what a vote bears would have held up every write after a lesser loss.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -684,7 +684,10 @@
                 self._propose(changed)
 
     def _target(self, record: EpochRecord) -> int:
-        return min(len(record.members), max(self._settings.tolerance + 1, 2))
+        """How many copies there must be: one more than may be lost, but no more than the majority that must be left to
+        vote at all: whoever loses more can't go on anyhow, and with more copies a lesser loss would hold up writes."""
+        members = len(record.members)
+        return min(members, max(min(self._settings.tolerance + 1, members // 2 + 1), 2))
 
     def _must_hold(self, record: EpochRecord) -> set[str]:
         """All who may take over: by the chosen record, and by one that is proposed and may be chosen already."""
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -531,13 +531,19 @@
         return dict(store.values), Disk(store), damage is not None
 
 
+def losses(settings: NodeSettings) -> int:
+    """Machines that may be lost at once: where whole zones or regions may go, as many as a majority can do without."""
+    tolerance = settings.tolerance
+    return tolerance.machines if not tolerance.zones and not tolerance.regions else max(tolerance.machines, 99)
+
+
 async def make_controller(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> Controller:
     """A controller with its disk opened."""
     stored, storage, is_damaged = await _open(settings)
 
     def keeper(now: float, random: Random) -> Keeper:
         made: Keeper = Custody(CustodySettings(
-            settings.ip, settings.seed_ips, settings.is_first_start and not is_damaged, settings.tolerance.machines),
+            settings.ip, settings.seed_ips, settings.is_first_start and not is_damaged, losses(settings)),
             stored, random, now)
         return made
 
