Exchange: only a promise is passed on as one; a failed copy waits for the other

A backend's 503, 429 or 408 without X-Not-Run went to the client as it came, where it promises that nothing has run (REFUSED); the failure of a second copy was passed on although the first was still at work, and broke that off; an answer without a body that names a length (304) broke the connection off. Change: the first is told as 502, the second waits, the third is whole.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -30,6 +30,7 @@
 UNSENT = 4  # calls that never left us, for one request
 COUNTED_READS = 1  # further readings of one request's prompt
 NOT_RUN = frozenset({421, 429, 503})
+PROMISES = frozenset({408, 421, 429, 503})  # to a client these say that the request has not run and never will
 
 
 class State(Enum):
@@ -413,8 +414,8 @@
             self._rejected(now, leg)
         elif 200 <= leg.status < 300 or (leg.status >= 500 and self._can_repeat()):
             self._again_or_end(now, leg)  # a success without a stamp is no answer of that backend
-        elif self._headed:
-            self._break(now)
+        elif self._headed or self._legs or leg.status in PROMISES:
+            self._give_up(now)
         else:
             self._actions += [Head(leg.status, leg.headers), Data(leg.body), Finish()]
             self._shared.count("failed_there")
--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -258,7 +258,7 @@
 
     def finish(self) -> None:
         """The answer is complete; what came early is read now."""
-        if self._left:  # fewer bytes than were promised: it must not look complete
+        if self._left and not self._bodiless:  # fewer bytes than were promised: it must not look complete
             self.break_off()
             return
         self.open = False
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -326,3 +326,35 @@
     story.begin("17020,17", "s:13300,o:3720")
     end = story.do(Wake(), 3.1)
     assert [a.error.status for a in end if isinstance(a, Reply)] == [503] and not story.out()
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_backends_own_refusal_without_its_promise_is_not_passed_on_as_one(status: int) -> None:
+    """Found by a review (REFUSED): only an answer with X-Not-Run says that nothing ran; to clients the status does."""
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, status, {"content-length": "1"}))
+    story.do(LegData(call.leg, b"x"))
+    end = story.do(LegEnd(call.leg))
+    assert not passed(story.log) and [a.error.status for a in end if isinstance(a, Reply)] == [502]
+
+
+def test_a_backends_own_failure_is_passed_on_as_it_came() -> None:
+    story = Story(tries=1, resumable=False)
+    (call,) = calls(story.begin())
+    story.do(LegHead(call.leg, 500, {"content-length": "1"}))
+    story.do(LegData(call.leg, b"x"))
+    story.do(LegEnd(call.leg))
+    assert [a.status for a in story.log if isinstance(a, Head)] == [500] and passed(story.log) == b"x"
+
+
+def test_a_failure_of_one_copy_waits_for_the_other() -> None:
+    """Found by a review: the second copy's failure was passed on, and the first, still at work, broken off."""
+    story = Story()
+    (call,) = calls(story.begin())
+    (again,) = calls(story.do(Wake(), 1.0))
+    story.do(LegHead(again.leg, 500, {"content-length": "0"}))
+    assert not any(isinstance(a, Abort | Head | Reply) for a in story.do(LegEnd(again.leg)))
+    story.do(LegHead(call.leg, 200, SEALED))
+    story.do(LegData(call.leg, b"id: 1\n\n"))
+    assert any(isinstance(a, Finish) for a in story.do(LegEnd(call.leg))) and passed(story.log) == b"id: 1\n\n"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -192,3 +192,17 @@
         writer.close()
 
     play(story)
+
+
+def test_an_answer_that_has_no_body_but_names_a_length_is_whole() -> None:
+    answer = b"HTTP/1.1 304 Not Modified\r\nX-Attempt-Id: t1\r\nContent-Length: 9\r\n\r\n"
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST)
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 304 ")
+        writer.write(REQUEST)
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 304 ")
+        writer.close()
+
+    play(story, answer)
