Links: a controller that is still named is dialled however long it was down

Names come when they change only; a controller that was down for more than FORGET_S, named all the while, was forgotten and never dialled again after it came back. Change: whom the linked controllers named last is kept for each link and counts as named.

--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -51,6 +51,7 @@
         self._plane, self._hello, self._ip, self._port = plane, hello, ip, port
         self._dialers: dict[str, Dialer] = {}
         self._named: dict[str, float] = {}  # when a controller was named last
+        self._lists: dict[Link, tuple[str, ...]] = {}  # whom the controllers that are linked name now
         self._proxies = 1  # the highest told count: a controller that has just come back knows of few
         self.heard_at = 0.0
         self.neighbours: tuple[str, ...] = ()
@@ -68,6 +69,8 @@
         now = asyncio.get_running_loop().time()
         if not self.up:
             return  # who hears nothing forgets nothing
+        for controllers in self._lists.values():  # told when they change only
+            self.name(controllers)
         for ip, dialer in list(self._dialers.items()):
             if dialer.link is None and now - self._named[ip] > FORGET_S:
                 dialer.stop()
@@ -104,6 +107,7 @@
                 self.neighbours = neighbours
                 self._proxies = max(self._proxies, proxies)
                 self._plane.told_proxies(self._proxies)
+                self._lists[link] = controllers
                 self.name(controllers)
             case Pulse():
                 pass
@@ -112,3 +116,4 @@
 
     def link_down(self, link: Link) -> None:
         """A link ended; its dialer goes on."""
+        self._lists.pop(link, None)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import Iterable
 
+import pytest
 import uvloop
 from test_control_program import free_port
 
+from cranebank.membership import fleet
 from cranebank.membership.fleet import FleetLinks
 from cranebank.transport.links import Link, listen
 from cranebank.transport.messages import (
@@ -162,3 +164,40 @@
     link.connection_made(transport)
     assert transport.aborted and not link.up and not link.send(Pulse(1))
     link.connection_lost(None)
+
+
+async def returned(names_it: bool) -> bool:
+    """Whether a controller that was down for long is dialled when it is back; one that is linked names it or not."""
+    port, owner, plane = free_port(), Controllers(), Counted()
+    servers = [await listen(owner, CONTROLLERS[0], port)]
+    links = FleetLinks(plane, lambda: Hello("p", "proxy", PROXY, "z", 1), PROXY, port)
+    links.name(CONTROLLERS[:2])
+    try:
+        await until(owner, Hello, 1)
+        owner.of(Hello)[0][0].send(Welcome("c", CONTROLLERS[:2] if names_it else CONTROLLERS[:1], 1))
+        async with asyncio.timeout(5):
+            while not plane.told:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        links.prune()
+        servers.append(await listen(owner, CONTROLLERS[1], port))
+        try:
+            await until(owner, Hello, 2)
+        except TimeoutError:
+            return False
+        return True
+    finally:
+        links.stop()
+        for server in servers:
+            server.close()
+
+
+def test_a_controller_that_is_still_named_is_dialled_however_long_it_was_down(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by a review: names come when they change only, and one that was down for long was forgotten for good."""
+    monkeypatch.setattr(fleet, "FORGET_S", 0.02)
+    assert uvloop.run(returned(True))
+
+
+def test_a_controller_that_nobody_names_is_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fleet, "FORGET_S", 0.02)
+    assert not uvloop.run(returned(False))
