Exchange: a handle outlives a call that never left

When the maker could not be reached the handle was forgotten: the prompt was read anew, at the budget's cost, or the request refused, and the memory was held until it lapsed. Change: the leg keeps the handle that it would take; unsent, it goes to the next maker while it lasts, or is freed. Ran: test_exchange, test_pair, test_proxy, test_control_program, test_system_day, test_fleet_links, ruff, mypy; the new tests failed before.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -164,7 +164,7 @@
 class Leg:
     """One call that is out."""
 
-    __slots__ = ("answering", "body", "headers", "number", "reads", "seen", "sent_at", "silent_at", "status",
+    __slots__ = ("answering", "body", "handle", "headers", "number", "reads", "seen", "sent_at", "silent_at", "status",
                  "tokens")
 
     def __init__(self, number: int, seen: Seen, tokens: int, reads: bool, now: float, silent_at: float | None) -> None:
@@ -174,6 +174,7 @@
         self.headers: dict[str, str] = {}
         self.body = b""
         self.answering = False
+        self.handle: Handle | None = None  # that it takes
 
 
 class Shared(msgspec.Struct):
@@ -270,6 +271,10 @@
             self._give_up(now)
             return
         self._plan = plan
+        if self._handle is not None and now < self._handle.until:
+            self._make(now, plan.maker, 0)
+            return
+        self._handle = None
         alone = self._headed or bool(self._legs)  # a stream goes on, or a second copy goes out: no time for a reading
         if plan.reader is not None and self._reads <= COUNTED_READS and not alone:
             if self._reads and not self._may_repeat(now):
@@ -293,8 +298,9 @@
             self._give_up(now)
             return
         headers: list[tuple[str, str]] = [self._priority()]
-        if self._handle is not None:
-            headers.append(("Kv-From", f"{self._handle.backend.address}/{self._handle.name}"))
+        handle = self._handle
+        if handle is not None:
+            headers.append(("Kv-From", f"{handle.backend.address}/{handle.name}"))
             self._handle, tokens = None, 0
         if self._splitter is not None and self._splitter.last_id is not None:
             headers.append(("Last-Event-Id", self._splitter.last_id))
@@ -306,6 +312,7 @@
         if self._route.repeatable and self._attempts < self._route.tries:
             silent = max(SILENT_MAKE_S, SILENT_GOALS * self._route.goal_ms / 1e3)
         self._send(now, maker, tokens, False, tuple(headers), silent)
+        self._legs[self._made].handle = handle
 
     def _may_repeat(self, now: float) -> bool:
         if not self._budget.may(now, self._shared.chooser.proxies):
@@ -481,6 +488,7 @@
             else:
                 self._attempts -= 1
                 self._arrivals -= 1
+                self._handle = leg.handle  # nobody took it
             if self._unsent >= UNSENT:
                 self._give_up(now)
             elif not self._legs:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -358,3 +358,27 @@
     story.do(LegHead(call.leg, 200, SEALED))
     story.do(LegData(call.leg, b"id: 1\n\n"))
     assert any(isinstance(a, Finish) for a in story.do(LegEnd(call.leg))) and passed(story.log) == b"id: 1\n\n"
+
+
+def test_a_prompt_that_was_read_goes_on_to_another_maker_where_the_first_can_not_be_reached() -> None:
+    """Found by a review: the handle was forgotten with a call that never left, and the prompt was read anew."""
+    story = Story(tries=1, resumable=False, goal_ms=600.0, slack=0.0)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 200, {}), 0.3)
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1"}'))
+    (make,) = calls(story.do(LegEnd(read.leg)))
+    (again,) = calls(story.do(LegFailed(make.leg, False), 0.1))
+    assert again.backend.id != make.backend.id and again.backend.stage == "decode"
+    assert dict(again.headers)["Kv-From"] == dict(make.headers)["Kv-From"]
+    assert [a for a in story.do(ClientGone()) if isinstance(a, Free)] == []
+
+
+def test_a_prompt_that_was_read_is_freed_where_no_maker_can_be_reached() -> None:
+    story = Story(tries=1, resumable=False, goal_ms=600.0, slack=0.0, makers=1)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 200, {}), 0.3)
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1"}'))
+    (make,) = calls(story.do(LegEnd(read.leg)))
+    end = story.do(LegFailed(make.leg, False), 0.1)
+    assert [a for a in end if isinstance(a, Free)] == [Free(read.backend, "h1")]
+    assert [a.error.status for a in end if isinstance(a, Reply)] == [503]
