Control: after a standstill the registry hears first before it calls backends lost

A controller that was frozen for longer than a loss takes found all heartbeats old at its first look after the thaw, and told all backends as lost; a proxy whose records are older then takes nobody until another controller's word comes. Change: a look that comes STOOD_S after the last counts as out of touch, so the time to hear again (REJOIN_S) begins.

--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -46,6 +46,7 @@
 TICK_S = 0.05
 DISK_RETRY_S = 0.3
 REGISTRY_S = 0.5
+STOOD_S = 3 * REGISTRY_S  # without a look at the registry for so long, this process stood still: it hears first
 SYNC_S = 1.0
 ALONE_S = 1.0  # without any other controller for so long, the settings file is read again
 RETIRE_S = 1.0
@@ -121,6 +122,7 @@
         self._touched = now  # when another controller was last linked
         self._reloaded = now
         self._synced = 0.0
+        self._looked = now
         self._spread_at = now - TICK_S
         self._is_retiring = False
         self.broken = asyncio.Event()  # the custody found its own state wrong
@@ -471,7 +473,8 @@
             self._touched = now
         elif now - self._touched > ALONE_S and now - self._reloaded > ALONE_S and not self._is_retiring:
             self.reload()
-        self.registry.expire(now, in_touch=self._sees_most())
+        self.registry.expire(now, in_touch=self._sees_most() and now - self._looked < STOOD_S)
+        self._looked = now
         self.spread()
         if now - self._synced >= SYNC_S:
             self._synced = now
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,8 +20,9 @@
 from test_configuration import body, document, route
 from test_registry import beat
 
+from cranebank.control.registry import Registry
 from cranebank.programs import __main__ as program
-from cranebank.programs.control import TICK_S, Controller, make_controller
+from cranebank.programs.control import REGISTRY_S, TICK_S, Controller, make_controller
 from cranebank.programs.ring import Ring, install
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.storage.store import Disk, open_store
@@ -510,3 +512,17 @@
         assert isinstance(ring, Ring)
     finally:
         logger.remove()
+
+
+def test_a_controller_that_stood_still_takes_nobody_for_lost_before_it_has_listened(tmp_path: Path) -> None:
+    """Found by a review: a thaw came to all heartbeats being old, and all backends were told to be lost."""
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as made:
+            made.registry = Registry(made.now() - 5.0, 0.05)
+            made.registry.heartbeat(made.now(), "i-1", beat(1))
+            await asyncio.sleep(2 * REGISTRY_S)
+            time.sleep(2.0)
+            await asyncio.sleep(2 * REGISTRY_S)
+            assert made.registry.records["i-1"].phase == "ready"
+
+    play(story)
