Proxy: a service that is dropped and comes back keeps its retry budget

A configuration without a service forgot what had been spent for it; when it came back within a window, all of the slack was there anew (BUDGET). Change: budgets stay for a process's life.

--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -251,8 +251,7 @@
             logger.error("a configuration that can't be read: {}", error)
             return False
         if table.revision > self.revision:
-            self.table = table
-            self._budgets = {name: budget for name, budget in self._budgets.items() if name in table.services}
+            self.table = table  # budgets stay: a service that is dropped and comes back has spent what it has
         return True
 
     def learn(self, backends: Iterable[Backend]) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -206,3 +206,18 @@
         writer.close()
 
     play(story, answer)
+
+
+def test_a_service_that_is_dropped_and_comes_back_has_spent_what_it_has() -> None:
+    """Found by a review (BUDGET): its budget began anew, with all of the slack."""
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        budget, now = made.shared.budget("svc"), asyncio.get_running_loop().time()
+        assert budget.may(now, 1)
+        while budget.may(now, 1):
+            budget.spend(now)
+        known = msgspec.json.decode(DOCUMENT)
+        assert made.configure(msgspec.json.encode({**known, "revision": 4, "routes": [], "services": []}))
+        assert made.configure(msgspec.json.encode({**known, "revision": 5}))
+        assert not made.shared.budget("svc").may(now, 1)
+
+    play(story)
