--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -30,6 +30,7 @@
 UNSENT = 4  # calls that never left us, for one request
 COUNTED_READS = 1  # further readings of one request's prompt
 NOT_RUN = frozenset({421, 429, 503})
+PROMISES = frozenset({408, 421, 429, 503})  # to a client these say that the request has not run and never will
 
 
 class State(Enum):
@@ -163,7 +164,7 @@
 class Leg:
     """One call that is out."""
 
-    __slots__ = ("answering", "body", "headers", "number", "reads", "seen", "sent_at", "silent_at", "status",
+    __slots__ = ("answering", "body", "handle", "headers", "number", "reads", "seen", "sent_at", "silent_at", "status",
                  "tokens")
 
     def __init__(self, number: int, seen: Seen, tokens: int, reads: bool, now: float, silent_at: float | None) -> None:
@@ -173,6 +174,7 @@
         self.headers: dict[str, str] = {}
         self.body = b""
         self.answering = False
+        self.handle: Handle | None = None  # that it takes
 
 
 class Shared(msgspec.Struct):
@@ -269,6 +271,10 @@
             self._give_up(now)
             return
         self._plan = plan
+        if self._handle is not None and now < self._handle.until:
+            self._make(now, plan.maker, 0)
+            return
+        self._handle = None
         alone = self._headed or bool(self._legs)  # a stream goes on, or a second copy goes out: no time for a reading
         if plan.reader is not None and self._reads <= COUNTED_READS and not alone:
             if self._reads and not self._may_repeat(now):
@@ -292,8 +298,9 @@
             self._give_up(now)
             return
         headers: list[tuple[str, str]] = [self._priority()]
-        if self._handle is not None:
-            headers.append(("Kv-From", f"{self._handle.backend.address}/{self._handle.name}"))
+        handle = self._handle
+        if handle is not None:
+            headers.append(("Kv-From", f"{handle.backend.address}/{handle.name}"))
             self._handle, tokens = None, 0
         if self._splitter is not None and self._splitter.last_id is not None:
             headers.append(("Last-Event-Id", self._splitter.last_id))
@@ -305,6 +312,7 @@
         if self._route.repeatable and self._attempts < self._route.tries:
             silent = max(SILENT_MAKE_S, SILENT_GOALS * self._route.goal_ms / 1e3)
         self._send(now, maker, tokens, False, tuple(headers), silent)
+        self._legs[self._made].handle = handle
 
     def _may_repeat(self, now: float) -> bool:
         if not self._budget.may(now, self._shared.chooser.proxies):
@@ -413,8 +421,8 @@
             self._rejected(now, leg)
         elif 200 <= leg.status < 300 or (leg.status >= 500 and self._can_repeat()):
             self._again_or_end(now, leg)  # a success without a stamp is no answer of that backend
-        elif self._headed:
-            self._break(now)
+        elif self._headed or self._legs or leg.status in PROMISES:
+            self._give_up(now)
         else:
             self._actions += [Head(leg.status, leg.headers), Data(leg.body), Finish()]
             self._shared.count("failed_there")
@@ -480,6 +488,7 @@
             else:
                 self._attempts -= 1
                 self._arrivals -= 1
+                self._handle = leg.handle  # nobody took it
             if self._unsent >= UNSENT:
                 self._give_up(now)
             elif not self._legs:
