--- a/cranebank/cli/main.py
+++ b/cranebank/cli/main.py
@@ -22,7 +22,7 @@
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
 def cli() -> None:
-    """A client-side load-balancing proxy for services that call services.
+    """A router fleet for split prefill and decode (system), and a balancer for services that call services.
 
     Exit codes: 0 done, 1 something was found (a rule broken, a run that can't be used), 2 it could not run.
 
--- a/cranebank/cli/system.py
+++ b/cranebank/cli/system.py
@@ -25,7 +25,10 @@
     for name, function in command.COMMANDS.items():
         @click.pass_context
         def run(context: click.Context, words: tuple[str, ...]) -> int:
-            return command.main([str(context.info_name), *words], "cranebank system")
+            try:
+                return command.main([str(context.info_name), *words], "cranebank system")
+            except SystemExit as end:  # help, or a mistake that has been told
+                return int(end.code or 0)
 
         system.add_command(click.Command(
             name, callback=run, params=[click.Argument(["words"], nargs=-1, type=click.UNPROCESSED)],
--- a/cranebank/programs/command.py
+++ b/cranebank/programs/command.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import sys
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -62,14 +64,20 @@
 
 
 def edge() -> int:
-    """Run a proxy, by the settings file that CRANEBANK_NODE_FILE names."""
+    """Run a proxy, by the settings file that CRANEBANK_NODE_FILE names.
+
+    Example: cranebank system edge
+    """
     from cranebank.programs.__main__ import serve  # noqa: PLC0415
 
     return serve("edge")
 
 
 def control() -> int:
-    """Run a controller, by the settings file that CRANEBANK_NODE_FILE names."""
+    """Run a controller, by the settings file that CRANEBANK_NODE_FILE names.
+
+    Example: cranebank system control
+    """
     from cranebank.programs.__main__ import serve  # noqa: PLC0415
 
     return serve("control")
@@ -80,6 +88,8 @@
 
     Prints what it says of the process, and fields that are not known: they are skipped.
 
+    Example: cranebank system check-settings boot.yaml
+
     :param file: settings file (YAML)
     """
     import yaml  # noqa: PLC0415
@@ -101,6 +111,8 @@
 def check_configuration(file: Path, *, current: Path | None = None, amend: bool = False) -> int:
     """Check an operator's configuration as a controller would, without one.
 
+    Example: cranebank system check-configuration next.json --current now.json
+
     :param file: whole configuration, or amendment (JSON)
     :param current: configuration now in force; the checked one must have a higher revision
     :param amend: the file is an amendment of the one in force
@@ -130,6 +142,8 @@
 def show(address: str, *, json: bool = False) -> int:
     """Show the state of the system as one controller knows it.
 
+    Example: cranebank system show 10.1.0.13:8262
+
     :param address: a controller's control address, IP:PORT
     :param json: print its answer as JSON
     """
@@ -150,6 +164,8 @@
 
     The process may run meanwhile. The copy is meant for restore, and for looking into what a replica held.
 
+    Example: cranebank system backup /var/lib/cranebank custody.copy
+
     :param folder: data folder of a controller (data_dir of its settings)
     :param file: where the copy goes; there must be no file yet
     """
@@ -175,6 +191,8 @@
     controllers begin anew. A restored machine counts as one whose disk was lost: never restore more at a time than the
     tolerance allows. After a loss of all disks see docs/operate-system.md.
 
+    Example: cranebank system restore custody.copy /var/lib/cranebank
+
     :param file: copy made by backup
     :param folder: data folder of a controller that does not run; must be empty
     :param replace: keep the custody file that stands there under another name, and put the new one in its place
@@ -197,12 +215,19 @@
 
 
 def main(arguments: Sequence[str], program: str = PROGRAM) -> int:
-    """Run a command; its exit code. Mistakes in the arguments end with 2 too."""
+    """Run a command; its exit code. Help and mistakes in the arguments raise SystemExit with 0 and 2."""
     import defopt  # noqa: PLC0415 - it takes a tenth of a second to import
 
+    said = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(said):
+            chosen = defopt.bind(COMMANDS, argv=list(arguments), no_negated_flags=True, short={}, version=False,
+                                 argparse_kwargs={"prog": program})
+    except SystemExit:
+        sys.stderr.writelines(said.getvalue().splitlines(keepends=True)[-1:])  # without the usage: --help tells it
+        raise
     try:
-        return int(defopt.run(COMMANDS, argv=list(arguments), no_negated_flags=True, short={}, version=False,
-                              argparse_kwargs={"prog": program}))
+        return int(chosen())
     except CommandError as error:
         print(" ".join(str(error).split()), file=sys.stderr)
         return 2
