--- a/tests/test_system_commands.py
+++ b/tests/test_system_commands.py
@@ -109,7 +109,9 @@
     assert capsys.readouterr().out.startswith("usage: cranebank system restore")
 
 
-@pytest.mark.parametrize("words", [["show"], ["show", "a:1", "b:2"], ["backup", "--replace", "a", "b"], ["restore", "a"]])
+@pytest.mark.parametrize("words", [
+    ["show"], ["show", "a:1", "b:2"], ["backup", "--replace", "a", "b"], ["restore", "a"],
+])
 def test_a_mistake_in_the_arguments_is_one_line(words: list[str], capsys: pytest.CaptureFixture[str],
                                                 snapshot: SnapshotAssertion) -> None:
     assert cranebank(["system", *words]) == 2
