Edge: a proxy that no controller has told how many there are has next to no slack

A proxy that started again and found no controller, but got its configuration from a neighbour, took itself to be the only one once its first window was over, and held the whole slack of the retry budget (BUDGET, which binds out of touch too). Change: until it is told it counts on UNTOLD proxies. Ran: test_fleet_links, test_exchange, test_pair, test_proxy, test_control_program, test_system_day, test_neighbours, test_registry, test_program, ruff, mypy; the new test failed before.

--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -23,6 +23,7 @@
 HOUSEKEEPING_S = 1.0
 LEAVE_S = 2.4  # after SIGTERM clients are still sent for so long: the platform asks every second and forgives once
 MARGIN_S = 0.5  # of the grace
+UNTOLD = 1000  # proxies there may be, while no controller has told: its part of what all hold in common is next to none
 
 
 class _Plane:
@@ -93,6 +94,7 @@
         loop = asyncio.get_running_loop()
         self.proxy = Proxy(RetryRule(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s,
                                      settings.is_first_start), Random(), loop.time())
+        self.proxy.shared.chooser.proxies = UNTOLD
         self._plane = _Plane(self.proxy)
         self._life = secrets.randbits(63)
         self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -11,6 +11,8 @@
 
 from cranebank.membership import fleet
 from cranebank.membership.fleet import FleetLinks
+from cranebank.programs import edge
+from cranebank.programs.settings import Bounds, NodeSettings
 from cranebank.transport.links import Link, listen
 from cranebank.transport.messages import (
     Backend,
@@ -201,3 +203,23 @@
 def test_a_controller_that_nobody_names_is_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(fleet, "FORGET_S", 0.02)
     assert not uvloop.run(returned(False))
+
+
+async def untold() -> None:
+    """A proxy that started again has its configuration from a neighbour, and no controller has told it anything."""
+    settings = NodeSettings("p", PROXY, "z", (free_port(), 65000), (f"{CONTROLLERS[0]}:8000",),
+                            bounds=Bounds(retry_slack=58))
+    made = edge.Edge(settings, with_neighbours=False)
+    later = asyncio.get_running_loop().time() + 2 * settings.bounds.retry_window_s
+    try:
+        chooser = made.proxy.shared.chooser
+        assert not made.proxy.shared.budget("svc").may(later, chooser.proxies)
+        made.links.link_message(Link(Controllers(), True), Welcome("c", (), 4))
+        assert chooser.proxies == 4 and made.proxy.shared.budget("svc").may(later, chooser.proxies)
+    finally:
+        made.links.stop()
+
+
+def test_a_proxy_that_nobody_has_told_how_many_there_are_has_no_slack_to_spend() -> None:
+    """Found by a review (BUDGET): it took itself to be alone."""
+    uvloop.run(untold())
