--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -286,7 +286,7 @@
             client.reply(NoRoute(), None)
             return
         left = request.named.get("x-deadline-left", "")
-        if left and not left.replace(".", "", 1).isdigit():
+        if left and not (left.isascii() and left.replace(".", "", 1).isdigit()):
             client.reply(Malformed("x-deadline-left"), None)
             return
         until = now + (float(left) if left else DEADLINE_MS) / 1e3
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -119,6 +119,7 @@
     (REQUEST.replace(b"Content-Length: 2", b"Content-Length: 2\r\nTransfer-Encoding: chunked"), b"400"),
     (REQUEST.replace(b"X-Attempt-Id: t1", b"X-Attempt-Id: t1\r\nX-Attempt-Id: t2"), b"400"),
     (REQUEST.replace(b"X-Deadline-Left: 3000", b"X-Deadline-Left: soon"), b"400"),
+    (REQUEST.replace(b"X-Deadline-Left: 3000", b"X-Deadline-Left: \xb2"), b"400"),
     (REQUEST.replace(b"Content-Length: 2", b"Content-Length: 99999999"), b"413"),
     (REQUEST.replace(b"X-Attempt-Id: t1", b"X-Long: " + b"x" * 20_000), b"431"),
     (b"nonsense\r\n\r\n", b"400"),
