--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import subprocess
 import sys
 import tomllib
@@ -32,6 +33,61 @@
     assert json.dumps(SITE) == before
 
 
+FLEET: dict[str, Any] = tomllib.loads("""
+name = "one"
+wire = "words.json"
+machines = [{ class = "core", zone = "a", count = 1, disk = { mb = 4 } }]
+[[day]]
+name = "quiet"
+traffic = [{ per_s = 3.0, clients = 3 }, { per_s = 5.0, clients = 4 }]
+[[day]]
+name = "trouble"
+traffic = [{ per_s = 7.0, clients = 5 }]
+""")
+
+
+def test_copies_scales_and_paths_for_each() -> None:
+    before = json.dumps(FLEET)
+    made = changed(FLEET, {
+        "copy": [{"path": "machines.0", "set": {"zone": "b", "disk.mb": 8}}], "remove": ["day.quiet.traffic.1"],
+        "scale": {"day.*.traffic.*.per_s": 0.5, "day.*.traffic.*.clients": 0.5}, "set": {"machines.*.count": 2}})
+    assert made == {
+        "name": "one", "wire": "words.json",
+        "machines": [{"class": "core", "zone": "a", "count": 2, "disk": {"mb": 4}},
+                     {"class": "core", "zone": "b", "count": 2, "disk": {"mb": 8}}],
+        "day": [{"name": "quiet", "traffic": [{"per_s": 1.5, "clients": 2}]},
+                {"name": "trouble", "traffic": [{"per_s": 3.5, "clients": 2}]}]}
+    assert json.dumps(FLEET) == before
+
+
+@pytest.mark.parametrize(("changes", "word"), [
+    ({"set": {"machines.1.count": 1}}, "machines.1.count"), ({"set": {"day.*.sead": 1}}, "day.*.sead"),
+    ({"scale": {"name": 2}}, "scale.name"), ({"scale": {"machines.0.count": "2"}}, "scale.machines.0.count"),
+    ({"copy": [{"path": "name", "set": {}}]}, "copy.name"), ({"copy": [{"path": "machines.0"}]}, "copy"),
+    ({"copy": [{"path": "machines.0", "set": {"zona": "b"}}]}, "copy.machines.0.zona"),
+    ({"remove": ["day.*.plan"]}, "day.*.plan"),
+    ({"remove": ["machines.0"], "set": {"machines.0": {}}}, "machines.0"),
+])
+def test_a_path_to_nothing_is_named(changes: dict[str, Any], word: str) -> None:
+    with pytest.raises(ConfigError, match=f"^{re.escape(word)}: expected"):
+        changed(FLEET, changes)
+
+
+def test_what_is_removed_may_be_set_anew() -> None:
+    made = changed(FLEET, {"remove": ["wire", "machines.0.disk"], "set": {"wire": "w", "machines.0.disk": {"mb": 1}}})
+    assert made == FLEET | {"wire": "w", "machines": [{"class": "core", "zone": "a", "count": 1, "disk": {"mb": 1}}]}
+
+
+def test_a_fleet_variant_has_a_wire_of_its_own(tmp_path: Path) -> None:
+    (tmp_path / "one.toml").write_text(tomli_w.dumps(FLEET), encoding="utf-8")
+    (tmp_path / "words.json").write_text("words", encoding="utf-8")
+    (tmp_path / "two.changes.toml").write_text('base = "one.toml"\nset = {name = "two"}\n', encoding="utf-8")
+    assert main(str(tmp_path), str(tmp_path)) == 0
+    laid = tomllib.loads((tmp_path / "two.toml").read_text(encoding="utf-8"))
+    assert laid == FLEET | {"name": "two", "wire": "two.wire.json"}
+    assert (tmp_path / "two.wire.json").read_text(encoding="utf-8") == "words"
+
+
 @pytest.mark.parametrize(("changes", "word"), [
     ({"remove": ["class.none"]}, "class.none"), ({"remove": ["nothing"]}, "nothing"),
     ({"set": {"net.a.b": 1}}, "net.a.b"),
@@ -48,19 +104,20 @@
     kit, folder = tmp_path / "kit" / "sites", tmp_path / "ours"
     kit.mkdir(parents=True)
     folder.mkdir()
-    (kit / "one.toml").write_text(tomli_w.dumps(SITE), encoding="utf-8")
+    (kit / "one.toml").write_text(tomli_w.dumps(SITE | {"wire": "wire.json"}), encoding="utf-8")
     for name in BESIDE:
         (kit / name).write_text(name, encoding="utf-8")
     (folder / "two.changes.toml").write_text('base = "sites/one.toml"\nset = {name = "two"}\n', encoding="utf-8")
     assert main(str(tmp_path / "kit"), str(folder)) == 0
-    assert tomllib.loads((folder / "two.toml").read_text(encoding="utf-8")) == SITE | {"name": "two"}
+    assert tomllib.loads((folder / "two.toml").read_text(encoding="utf-8")) == SITE | {
+        "name": "two", "wire": "wire.json"}
     assert [(folder / name).read_text(encoding="utf-8") for name in BESIDE] == list(BESIDE)
 
 
 @pytest.mark.parametrize(("said", "word"), [
     (None, "no kit at"), ("", "x.changes.toml: base: expected"),
     ('base = "none.toml"', "x.changes.toml: base: expected a file"),
-    ("[", "x.changes.toml: "),
+    ("[", "x.changes.toml: "), ('base = "x.changes.toml"\nset = {nane = "x"}', "x.changes.toml: nane: expected"),
 ])
 def test_without_the_kit_or_with_bad_changes_it_says_so_in_one_line(
         tmp_path: Path, said: str | None, word: str) -> None:
