--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -276,14 +276,16 @@
             return
         self._handle = None
         alone = self._headed or bool(self._legs)  # a stream goes on, or a second copy goes out: no time for a reading
-        may_read = plan.reader is not None and self._reads <= COUNTED_READS and not alone
-        if plan.reader is not None and may_read and (not self._reads or self._may_repeat(now)):
+        if plan.reader is not None and self._reads <= COUNTED_READS and not alone:
+            if self._reads and not self._may_repeat(now):
+                self._give_up(now)
+                return
             self._reads += 1
             self._change(State.READING)
             estimate = self._shared.chooser.pace(self._service, "prefill").estimate(plan.read_tokens) / 1e3
             self._send(now, plan.reader, plan.read_tokens, True, (("X-Stage", "prefill"), self._priority()),
                        SILENT_START_S + SILENT_READ * estimate)
-        else:  # without budget for another reading the maker may still read for itself: that is its first call
+        else:
             self._make(now, plan.maker, plan.read_tokens)
 
     def _priority(self) -> tuple[str, str]:
