--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,118 @@
+"""Twenty planted faults over both planes, each run against the tests that should find it.
+
+`python tests/mutants.py [--only N,...] [--jobs 2]` from the root. The tree is copied to a temporary folder for each
+fault; a fault that no named test finds is printed and makes the command end with 1. Bounded: a run of tests may take
+five minutes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT_S = 300
+
+
+class Mutant(NamedTuple):
+    """A text in a file of the package, what takes its place, and the tests that should fail then."""
+
+    what: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTANTS = (
+    Mutant("a success without the backend's stamp is passed on", "dataplane/exchange.py",
+           'if 200 <= status < 300 and "x-server-seal" in headers:', "if 200 <= status < 300:", "test_exchange.py"),
+    Mutant("a part of an event is kept across runs", "dataplane/exchange.py",
+           "self._splitter.drop_rest()", "pass", "test_exchange.py"),
+    Mutant("a run that may have begun passes for one that did not", "dataplane/exchange.py",
+           "        self._maybe_run = True\n        self._again_or_end(now, leg)",
+           "        self._again_or_end(now, leg)", "test_exchange.py"),
+    Mutant("further calls without a look at the budget", "dataplane/exchange.py",
+           "if not self._budget.may(now, self._shared.chooser.proxies):", "if False:", "test_exchange.py"),
+    Mutant("a handle that nobody takes is not freed", "dataplane/exchange.py",
+           "self._actions.append(Free(self._handle.backend, self._handle.name))", "pass", "test_exchange.py"),
+    Mutant("the higher figure wins", "dataplane/pair.py", "other.figure < plan.figure", "other.figure > plan.figure",
+           "test_pair.py"),
+    Mutant("figures never age", "dataplane/pair.py", "* self.proxies * min(age, RATE_S)", "* self.proxies * 0.0",
+           "test_pair.py"),
+    Mutant("the count of proxies is left out", "dataplane/pair.py", "* self.proxies * min(age", "* min(age",
+           "test_pair.py"),
+    Mutant("each proxy takes the whole slack", "dataplane/budget.py", "self._slack / max(1, proxies)", "self._slack",
+           "test_pair.py"),
+    Mutant("a later life spends the slack at once", "dataplane/budget.py", "now < self._fresh_until", "False",
+           "test_pair.py"),
+    Mutant("an answer for another request is taken", "dataplane/legs.py",
+           'self._headers.get("x-attempt-id", self._attempt) != self._attempt', "False", "test_proxy.py"),
+    Mutant("a lower revision is taken", "dataplane/proxy.py", "table.revision > self.revision", "True",
+           "test_proxy.py test_edge_configuration.py"),
+    Mutant("a drain is taken back by a late heartbeat", "membership/backends.py",
+           'if old.phase == "draining" and new.phase != "draining":', "if False:", "test_registry.py"),
+    Mutant("an ended backend comes back", "membership/backends.py", 'if old.phase == "gone":', "if False:",
+           "test_registry.py"),
+    Mutant("damaged frames pass", "transport/frames.py", "if crc32(body) != self._checksum:", "if False:",
+           "test_neighbours.py test_fleet_links.py test_control_program.py test_frames.py"),
+    Mutant("shares that sum to nothing pass", "control/configuration.py",
+           'raise InvalidConfiguration("no_share"', 'InvalidConfiguration("no_share"', "test_configuration.py"),
+    Mutant("a drain is acknowledged before proxies know", "control/operator_api.py",
+           "await self._plane.reached(mark, DRAIN_S)", "pass", "test_control_program.py"),
+    Mutant("a configuration is acknowledged before proxies have it", "control/operator_api.py",
+           "await self._plane.reached(self._plane.await_revision(revision), FORCE_S)", "pass",
+           "test_control_program.py"),
+    Mutant("a write is not synced", "storage/store.py", "os.fdatasync(self._descriptor(name))", "pass",
+           "test_storage.py test_custody_simulated.py"),
+    Mutant("fewer copies than may be lost", "control/custody.py",
+           "return min(members, max(min(self._settings.tolerance + 1, members // 2 + 1), 2))", "return 1",
+           "test_custody.py test_custody_simulated.py"),
+)
+
+
+def found(mutant: Mutant) -> str:
+    """The first line that tells of a failure; empty where all tests pass."""
+    with tempfile.TemporaryDirectory(prefix="mutant-") as folder:
+        tree = Path(folder)
+        for part in ("cranebank", "tests", "deploy", "benchmarks"):
+            shutil.copytree(ROOT / part, tree / part, ignore=shutil.ignore_patterns("__pycache__", "sites"))
+        for part in ("pyproject.toml", "README.md", "KNOWN-RED.txt"):
+            shutil.copy(ROOT / part, tree / part)
+        path = tree / "cranebank" / mutant.file
+        text = path.read_text(encoding="utf-8")
+        if text.count(mutant.old) != 1:
+            return f"the text is there {text.count(mutant.old)} times: the fault can't be planted"
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        tests = [f"tests/{name}" for name in mutant.tests.split() if (tree / "tests" / name).exists()]
+        run = subprocess.run([sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", *tests], cwd=tree,
+                             capture_output=True, text=True, timeout=LIMIT_S, check=False)
+        if run.returncode == 0:
+            return ""
+        return next((line for line in run.stdout.splitlines() if line.startswith(("FAILED", "ERROR"))), "failed")
+
+
+def main() -> int:
+    """Run them; 1 where one was not found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", default="", help="numbers, separated by commas")
+    parser.add_argument("--jobs", type=int, default=2)
+    options = parser.parse_args()
+    chosen = [int(part) for part in options.only.split(",") if part] or list(range(len(MUTANTS)))
+    missed = 0
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for number, line in zip(chosen, pool.map(lambda n: found(MUTANTS[n]), chosen), strict=True):
+            missed += not line.startswith(("FAILED", "ERROR"))
+            print(f"{number:2} {MUTANTS[number].what}: {line or 'NOT FOUND'}", flush=True)
+    print(f"{len(chosen) - missed} of {len(chosen)} found")
+    return int(missed > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -344,6 +344,8 @@
         async with controller(tmp_path, ports), proxy(ports) as edge, caller(ports) as client:
             answering = asyncio.create_task(client.call("POST", REPLACE, sent, 0))
             assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            async with caller(ports) as other:  # another call's way there and back gives the answer time to come
+                assert (await other.call("GET", "/api/System.Status"))[0] == 200
             assert not answering.done()
             edge.send(ConfigAck(7))
             assert (await answering)[0] == 200
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -135,6 +135,15 @@
     play(story)
 
 
+def test_a_proxy_never_steps_back_to_a_lower_revision() -> None:
+    """Found missing by a planted fault."""
+    made = Proxy(RetryRule(0.2, 50.0, 10.0, True), Random(1), 0.0)
+    older = DOCUMENT.replace(b'"revision":3', b'"revision":2').replace(b"h.example", b"old.example")
+    assert made.configure(DOCUMENT) and made.configure(older)
+    assert made.table is not None
+    assert made.revision == 3 and made.table.match("h.example", "/") and not made.table.match("old.example", "/")
+
+
 def test_an_answer_for_another_request_is_read_and_dropped() -> None:
     other = ANSWER.replace(b"X-Attempt-Id: t1", b"X-Attempt-Id: t0").replace(b"data: a", b"data: b")
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import errno
+import os
 import threading
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -305,6 +307,28 @@
     asyncio.run(_waiting_puts_go_together())
 
 
+def test_real_files_and_their_folder_are_synced(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found missing by a planted fault: the crashes above are played on files of the tests' own."""
+    synced: list[str] = []
+
+    def told(real: Callable[[int], None]) -> Callable[[int], None]:
+        def sync(descriptor: int) -> None:
+            synced.append(Path(f"/proc/self/fd/{descriptor}").readlink().name)
+            real(descriptor)
+
+        return sync
+
+    for name in ("fsync", "fdatasync"):
+        monkeypatch.setattr(os, name, told(getattr(os, name)))
+    store, _ = open_store(tmp_path, "values")
+    store.put({"a": b"1"})
+    assert tmp_path.name in synced and "values" in synced
+    synced.clear()
+    store.put({"a": b"2"})
+    assert synced == ["values"]
+    store.close()
+
+
 async def _through_the_disk(path: Path) -> None:
     store, _ = open_store(path, NAME)
     disk = Disk(store)
