--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -123,6 +123,24 @@
     assert [a.error.status for a in end if isinstance(a, Reply)] == [503]
 
 
+def test_memory_that_lapsed_before_the_fetch_is_refused_as_not_run_or_read_anew() -> None:
+    """The maker says 503 with X-Not-Run: with a try left it is read again elsewhere, else the client is told."""
+    for tries in (1, 2):
+        story = Story(tries=tries, resumable=tries == 2, goal_ms=600.0)
+        (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+        story.do(LegHead(read.leg, 200, {}), 0.1)
+        story.do(LegData(read.leg, b'{"prompt_handle":"h1"}'))
+        (make,) = calls(story.do(LegEnd(read.leg)))
+        story.do(LegHead(make.leg, 503, {"x-not-run": "1"}))
+        end = story.do(LegEnd(make.leg))
+        if tries == 1:
+            assert [a.error.status for a in end if isinstance(a, Reply)] == [503]
+        else:
+            (again,) = calls(end)
+            assert again.backend.id != make.backend.id and dict(again.headers).get("Kv-From") != dict(
+                make.headers)["Kv-From"]
+
+
 def test_what_may_have_run_is_never_refused() -> None:
     story = Story(tries=1, resumable=False)
     (call,) = calls(story.begin())
