--- a/cranebank/cli/lab.py
+++ b/cranebank/cli/lab.py
@@ -40,11 +40,13 @@
     return checked
 
 
-def _stamp() -> str:
+def stamp() -> str:
+    """The time, for names of folders."""
     return time.strftime("%Y%m%d-%H%M%S")
 
 
-def _table(title: str, head: Iterable[str], rows: Iterable[Iterable[object]]) -> None:
+def show_table(title: str, head: Iterable[str], rows: Iterable[Iterable[object]]) -> None:
+    """Print a table."""
     from tabulate import tabulate  # noqa: PLC0415
 
     names = list(head)
@@ -58,7 +60,7 @@
     from cranebank.lab.report import class_table, tier_table  # noqa: PLC0415
 
     for table in (class_table(result), tier_table(result)):
-        _table(table.title, table.head, table.rows)
+        show_table(table.title, table.head, table.rows)
         click.echo()
     click.echo(f"service {result.service:.4f}, in time {result.in_time:.4f}, "
                f"{result.legs_per_request:.3f} legs a request, busiest: {result.busiest}")
@@ -116,7 +118,7 @@
     Example: cranebank demo --seed 7
     """
     path = Path(__file__).parents[1] / "lab" / ("demo_small.toml" if small else "demo.toml")
-    return _play(path, out or Path(FOLDER) / f"demo-{_stamp()}", {"seed": seed})
+    return _play(path, out or Path(FOLDER) / f"demo-{stamp()}", {"seed": seed})
 
 
 @click.command()
@@ -132,7 +134,7 @@
     from cranebank.lab.plan import read_scenario  # noqa: PLC0415
     from cranebank.lab.run import Run  # noqa: PLC0415
 
-    folder = out or Path(FOLDER) / f"emulate-{_stamp()}"
+    folder = out or Path(FOLDER) / f"emulate-{stamp()}"
     asyncio.run(Run(read_scenario(scenario), folder, scenario.parent).emulate(seconds, click.echo))
     return 0
 
@@ -181,7 +183,7 @@
     from cranebank.lab.report import class_table  # noqa: PLC0415
 
     table = class_table(result)
-    _table(table.title, table.head, table.rows)
+    show_table(table.title, table.head, table.rows)
     assert result.generator is not None
     g = result.generator
     click.echo(f"offered {g.offered / max(g.seconds, 1e-9):.0f} requests/s, late p50 {g.late_p50 / 1000:.2f} ms, "
@@ -225,7 +227,7 @@
 
     if resume and out is None:
         raise click.UsageError("--resume: expected --out, the folder to go on with")
-    folder = out or Path(FOLDER) / f"{file.stem}-{_stamp()}"
+    folder = out or Path(FOLDER) / f"{file.stem}-{stamp()}"
     if kind_of(str(file)) == "scenario":
         return _play(file, folder, {} if seed is None else {"seed": seed}, on)
     unusable = experiment.run(file, folder, resume, click.echo, on)
@@ -274,7 +276,7 @@
     rows = [(f"{d.scenario} {d.settings}".strip(), d.figure, f"{d.a:.4g}", f"{d.b:.4g}", f"{d.difference.mean:+.4g}",
              f"[{d.difference.low:+.4g}, {d.difference.high:+.4g}]", d.difference.runs, "worse" if d.worse else "")
             for d in found]
-    _table("B less A", ("run", "figure", "A", "B", "difference", "95% interval", "pairs", ""), rows)
+    show_table("B less A", ("run", "figure", "A", "B", "difference", "95% interval", "pairs", ""), rows)
     return EXIT_FOUND if any(d.worse for d in found) else 0
 
 
@@ -294,7 +296,7 @@
 
     from cranebank.lab import experiment  # noqa: PLC0415
 
-    folder = out or Path(FOLDER) / f"validate-{_stamp()}"
+    folder = out or Path(FOLDER) / f"validate-{stamp()}"
     say = (lambda _: None) if as_json else click.echo
     for on in ("sockets", "simulated"):
         experiment.run(file, folder / on, True, say, on)
@@ -302,7 +304,7 @@
     if as_json:
         click.echo(msgspec.json.encode(found).decode())
     else:
-        _table("sockets and simulated", ("scenario", "seeds", "in time", "simulated", "legs", "simulated", ""),
+        show_table("sockets and simulated", ("scenario", "seeds", "in time", "simulated", "legs", "simulated", ""),
                ((m.scenario, m.seeds, f"{m.in_time_sockets:.4f}", f"{m.in_time_simulated:.4f}", f"{m.legs_sockets:.3f}",
                  f"{m.legs_simulated:.3f}", "" if m.near else "NOT NEAR") for m in found))
     return 0 if found and all(m.near for m in found) else EXIT_FOUND
@@ -328,14 +330,14 @@
 
     if module:
         rows = check.module_table()
-        _table("n = 1,000", ("b / n", "one-choice", "two-choice", "one-plus-beta", "cranebank"),
+        show_table("n = 1,000", ("b / n", "one-choice", "two-choice", "one-plus-beta", "cranebank"),
                ((multiple, *(f"{gap:.1f}" for gap in gaps)) for multiple, gaps in rows))
         return 0
     cells = check.table(runs=runs)
     if as_json:
         click.echo(msgspec.json.encode(cells).decode())
     else:
-        _table("Empirical gap", ("n", "batch", "process", "paper", "here", "off", "standard error"),
+        show_table("Empirical gap", ("n", "batch", "process", "paper", "here", "off", "standard error"),
                ((c.n, f"{c.batch // c.n}n", c.process, c.paper, f"{c.gap:.2f}",
                  f"{c.gap / (c.paper or c.gap) - 1:+.1%}", f"{c.error:.2f}") for c in cells))
     if plots is not None:
@@ -358,7 +360,7 @@
     """
     from cranebank.lab.simulated.hunt import hunt as search  # noqa: PLC0415
 
-    found = search(minutes * 60, first, out or Path(FOLDER) / f"hunt-{_stamp()}", click.echo)
+    found = search(minutes * 60, first, out or Path(FOLDER) / f"hunt-{stamp()}", click.echo)
     return EXIT_FOUND if any(f.breaches for f in found) else 0
 
 
@@ -382,7 +384,7 @@
         rows.append((path.name, len(found), f"{service.mean:.4f}", broken))
     for path in sorted(p.parent for p in folder.glob("*/result.json")):
         rows.append((path.name, 1, "", ""))
-    _table(str(folder), ("results", "runs", "service", "broke a rule"), rows)
+    show_table(str(folder), ("results", "runs", "service", "broke a rule"), rows)
     return 0
 
 
@@ -415,11 +417,11 @@
         rows = [(f"{line.at - lines[0].at:.6f}", line.proxy, line.event, " ".join(
             f"{key}={value}" for key, value in line.fields.items() if key not in ("level", "request")))
             for line in lines]
-        click.echo(json.dumps(rows)) if as_json else _table(name, ("s", "proxy", "event", "fields"), rows)
+        click.echo(json.dumps(rows)) if as_json else show_table(name, ("s", "proxy", "event", "fields"), rows)
     else:
         seconds = fleetlog.by_second(lines)
         shown = [column.strip() for column in columns.split(",")]
-        click.echo(json.dumps(seconds)) if as_json else _table(
+        click.echo(json.dumps(seconds)) if as_json else show_table(
             f"{len({line.proxy for line in lines})} proxies, {len(lines)} lines", ("s", *shown),
             ((second, *(f"{told.get(column, 0):g}" for column in shown)) for second, told in seconds))
     for path, count in sorted(found.unread.items()):
--- a/cranebank/cli/main.py
+++ b/cranebank/cli/main.py
@@ -14,6 +14,7 @@
 
 from cranebank.cli.config import config, own_settings
 from cranebank.cli.lab import demo, emulate, lab, load
+from cranebank.cli.system import system
 from cranebank.config.checks import ConfigError
 
 EXIT_FOUND, EXIT_UNUSABLE = 1, 2
@@ -78,6 +79,7 @@
 cli.add_command(emulate)
 cli.add_command(load)
 cli.add_command(lab)
+cli.add_command(system)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/cranebank/cli/system.py
@@ -0,0 +1,59 @@
+"""``cranebank system``: the whole system, proxies and controllers, from the command line."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+import click
+
+from cranebank.cli.lab import EXIT_FOUND, FOLDER, needs_lab, show_table, stamp
+
+
+@click.group()
+def system() -> None:
+    """The whole system: proxies, controllers and model backends.
+
+    Example: cranebank system demo
+    """
+
+
+@system.command("demo")
+@click.option("--small", is_flag=True, help="7 seconds and fewer troubles.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
+@needs_lab
+def demo(small: bool, seed: int, out: Path | None) -> int:
+    """Play a day on loopback in 40 s: a primary killed, a proxy stopped, backends that drain, crash and fall silent,
+    configurations changed. Exit code 1 if a rule broke.
+
+    Example: cranebank system demo --seed 7
+    """
+    import msgspec  # noqa: PLC0415
+
+    from cranebank.fleetlab import day, judge, report  # noqa: PLC0415
+
+    plan = msgspec.structs.replace(day.SHORT if small else day.DEMO, seed=seed)
+    folder = out or Path(FOLDER) / f"system-{stamp()}"
+    played = folder / "processes"  # a day begins with empty disks
+    shutil.rmtree(played, ignore_errors=True)
+    played.mkdir(parents=True)
+    try:
+        record = day.play(plan, lambda line: click.echo(line, err=True), played)
+    except day.StartError as error:
+        raise click.ClickException(str(error)) from None
+    verdict = judge.judge(record)
+    (folder / "day.json").write_bytes(msgspec.json.encode(record))
+    for table in (report.rules_table(verdict), report.route_table(record)):
+        show_table(table.title, table.head, table.rows)
+        click.echo()
+    for breach in verdict.breaches:
+        click.echo(f"RULE BROKEN {breach.rule} x{breach.count}: {'; '.join(breach.examples)}")
+    for remark in verdict.remarks:
+        click.echo(f"NOTED: {remark}")
+    for name, code in record.exits:
+        click.echo(f"ENDED BY ITSELF: {name}, {code}")
+    page = folder / "report.html"
+    report.write(page, report.day_page(record, verdict))
+    click.echo(f"report: {page}")
+    return 0 if verdict.kept and not record.exits else EXIT_FOUND
--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -28,12 +28,13 @@
 class Call:
     """One request that is open at the backend."""
 
-    __slots__ = ("arrival", "connection", "headed", "number", "request")
+    __slots__ = ("arrival", "connection", "headed", "number", "request", "silent")
 
     def __init__(self, number: int, connection: BackendConnection, arrival: Arrival | None,
                  request: m.GenerationRequest | None) -> None:
         self.number, self.connection, self.arrival, self.request = number, connection, arrival, request
         self.headed = False
+        self.silent = "silent" in connection.backend.faults
 
 
 class BackendConnection(asyncio.Protocol):
@@ -269,11 +270,14 @@
                 if call.request is not None and call.request.is_prefill and status == 200:
                     self._handles[msgspec.json.decode(body)["prompt_handle"]] = call.request.attempt
                 self._answer(call, status, body, {"X-Not-Run": "1"} if not_run else {})
-            case m.Began(_, kept, read):
+            case m.Prefilled(_, kept, read):
+                if call.arrival is not None:
+                    call.arrival.kept, call.arrival.read = kept, read
+            case m.Began(_, kept, read, moved):
                 if call.arrival is not None:
                     call.arrival.run = f"{self.instance}.{next(RUNS)}"
                     call.arrival.ran_at = asyncio.get_running_loop().time()
-                    call.arrival.kept, call.arrival.read = kept, read
+                    call.arrival.kept, call.arrival.read, call.arrival.moved = kept, read, moved
             case m.Emit(_, number, last):
                 self._emit(call, number, last)
             case m.Cut():
@@ -297,7 +301,7 @@
         if arrival is not None:
             lines.append(f"X-Attempt-Id: {arrival.attempt}")
         self._finish(call)
-        if "silent" in self.faults and arrival is not None:
+        if call.silent and arrival is not None:
             return
         connection.write("\r\n".join((*lines, *self._closing(), "", "")).encode() + body)
         self._done(connection)
@@ -309,7 +313,7 @@
         """One event of a stream."""
         arrival, connection = call.arrival, call.connection
         assert arrival is not None
-        if "silent" in self.faults:
+        if call.silent:
             if last:
                 self._finish(call)
             return
--- a/cranebank/fleetlab/clients.py
+++ b/cranebank/fleetlab/clients.py
@@ -20,7 +20,7 @@
 NOT_AGAIN = frozenset({200, 400, 401, 404, 413, 431})
 PROMISES = frozenset({408, 421, 429, 503})
 SUBJECTS = 12
-REPEATABLE = frozenset({"chat", "search"})
+EFFECTFUL = frozenset({"write", "moved"})  # all other routes may be resumed
 WEIGHTS = {"chat": 5, "write": 2, "search": 2, "moved": 2}
 
 
@@ -131,7 +131,7 @@
         now = loop.time()
         path = f"/{name}/{request}"
         sent = Try(request, attempt, of.name, life, "POST", HOST, path, digest(body), now,
-                   name in REPEATABLE, ceil(out / self._stride), proxy is not None, until)
+                   name not in EFFECTFUL, ceil(out / self._stride), proxy is not None, until)
         self._day.tries.append(sent)
         if link is None:
             sent.ended = loop.time()
--- a/cranebank/fleetlab/model.py
+++ b/cranebank/fleetlab/model.py
@@ -129,7 +129,16 @@
 
 
 class Began(msgspec.Struct, frozen=True):
-    """A request runs from now on: its first token. Tokens of its prompt that were kept, moved or read."""
+    """A request runs from now on: its first token. Tokens of its prompt that were kept, read and moved."""
+
+    call: int
+    kept: int
+    read: int
+    moved: int = 0
+
+
+class Prefilled(msgspec.Struct, frozen=True):
+    """A prompt was read for its handle. Tokens that were kept and read."""
 
     call: int
     kept: int
@@ -163,7 +172,7 @@
     at: float
 
 
-Action = Respond | Began | Emit | Cut | TakeHandle | WakeAt
+Action = Respond | Began | Prefilled | Emit | Cut | TakeHandle | WakeAt
 
 
 class Phase(Enum):
@@ -188,8 +197,8 @@
         self.events = max(1, ceil(request.out / stride))
         self.emitted = min(request.after, self.events)
         self.pinned: list[str] = []
-        self.private = self.left = self.kept = self.was_read = self.had = 0
-        self.run = self.reading = self.moved = False
+        self.private = self.left = self.kept = self.was_read = self.moved = self.had = 0
+        self.run = self.reading = False
         self.moved_at = 0.0
 
     @property
@@ -361,7 +370,7 @@
             for name in [name for name, (until, _) in self._handles.items() if until <= due]:
                 self._free_handle(name)
             for work in [work for work in self._batch if work.phase is Phase.MOVING and work.moved_at <= due]:
-                work.moved = True
+                work.moved = work.left
                 self._prompt_there(work)
             if self._step is not None and self._step.ends <= due:
                 step, self._step = self._step, None
@@ -483,7 +492,8 @@
         self._handles[name] = (now + self.spec.handle_ttl_s, work.pinned)
         self._batch.remove(work)
         body = {"prompt_handle": name, "tokens": work.request.tokens, "revision": 1}
-        self._actions.append(Respond(work.call, 200, msgspec.json.encode(body)))
+        self._actions += [Prefilled(work.call, work.kept, work.was_read),
+                          Respond(work.call, 200, msgspec.json.encode(body))]
 
     def _make(self, work: Work) -> None:
         tokens = min(self.spec.stride, max(1, work.request.out - work.had))
@@ -495,7 +505,7 @@
                 return
         if not work.run:
             work.run = True
-            self._actions.append(Began(work.call, work.kept, work.was_read))
+            self._actions.append(Began(work.call, work.kept, work.was_read, work.moved))
         number = work.emitted + 1 if work.emitted < work.events else 0
         work.private += tokens
         work.had += tokens
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -71,8 +71,9 @@
     not_run: bool = False
     run: str = ""  # once it has begun
     ran_at: float = 0.0
-    kept: int = 0
+    kept: int = 0  # tokens of its prompt that were kept here, read here and moved here
     read: int = 0
+    moved: int = 0
     events_made: int = 0
     whole: bool = False  # the last piece was written
     broke_off: bool = False  # by the backend itself
@@ -98,6 +99,7 @@
     valid: bool = True
     acked: float | None = None
     refused: bool = False
+    answered: float = 0.0  # when the clear answer came
 
 
 class Drain(msgspec.Struct):
--- /dev/null
+++ b/tests/test_system_day.py
@@ -0,0 +1,53 @@
+"""A short day of the whole system, with real processes on loopback; the primary is killed in it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from cranebank.cli.main import cli
+from cranebank.fleetlab import report
+from cranebank.fleetlab.day import SHORT, play
+from cranebank.fleetlab.judge import judge, served, share
+from cranebank.fleetlab.records import DayRecord
+
+
+def test_a_short_day_keeps_the_rules_through_the_end_of_its_primary(tmp_path: Path) -> None:
+    day = play(SHORT, folder=tmp_path)
+    verdict = judge(day)
+    assert verdict.kept, verdict.breaches
+    assert not day.exits
+    assert not day.stray
+    assert share(day, served) >= 0.9
+    check_takeover(day)
+    check_drain_and_race(day)
+    page = report.day_page(day, verdict)
+    assert page.count("<svg") == 6
+    assert "No rule broke." in page
+
+
+def check_takeover(day: DayRecord) -> None:
+    """Another controller is primary after the kill, and the end of the day reads what was acknowledged."""
+    (killed,) = [trouble for trouble in day.troubles if "killed" in trouble.what]
+    before = {name for at, name in day.primaries if at < killed.begin}
+    after = {name for at, name in day.primaries if at > killed.end} - {""}
+    assert before
+    assert after - before
+    assert day.read_back is not None
+    assert day.read_back.revision == max(change.revision for change in day.changes if change.acked is not None)
+
+
+def check_drain_and_race(day: DayRecord) -> None:
+    """The drain was acknowledged, and one of the two changes of the race at the end."""
+    (drain,) = day.drains
+    assert drain.acked is not None
+    assert drain.ended is not None
+    left, right = day.changes[-2:]
+    assert left.base == right.base
+    assert (left.acked is None) != (right.acked is None)
+
+
+def test_the_command_line_knows_the_demo() -> None:
+    told = CliRunner().invoke(cli, ["system", "demo", "--help"]).output
+    assert "--small" in told
