--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -133,6 +133,10 @@
         """How many are ready, well or not."""
         return len(self._ready.get((service, stage), ()))
 
+    def staffed(self) -> frozenset[tuple[str, str]]:
+        """The services and stages that have a ready backend, well or not."""
+        return frozenset(self._ready)
+
     def any_ready(self) -> bool:
         """Whether there is anybody to send to."""
         return any(self._ready.values())
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -69,7 +69,10 @@
         if self._attempts.are_used_up:
             return None
         plan = self._choose(now, self.without)
-        if plan is None or now >= self._until:
+        if plan is None:
+            self._shared.count("without_backend")
+            return None
+        if now >= self._until:
             return None
         self._plan = plan
         if self.handle is not None and now < self.handle.until:
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -41,6 +41,7 @@
 from cranebank.dataplane.pair import PairChooser
 from cranebank.dataplane.routes import ClientLimits, Engine, RouteTable
 from cranebank.dataplane.shared import Shared
+from cranebank.dataplane.stage_watch import StageWatch
 from cranebank.transport.messages import Backend
 
 NO_ENGINE = Engine()
@@ -236,6 +237,7 @@
         self.pool.most = self._most
         self.front = Front(self, self.limits)
         self._open: dict[ClientConnection, Open] = {}
+        self._stages = StageWatch()
 
     def limits(self) -> ClientLimits:
         """The clients' limits in force."""
@@ -272,9 +274,11 @@
 
     def learn(self, backends: Iterable[Backend]) -> None:
         """Take records of backends."""
-        for over in self.shared.candidates.merge(backends):
+        candidates = self.shared.candidates
+        for over in candidates.merge(backends):
             self.pool.drop(over)
             self.shared.cache.forget(over)
+        self._stages.observe(asyncio.get_running_loop().time(), candidates.staffed(), candidates.records.values())
 
     def noted(self, backend: str, part: str, tokens: int) -> None:
         """A neighbour had this backend read a prompt up to and with this shared part."""
--- /dev/null
+++ b/cranebank/dataplane/stage_watch.py
@@ -0,0 +1,49 @@
+"""Reports in the log when a stage of a service loses its last ready backend, and when it has one again.
+
+Requests for such a service are refused until then, so the loss is an ERROR: it writes out the log ring with what led
+to it. A stage that comes and goes is reported once in ``REPORT_AGAIN_S`` at most.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from loguru import logger
+
+from cranebank.transport.messages import Backend
+
+REPORT_AGAIN_S = 10.0  # between two reports of the same stage
+STAGES_MOST = 1024  # that are remembered; all are forgotten when there are more
+
+
+class StageWatch:
+    """Compares the stages that have ready backends with those that had some before."""
+
+    def __init__(self) -> None:
+        self._staffed: frozenset[tuple[str, str]] = frozenset()
+        self._reported: dict[tuple[str, str], float] = {}
+
+    def observe(self, now: float, staffed: frozenset[tuple[str, str]], records: Iterable[Backend]) -> None:
+        """Take which (service, stage) have a ready backend now. ``records``: all backends known, for the report."""
+        if staffed == self._staffed:
+            return
+        emptied, filled = self._staffed - staffed, staffed - self._staffed
+        self._staffed = staffed
+        for place in sorted(filled & self._reported.keys()):
+            logger.info("service {}: a {} backend is ready again", *place)
+        due = [place for place in sorted(emptied) if now - self._reported.get(place, -REPORT_AGAIN_S) >= REPORT_AGAIN_S]
+        if not due:
+            return
+        known = tuple(records)
+        if len(self._reported) >= STAGES_MOST:
+            self._reported.clear()
+        for service, stage in due:
+            self._reported[service, stage] = now
+            logger.error("service {}: no {} backend is ready; known: {}", service, stage, _summary(service, known))
+
+
+def _summary(service: str, records: Iterable[Backend]) -> str:
+    """How many backends of a service are known, by stage and phase."""
+    counts = Counter((record.stage, record.phase) for record in records if record.target == service)
+    return ", ".join(f"{number} {stage} {phase}" for (stage, phase), number in sorted(counts.items())) or "none"
--- a/cranebank/programs/command.py
+++ b/cranebank/programs/command.py
@@ -63,24 +63,28 @@
     proxies: tuple[ProxyStatus, ...] = ()
 
 
-def edge() -> int:
+def edge(*, metrics_port: int = 0) -> int:
     """Run a proxy, by the settings file that CRANEBANK_NODE_FILE names.
 
     Example: cranebank system edge
+
+    :param metrics_port: where figures are told to scrapers, instead of what the settings file says
     """
     from cranebank.programs.serve import serve  # noqa: PLC0415
 
-    return serve("edge")
+    return serve("edge", metrics_port)
 
 
-def control() -> int:
+def control(*, metrics_port: int = 0) -> int:
     """Run a controller, by the settings file that CRANEBANK_NODE_FILE names.
 
     Example: cranebank system control
+
+    :param metrics_port: where figures are told to scrapers, instead of what the settings file says
     """
     from cranebank.programs.serve import serve  # noqa: PLC0415
 
-    return serve("control")
+    return serve("control", metrics_port)
 
 
 def check_settings(file: Path) -> int:
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -22,10 +22,12 @@
     from cranebank.control.registry import Registry
     from cranebank.dataplane.proxy import Proxy
     from cranebank.membership.fleet import FleetLinks
+    from cranebank.transport.messages import Backend
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SWEEP_S = 5.0
 PHASES = ("ready", "draining", "lost", "gone")
+STAGES = ("prefill", "decode")
 RESULTS = {
     "accepted": "Accepted",
     "conflict": "Conflict",
@@ -122,13 +124,14 @@
             label="purpose",
             values={"read": count("reads", 0), "make": count("makes", 0)},
         ),
+        counter(
+            "without_backend",
+            "Times that no backend was ready to run a request.",
+            count("without_backend", 0),
+        ),
         counter("dialled", "Connections opened to backends.", count("dialled", 0)),
         gauge("open_requests", "Requests that are open.", proxy.open),
-        gauge(
-            "backends_ready",
-            "Backends that are ready.",
-            sum(record.phase == "ready" for record in proxy.shared.candidates.records.values()),
-        ),
+        _ready_by_stage(prefix, proxy.shared.candidates.records.values()),
         gauge("configuration_revision", "Revision in force; 0: none.", proxy.revision),
         gauge(
             "configuration_unconfirmed_seconds",
@@ -170,6 +173,7 @@
             label="phase",
             values={phase: phases[phase] for phase in PHASES},
         ),
+        _ready_by_stage(prefix, controller.registry.everything()),
         Metric(
             f"{prefix}writes_total",
             "counter",
@@ -180,6 +184,17 @@
     ]
 
 
+def _ready_by_stage(prefix: str, records: Iterable[Backend]) -> Metric:
+    stages = Counter(record.stage for record in records if record.phase == "ready")
+    return Metric(
+        f"{prefix}backends_ready",
+        "gauge",
+        "Backends that are ready, by stage.",
+        label="stage",
+        values={stage: stages[stage] for stage in STAGES},
+    )
+
+
 class Exporter:
     """The listening end."""
 
@@ -192,7 +207,7 @@
     async def start(self, settings: NodeSettings) -> None:
         """Listen; a port that can't be had is a line in the log."""
         port = settings.metrics_port
-        if port > settings.port_range[1]:
+        if port is None:
             logger.warning("no metrics: expected a second port in port_range")
             return
         try:
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -63,6 +63,10 @@
         news = self.registry.changes()
         if not news:
             return
+        for record in news:
+            logger.info(
+                "backend {} ({} of {}, {}): {}", record.id, record.stage, record.target, record.zone, record.phase
+            )
         self._published_at, self._local_state.registry_changed = now, True
         acks = self._delivery.push_backends(news)
         endings = [record.id for record in news if record.phase in ENDING]
--- a/cranebank/programs/serve.py
+++ b/cranebank/programs/serve.py
@@ -18,13 +18,14 @@
 EXIT_UNUSABLE = 2
 
 
-def serve(role: Role) -> int:
+def serve(role: Role, metrics_port: int = 0) -> int:
     """Run one process of the system until it is stopped.
 
     :param role: what it is: edge carries the clients' traffic, control serves backends and operators
+    :param metrics_port: where figures are told to scrapers, instead of what the settings file says; 0: as it says
     """
     try:
-        settings = load(role=role)
+        settings = load(role=role, metrics_port=metrics_port)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_UNUSABLE
--- a/cranebank/programs/settings.py
+++ b/cranebank/programs/settings.py
@@ -118,6 +118,7 @@
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
     metrics: Any = False  # only ``true`` counts: a later field of this name must not end the program
+    metrics_listen_port: int = 0  # where metrics are told; 0: at the second port of port_range, and only if asked for
 
     @property
     def seed_ips(self) -> tuple[str, ...]:
@@ -141,12 +142,15 @@
     @property
     def tells_metrics(self) -> bool:
         """Whether the process shall tell its figures to scrapers."""
-        return self.metrics is True or os.environ.get(METRICS) == "1"
+        return self.metrics is True or self.metrics_listen_port > 0 or os.environ.get(METRICS) == "1"
 
     @property
-    def metrics_port(self) -> int:
-        """The port for metrics, where they are on."""
-        return self.port_range[0] + 1
+    def metrics_port(self) -> int | None:
+        """The port for metrics, where they are on; None when the range leaves none for them."""
+        if self.metrics_listen_port > 0:
+            return self.metrics_listen_port
+        second = self.port_range[0] + 1
+        return second if second <= self.port_range[1] else None
 
 
 def parse(text: str, name: str = "settings") -> NodeSettings:
@@ -167,10 +171,11 @@
     return settings
 
 
-def load(path: str | None = None, role: Role | None = None) -> NodeSettings:
+def load(path: str | None = None, role: Role | None = None, metrics_port: int = 0) -> NodeSettings:
     """Read the settings file; by default the one that the environment names.
 
-    With a ``role``, the addresses that it binds must be there. Raises SettingsError.
+    With a ``role``, the addresses that it binds must be there. ``metrics_port``, unless 0, goes before the file's own.
+    Raises SettingsError.
     """
     path = path or os.environ.get(VARIABLE, DEFAULT)
     try:
@@ -178,6 +183,9 @@
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(path, "", f"a readable file: {error}") from None
     settings = parse(text, path)
+    if metrics_port:
+        settings = msgspec.structs.replace(settings, metrics_listen_port=metrics_port)
+        _check_addresses(settings, path)
     for bind in NEEDED_BINDS[role] if role else ():
         if bind not in settings.binds:
             raise SettingsError(path, f"binds.{bind}", f"IP:PORT, which the role {role} needs")
@@ -230,6 +238,8 @@
         _check_address(name, "seed_addrs", address)
     for key, address in settings.binds.items():
         _check_address(name, f"binds.{key}", address)
+    if not 0 <= settings.metrics_listen_port <= HIGHEST_PORT:
+        raise SettingsError(name, "metrics_listen_port", f"a port, or 0, got {settings.metrics_listen_port}")
     if not 0 < settings.port_range[0] <= settings.port_range[1] <= HIGHEST_PORT:
         raise SettingsError(name, "port_range", f"two ports in order, got {list(settings.port_range)}")
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -15,9 +15,10 @@
 from test_registry import beat
 
 from cranebank.programs import metrics
+from cranebank.programs.__main__ import _metrics_port
 from cranebank.programs.edge import Edge
 from cranebank.programs.ring import Ring, install
-from cranebank.programs.settings import METRICS, NodeSettings, parse
+from cranebank.programs.settings import METRICS, NodeSettings, SettingsError, load, parse
 
 LINE = re.compile(r'(# (HELP|TYPE) \w+ .+|\w+(\{\w+="\w+"\})? \d+)')
 TEXT = "node_name: n\nip: 127.0.0.1\nzone: z\nport_range: [7300, 7315]\nseed_addrs: ['127.0.0.1:8262']\n"
@@ -49,6 +50,8 @@
         ("metrics: false\n", "1", True),
         ("metrics: {a: 1}\n", "", False),
         ("metrics: 1\n", "0", False),
+        ("metrics_listen_port: 9464\n", "", True),
+        ("metrics_listen_port: 0\n", "", False),
     ],
 )
 def test_off_unless_asked_for(more: str, variable: str, on: bool, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -56,6 +59,24 @@
     assert parse(TEXT + more).tells_metrics is on
 
 
+def test_a_port_of_its_own_goes_before_the_range(tmp_path: Path) -> None:
+    file = tmp_path / "boot.yaml"
+    file.write_text(TEXT)
+    assert load(str(file)).metrics_port == 7301
+    assert load(str(file), metrics_port=9464).metrics_port == 9464
+    assert parse(TEXT.replace("7315", "7300")).metrics_port is None
+    with pytest.raises(SettingsError, match="metrics_listen_port"):
+        load(str(file), metrics_port=1 << 16)
+
+
+@pytest.mark.parametrize(
+    ("options", "port"),
+    [([], 0), (["--metrics-port", "9464"], 9464), (["--metrics-port"], None), (["--metrics-port", "x"], None)],
+)
+def test_the_command_line_names_a_port(options: list[str], port: int | None) -> None:
+    assert _metrics_port(options) == port
+
+
 def test_a_controller_tells(tmp_path: Path, snapshot: SnapshotAssertion) -> None:
     async def story() -> None:
         ports = free_port(), free_port()
