Clients' side split: request parsing, response framing and readiness in modules of their own

Reading a request (client_request), framing an answer (client_response, free of I/O) and the readiness answer (readiness) are modules of their own, field names and phrases shared (http_fields); flags have names that say what they are.

--- /dev/null
+++ b/cranebank/dataplane/client_request.py
@@ -0,0 +1,146 @@
+"""Reads one HTTP/1.1 request at a time from a client's bytes, within the configuration's limits.
+
+Requests that could be understood in two ways (two lengths, a field twice, bytes of another request in the same segment)
+are refused: no backend may see a request that its client did not send.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import httptools
+import msgspec
+
+from cranebank.dataplane.errors import BodyTooLarge, HeadTooLarge, Malformed, RequestError
+from cranebank.dataplane.http_fields import HOP_BY_HOP
+from cranebank.dataplane.routes import ClientLimits
+
+SINGLE_FIELDS = frozenset({"content-length", "transfer-encoding", "host", "x-attempt-id"})  # once in a head at most
+UNFORWARDED = HOP_BY_HOP | {"content-length", "expect"}
+FIELD_OVERHEAD_BYTES = 4  # of a field's line: colon, space and line end
+
+
+class ClientRequest(msgspec.Struct):
+    """One whole request; ``headers`` as they came, but for those of a single connection; ``named``: lower case."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    named: dict[str, str]
+    body: bytes
+    begun: float
+    keeps_connection: bool = True
+    is_http_1_0: bool = False
+
+
+class RequestParser:
+    """The requests on one connection. ``on_expect`` is called when a client waits for leave to send its body."""
+
+    def __init__(self, limits: Callable[[], ClientLimits], on_expect: Callable[[], None]) -> None:
+        self._limits, self._on_expect = limits, on_expect
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._named: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = self._head_bytes = self._fed_bytes = 0
+        self._is_head_done = self._is_whole = False
+        self._error: RequestError | None = None
+
+    def feed(self, data: bytes, begun: float) -> ClientRequest | None:
+        """Take bytes; the request that they complete, if any. Raises RequestError: nothing more can be read.
+
+        ``begun``: when the request's first byte came, in seconds of the steady clock.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise Malformed("an upgrade") from None
+        except httptools.HttpParserError as error:
+            raise self._cause(error) from None
+        if self._is_whole:
+            return self._take(begun)
+        self._fed_bytes += len(data)
+        if not self._is_head_done and self._fed_bytes > self._limits().header_bytes:
+            raise HeadTooLarge  # the parser tells of a field only once it has ended
+        return None
+
+    def _cause(self, error: httptools.HttpParserError) -> RequestError:
+        found = error.__context__ if isinstance(error.__context__, RequestError) else None
+        return found or self._error or Malformed(str(error))
+
+    def _take(self, begun: float) -> ClientRequest:
+        request = ClientRequest(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            self._headers,
+            self._named,
+            b"".join(self._body),
+            begun,
+            self._parser.should_keep_alive(),
+            self._parser.get_http_version() == "1.0",
+        )
+        self._reset()
+        return request
+
+    # What httptools calls. An error raised here ends the parsing.
+
+    def on_message_begin(self) -> None:
+        """A request begins, whose bytes may not stand in one segment with those of another."""
+        if self._is_whole:
+            raise Malformed("a request in the bytes of another")
+
+    def on_url(self, url: bytes) -> None:
+        """Part of the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """One field of the head; those behind a chunked body are counted and dropped."""
+        self._count_head(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
+        if self._is_head_done:
+            return
+        text, key = value.decode("latin-1"), name.decode("latin-1")
+        lower = key.lower()
+        if lower in self._named and lower in SINGLE_FIELDS:
+            self._fail(Malformed(f"{lower} twice"))
+        self._named[lower] = text
+        if lower not in UNFORWARDED:
+            self._headers.append((key, text))
+
+    def on_headers_complete(self) -> None:
+        """The head is there."""
+        self._is_head_done = True
+        named = self._named
+        if "content-length" in named and "transfer-encoding" in named:
+            self._fail(Malformed("two kinds of length"))
+        length = named.get("content-length", "0")
+        if not length.isdigit():
+            self._fail(Malformed("content-length"))
+        if int(length) > self._limits().body_bytes:
+            self._fail(BodyTooLarge())
+        if named.get("expect", "").lower() == "100-continue":
+            self._on_expect()
+
+    def on_body(self, body: bytes) -> None:
+        """Part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits().body_bytes:
+            self._fail(BodyTooLarge())
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        self._is_whole = True
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits().header_bytes:
+            self._fail(HeadTooLarge())
+
+    def _fail(self, error: RequestError) -> None:
+        self._error = error
+        raise error
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -13,6 +13,7 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.client_request import ClientRequest
 from cranebank.dataplane.errors import Malformed, NoRoute, NotRun
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.dataplane.exchange import Exchange
@@ -36,7 +37,7 @@
     Wake,
     WakeAt,
 )
-from cranebank.dataplane.front import ClientConnection, ClientRequest, Front, Handler
+from cranebank.dataplane.front import ClientConnection, Front, Handler
 from cranebank.dataplane.legs import Connection, Pool
 from cranebank.dataplane.pair import PairChooser
 from cranebank.dataplane.routes import ClientLimits, Engine, RouteTable
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -12,8 +12,8 @@
 
 from loguru import logger
 
-from cranebank.dataplane.front import Readiness
 from cranebank.dataplane.proxy import Proxy, RetryRule
+from cranebank.dataplane.readiness import Readiness
 from cranebank.membership.fleet import FleetLinks
 from cranebank.membership.loads import Sums
 from cranebank.membership.neighbours import Neighbours
--- a/tests/mutants_data_plane.py
+++ b/tests/mutants_data_plane.py
@@ -209,8 +209,8 @@
         Point.OTHER,
         "idle time counts from the connection's beginning",
         "dataplane/front.py",
-        "        self.open, self._undrained = False, True\n        self.since = asyncio.get_running_loop().time()",
-        "        self.open, self._undrained = False, True",
+        "        self.open, self._is_undrained = False, True\n        self.since = asyncio.get_running_loop().time()",
+        "        self.open, self._is_undrained = False, True",
         "test_client_limits.py",
     ),
     Mutant(
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from cranebank.dataplane.front import SWEEP_S, ClientConnection, ClientRequest, Front, Handler
+from cranebank.dataplane.client_request import ClientRequest
+from cranebank.dataplane.front import SWEEP_S, ClientConnection, Front, Handler
 from cranebank.dataplane.routes import ClientLimits
 
 LIMITS = ClientLimits(header_bytes=400, body_bytes=100, header_read_ms=3_000, idle_ms=15_000)
