Names: published configuration and consensus core in place of house words

HANDED, handed, make_keeper and LoneKeeper said in words of our own what the field calls the published configuration and the consensus core.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -16,7 +16,7 @@
 from cranebank.control import events as ev
 from cranebank.control.custody_types import (
     FILE,
-    HANDED,
+    PUBLISHED,
     CustodyCode,
     CustodySettings,
     InvariantBroken,
@@ -30,7 +30,7 @@
 from cranebank.control.primary import ASK_S, Primary
 from cranebank.control.replica import DISK_AGAIN_S, LEAVING_FRESH_S
 
-__all__ = ["FILE", "HANDED", "Custody", "CustodyCode", "CustodySettings", "InvariantBroken", "State", "Value"]
+__all__ = ["FILE", "PUBLISHED", "Custody", "CustodyCode", "CustodySettings", "InvariantBroken", "State", "Value"]
 
 CANDIDACY_S = 1.0  # after which a candidate gives up
 JOIN_S = 0.3  # between asks to be admitted, or to be told of a newer record
--- a/cranebank/control/custody_file.py
+++ b/cranebank/control/custody_file.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from cranebank.control.configuration import InvalidConfiguration, check
-from cranebank.control.custody import FILE, HANDED, Value
+from cranebank.control.custody import FILE, PUBLISHED, Value
 from cranebank.control.epochs import DurableState
 from cranebank.storage.records import Contents, DamagedFile, encode_batch, read_records
 from cranebank.storage.store import Folder
@@ -84,7 +84,7 @@
         if not replace and any(folder.iterdir()):
             raise CustodyFileError(CustodyFileCode.NOT_EMPTY, folder, "an empty folder, or --replace")
         target = Folder(folder)
-        target.create(_NEW, encode_batch(1, {HANDED: contents.values[HANDED]}))
+        target.create(_NEW, encode_batch(1, {PUBLISHED: contents.values[PUBLISHED]}))
         if (folder / FILE).exists():
             target.rename(FILE, _free_name(folder))
         target.rename(_NEW, FILE)
@@ -129,8 +129,8 @@
         chosen = msgspec.msgpack.decode(values["control"], type=DurableState).chosen if "control" in values else None
         stored = msgspec.msgpack.decode(values["value"], type=Value).revision if "value" in values else 0
         committed, document = 0, b""
-        if HANDED in values:
-            committed, document = msgspec.msgpack.decode(values[HANDED], type=tuple[int, bytes])
+        if PUBLISHED in values:
+            committed, document = msgspec.msgpack.decode(values[PUBLISHED], type=tuple[int, bytes])
             if check(document, -1).revision != committed:
                 raise CustodyFileError(CustodyFileCode.DAMAGED, path, f"a configuration of revision {committed}")
     except (msgspec.MsgspecError, InvalidConfiguration) as error:
--- a/cranebank/control/custody_types.py
+++ b/cranebank/control/custody_types.py
@@ -14,8 +14,8 @@
 FILE = "custody"
 """Name of the file in the data folder."""
 
-HANDED = "handed"
-"""Key there of the newest committed configuration that this controller has published."""
+PUBLISHED = "handed"
+"""Key there of the newest committed configuration that this controller has published, spelt as earlier versions did."""
 
 
 class State(enum.Enum):
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from cranebank.control.consensus import ConsensusCore
-from cranebank.control.custody import FILE, HANDED, Custody, CustodySettings
+from cranebank.control.custody import FILE, PUBLISHED, Custody, CustodySettings
 from cranebank.programs import ring as ring_module
 from cranebank.programs.controller import Controller
 from cranebank.programs.local_state import KNOWN, NoDisk, Storage
@@ -79,7 +79,7 @@
         )
         return made
 
-    published = msgspec.msgpack.decode(stored[HANDED], type=tuple[int, bytes]) if HANDED in stored else None
+    published = msgspec.msgpack.decode(stored[PUBLISHED], type=tuple[int, bytes]) if PUBLISHED in stored else None
     recalled = msgspec.msgpack.decode(stored[KNOWN], type=tuple[Backend, ...]) if KNOWN in stored else ()
     return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, recalled)
 
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -45,20 +45,20 @@
     def __init__(
         self,
         settings: NodeSettings,
-        make_keeper: Callable[[float, Random], ConsensusCore],
+        make_consensus: Callable[[float, Random], ConsensusCore],
         storage: Storage,
         random: Random,
         reload: Callable[[], NodeSettings],
-        handed: tuple[int, bytes] | None = None,
+        published: tuple[int, bytes] | None = None,
         recalled: tuple[Backend, ...] = (),
     ) -> None:
-        """``make_keeper`` makes the consensus core; ``handed`` is the configuration that was published last, and
+        """``make_consensus`` makes the consensus core; ``published`` is the configuration that was published last, and
         ``recalled`` the registry, both of an earlier life, from the disk."""
         self._loop = asyncio.get_running_loop()
         self._settings, self._reload = settings, reload
         life = random.getrandbits(48)
         now = self.now()
-        self._consensus = make_keeper(now, random)
+        self._consensus = make_consensus(now, random)
         self._links = ControllerLinks(settings)
         self._local_state = LocalState(storage, now)
         self._driver = ConsensusDriver(self._consensus, storage, self._local_state, self._links, self, self.now)
@@ -86,8 +86,8 @@
         self._link_server: asyncio.Server | None = None
         if self._consensus.current is not None:
             self._publish(*self._consensus.current[:2])
-        elif handed is not None:  # goes out as soon as it is known to be current
-            self._delivery.committed(now, *handed)
+        elif published is not None:  # goes out as soon as it is known to be current
+            self._delivery.committed(now, *published)
 
     async def start(self) -> None:
         """Listen and dial."""
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -144,7 +144,7 @@
         gc.freeze()
         exporter = await self._export() if settings.tells_metrics else None
         logger.info("{} serves at {}", settings.node_name, settings.binds["front"])
-        keeper = loop.create_task(self._keep_house())
+        housekeeping = loop.create_task(self._keep_house())
         await stopped.wait()
         self.stopping = True
         until = loop.time() + settings.bounds.grace_s - MARGIN_S
@@ -155,7 +155,7 @@
         while self.proxy.front.count and loop.time() < until:
             await asyncio.sleep(0.05)
             self.proxy.front.dismiss()
-        keeper.cancel()
+        housekeeping.cancel()
         ready.close()
         if exporter is not None:
             exporter.stop()
--- a/cranebank/programs/local_state.py
+++ b/cranebank/programs/local_state.py
@@ -14,7 +14,7 @@
 import msgspec
 from loguru import logger
 
-from cranebank.control.custody import HANDED
+from cranebank.control.custody import PUBLISHED
 from cranebank.storage.records import StorageError
 from cranebank.transport.messages import Backend
 
@@ -62,7 +62,7 @@
 
     def keep_published(self, revision: int, document: bytes) -> None:
         """Keep the configuration that was published last, for the next start."""
-        self.start_task(self._keep(HANDED, _encode((revision, document))))
+        self.start_task(self._keep(PUBLISHED, _encode((revision, document))))
 
     def keep_registry(self, now: float, records: Callable[[], tuple[Backend, ...]], count: int) -> None:
         """Keep the registry for the next start, now and then: after a loss of all power proxies need not wait a beat
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cranebank.control.custody import HANDED, Custody, CustodySettings
+from cranebank.control.custody import PUBLISHED, Custody, CustodySettings
 from cranebank.membership.backends import newer
 from cranebank.membership.fleet import FleetLinks
 from cranebank.programs.control import Controller, is_counted_in_machines, losses
@@ -272,7 +272,7 @@
         stored = dict(machine.disk.values)
         machine.storage = ProcessDisk(machine.disk, machine.loop)
 
-        def keeper(now: float, random: Random) -> Any:
+        def consensus(now: float, random: Random) -> Any:
             custody = CustodySettings(
                 machine.ip,
                 settings.seed_ips,
@@ -286,11 +286,11 @@
 
         machine.controller = Controller(
             settings,
-            keeper,
+            consensus,
             machine.storage,
             Random(f"{self.seed} {machine.ip} {machine.lives}"),
             lambda: msgspec.structs.replace(settings, seed_addrs=self._seed_addrs(False)),
-            msgspec.msgpack.decode(stored[HANDED], type=tuple[int, bytes]) if HANDED in stored else None,
+            msgspec.msgpack.decode(stored[PUBLISHED], type=tuple[int, bytes]) if PUBLISHED in stored else None,
             msgspec.msgpack.decode(stored[KNOWN], type=tuple[Backend, ...]) if KNOWN in stored else (),
         )
         machine.loop.create_task(machine.controller.start())
--- a/tests/lone_keeper.py
+++ b/tests/lone_consensus.py
@@ -8,7 +8,7 @@
 from cranebank.control import events
 
 
-class LoneKeeper:
+class LoneConsensus:
     """Takes each write at once, after it is on disk; ``leader_ip`` set to another address makes it a follower."""
 
     def __init__(self, ip: str, stored: Mapping[str, bytes], leader_ip: str | None = None) -> None:
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 import uvloop
-from lone_keeper import LoneKeeper
+from lone_consensus import LoneConsensus
 from syrupy.assertion import SnapshotAssertion
 from test_configuration import body, document, route
 from test_registry import beat
@@ -99,7 +99,7 @@
     store, damage = open_store(folder, "custody")
     assert damage is None
     made = Controller(
-        settings, lambda now, random: LoneKeeper(ip, store.values, leader), Disk(store), Random(1), lambda: settings
+        settings, lambda now, random: LoneConsensus(ip, store.values, leader), Disk(store), Random(1), lambda: settings
     )
     await made.start()
     try:
@@ -281,13 +281,13 @@
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, caller(ports) as client:
             assert (await client.call("POST", REPLACE, body(document(revision=7)), 0))[0] == 200
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
-            settled, keeper.current = keeper.current, None
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
+            settled, consensus.current = consensus.current, None
             for call in (REPLACE, AMEND):
                 status, headers, _ = await client.call("POST", call, body(document(revision=9)), 7)
                 assert status == 503 and "retry-after" in headers
-            keeper.current = settled
+            consensus.current = settled
             assert (await client.call("POST", REPLACE, body(document(revision=9)), 7))[0] == 200
 
     play(story)
@@ -426,18 +426,18 @@
 
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, caller(ports) as client:
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
             assert (await client.call("POST", "/api/Servers.Heartbeat/i-1", beat(1)))[0] == 200
             for members in ((ONE, TWO), (ONE, TWO, PROXY), (TWO,), ()):
-                keeper.members = members
+                consensus.members = members
                 for path, sent in ENDINGS:
                     began = made.now()
                     status, headers, _ = await client.call("POST", path, sent)
                     assert (status, headers["retry-after"]) == (503, "0.2")
                     assert made.now() - began < CALLER_S
             assert (await client.call("POST", "/api/Servers.Heartbeat/i-2", beat(1, address="10.0.0.2:80")))[0] == 200
-            keeper.members = (ONE,)
+            consensus.members = (ONE,)
             for path, sent in ENDINGS:  # sent again: it is no news any more, but now it is confirmed
                 assert (await client.call("POST", path, sent))[0] == 200
 
@@ -450,9 +450,9 @@
 
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, caller(ports) as client:
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
-            keeper.members = (ONE, TWO, PROXY)
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
+            consensus.members = (ONE, TWO, PROXY)
             async with peer_controller(ports, TWO) as peer, peer_controller(ports, "127.0.11.8") as stranger:
                 first = (await peer.next(RegistrySync)).number
                 await stranger.next(RegistrySync)
@@ -497,14 +497,14 @@
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, caller(ports) as client:
             assert (await client.call("POST", REPLACE, body(document(revision=7)), 0))[0] == 200
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper) and keeper.is_in_contact
-            keeper.current = 8, b"", b""
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus) and consensus.is_in_contact
+            consensus.current = 8, b"", b""
             async with proxy(ports) as edge:
                 seen = await edge.until_pulses(2)
                 assert not any(isinstance(message, ConfigPush) for message in seen)
                 assert seen[-1] == Pulse(7, is_current=False, epoch=1)
-                keeper.current = 7, b"", b""
+                consensus.current = 7, b"", b""
                 assert (await edge.next(ConfigPush)).revision == 7
                 assert await edge.next(Pulse) == Pulse(7, is_current=True, epoch=1)
 
@@ -516,16 +516,16 @@
 
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports, leader=TWO) as made, caller(ports) as client:
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
             assert (await client.call("GET", READ))[0] == 503
             async with peer_controller(ports, TWO):
                 while made._links.to(TWO) is None:
                     await asyncio.sleep(0.01)
                 assert (await client.call("GET", READ))[0] == 307
-                keeper.is_in_contact = False
+                consensus.is_in_contact = False
                 assert (await client.call("GET", READ))[0] == 503
-                keeper.is_in_contact = True
+                consensus.is_in_contact = True
                 link = made._links.to(TWO)
                 assert link is not None
                 link.heard -= 2 * PRIMARY_HEARD_S
@@ -544,16 +544,16 @@
 
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, caller(ports) as client:
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
             sent = {revision: body(document(revision=revision)) for revision in (2, 3, 4, 5)}
             for revision in (2, 3, 4, 5):
                 base = revision - 1 if revision > 2 else 0
                 assert (await client.call("POST", REPLACE, sent[revision], base))[0] == 200
             assert (await client.call("POST", REPLACE, sent[2], 0))[0] == 200
             assert (await client.call("POST", REPLACE, sent[2], 1))[0] == 412  # another call: its base differs
-            keeper.calls.clear()
-            keeper.forgotten_below = 4
+            consensus.calls.clear()
+            consensus.forgotten_below = 4
             status, headers, _ = await client.call("POST", REPLACE, sent[3], 2)
             assert (status, headers["retry-after"]) == (503, "0.2")
             assert (await client.call("POST", REPLACE, sent[4], 3))[0] == 412
@@ -570,20 +570,20 @@
     async def story(ports: tuple[int, int]) -> None:
         monkeypatch.setattr(operator_api, "SLOW_BYTES", 0)
         async with controller(tmp_path, ports) as made, caller(ports) as client:
-            keeper = made._consensus
-            assert isinstance(keeper, LoneKeeper)
+            consensus = made._consensus
+            assert isinstance(consensus, LoneConsensus)
             for base in (0, 5):
                 assert (await client.call("POST", REPLACE, sent, base))[0] in {400, 412}
 
             identify = operator_api._identify
 
             def ends_the_lease(call: str, base: int, content: bytes) -> operator_api.Change:
-                keeper.leader_ip = TWO
+                consensus.leader_ip = TWO
                 return identify(call, base, content)
 
             monkeypatch.setattr(operator_api, "_identify", ends_the_lease)
             for base in (0, 5):
-                keeper.leader_ip = ONE
+                consensus.leader_ip = ONE
                 assert (await client.call("POST", REPLACE, sent, base))[0] == 503
 
     play(story)
@@ -669,7 +669,7 @@
         settings = settings_of(ONE, ports)
         again = Controller(
             settings,
-            lambda now, random: LoneKeeper(ONE, store.values),
+            lambda now, random: LoneConsensus(ONE, store.values),
             Disk(store),
             Random(1),
             lambda: settings,
