Control API: the table of calls parted from the server that reads them

web.py held typed requests, refusals and the table of calls beside the connections. They are control/api_calls.py now; reason phrases come from the standard library.

--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from cranebank.control import events
+from cranebank.control.api_calls import Call, Request, Response, refusal
 from cranebank.control.configuration import (
     SLOW_BYTES,
     Configuration,
@@ -25,7 +26,6 @@
 )
 from cranebank.control.delivery import PendingAcks
 from cranebank.control.registry import ENDING, BadHeartbeat, Registry
-from cranebank.control.web import Call, Request, Response, refusal
 
 CONFIGURATION_BYTES = 9 << 20
 BEAT_BYTES = 64 << 10
--- a/cranebank/control/web.py
+++ b/cranebank/control/web.py
@@ -7,116 +7,21 @@
 from __future__ import annotations
 
 import asyncio
-import re
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
 from typing import Any, cast
 
 import httptools
-import msgspec
 from loguru import logger
 
+from cranebank.control.api_calls import ApiTable, Call, Request, Response, refusal
+
 HEAD_BYTES = 16 << 10
 IDLE_S = 60.0
 READ_S = 20.0  # for a whole request
 MOST_CONNECTIONS = 1500
 LINGER_S = 1.0  # how long what follows a refused head is read and dropped
 
-_REASONS = {
-    200: "OK",
-    307: "Temporary Redirect",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    412: "Precondition Failed",
-    413: "Content Too Large",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-}
-
-
-class Request(msgspec.Struct):
-    """A call, read in full. ``argument`` is what stood for ``{id}`` in the path."""
-
-    method: str
-    path: str
-    argument: str
-    headers: dict[bytes, bytes]  # names in lower case
-    body: bytes
-
-
-class Response(msgspec.Struct, frozen=True):
-    """An answer; its body is JSON unless said otherwise."""
-
-    status: int
-    body: bytes = b"{}"
-    headers: tuple[tuple[str, str], ...] = ()
-    content_type: str = "application/json"
-
-
-class Fault(msgspec.Struct, frozen=True):
-    """The body of an answer that isn't a success."""
-
-    code: str
-    key: str = ""
-    expected: str = ""
-
-
-Handler = Callable[[Request], Awaitable[Response]]
-
-
-class Call(msgspec.Struct, frozen=True):
-    """A row of the table of calls."""
-
-    method: str
-    path: str  # may end with {id}
-    body_bytes: int
-    handler: Handler
-
-
-def refusal(
-    status: int, code: str, key: str = "", expected: str = "", *, headers: tuple[tuple[str, str], ...] = ()
-) -> Response:
-    """An answer that says what was wrong."""
-    return Response(status, msgspec.json.encode(Fault(code, key, expected)), headers)
-
-
-class Table:
-    """The calls, by path and method."""
-
-    def __init__(self, calls: Iterable[Call]) -> None:
-        self._fixed: dict[str, dict[str, Call]] = {}
-        self._open: list[tuple[str, dict[str, Call]]] = []
-        for call in calls:
-            if call.path.endswith("{id}"):
-                prefix = call.path.removesuffix("{id}")
-                methods = next((found for known, found in self._open if known == prefix), None)
-                if methods is None:
-                    methods = {}
-                    self._open.append((prefix, methods))
-                methods[call.method] = call
-            else:
-                self._fixed.setdefault(call.path, {})[call.method] = call
-
-    def find(self, method: str, path: str) -> tuple[Call, str] | Response:
-        """The call and its argument, or the refusal."""
-        argument = ""
-        methods = self._fixed.get(path)
-        if methods is None:
-            for prefix, known in self._open:
-                argument = path[len(prefix) :]
-                if path.startswith(prefix) and re.fullmatch(r"[^/]{1,200}", argument):
-                    methods = known
-                    break
-            else:
-                return refusal(404, "unknown_call", "path", "a call of this API")
-        call = methods.get(method)
-        if call is None:
-            allowed = ", ".join(methods)
-            return refusal(405, "method", "method", allowed, headers=(("Allow", allowed),))
-        return call, argument
-
 
 class Connection(asyncio.Protocol):
     """One client. States: reading a request, answering it, closing."""
@@ -282,7 +187,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         lines = [
-            f"HTTP/1.1 {response.status} {_REASONS.get(response.status, 'Other')}",
+            f"HTTP/1.1 {response.status} {HTTPStatus(response.status).phrase}",
             f"Content-Type: {response.content_type}",
             f"Content-Length: {len(response.body)}",
             *(f"{name}: {value}" for name, value in response.headers),
@@ -313,7 +218,7 @@
     """The listening end and its connections."""
 
     def __init__(self, calls: Iterable[Call], now: Callable[[], float]) -> None:
-        self.table, self.now = Table(calls), now
+        self.table, self.now = ApiTable(calls), now
         self.is_stopping = False
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -15,7 +15,8 @@
 import msgspec
 from loguru import logger
 
-from cranebank.control.web import Call, Request, Response, Server
+from cranebank.control.api_calls import Call, Request, Response
+from cranebank.control.web import Server
 from cranebank.programs.settings import NodeSettings
 
 if TYPE_CHECKING:
