--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cranebank.fleetlab import model as m
-from cranebank.fleetlab.records import Arrival, Drain
+from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
 from cranebank.fleetlab.wire import ask_once
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
@@ -135,11 +135,13 @@
         arrivals: list[Arrival],
         drains: list[Drain],
         handles: dict[str, str],
+        orders: list[OrderSeen] | None = None,
     ) -> None:
         self.model = m.ModelBackend(spec, instance, stage)
         self.instance, self.service, self.address, self.zone = instance, service, address, zone
         self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
         self._arrivals, self._drains = arrivals, drains
+        self._orders = [] if orders is None else orders
         self._handles = handles  # whose prompt each handle is, for the judge
         self.faults: set[str] = set()
         self.connections: set[BackendConnection] = set()
@@ -263,7 +265,7 @@
         elif path == "/api/report":
             self._feed(m.ReportAsked(number))
         elif path == "/api/order":
-            self._feed(m.Ordered(number, _order(body, headers)))
+            self._take_order(number, _order(body, headers))
         elif path.startswith("/api/kv-handle/") and method == "DELETE":
             self._feed(m.DeleteHandle(number, path.removeprefix("/api/kv-handle/")))
         else:
@@ -284,6 +286,18 @@
             self._arrivals.append(call.arrival)
             self._feed(m.Asked(number, request))
 
+    def _take_order(self, number: int, order: m.Order) -> None:
+        """Hand an order to the model, and write down what it answers."""
+        if self.ended.is_set():
+            return
+        now = asyncio.get_running_loop().time()
+        for action in self.model.handle(now, m.Ordered(number, order)):
+            if isinstance(action, m.Respond) and action.call == number:
+                fence_no = -1 if order.fence_no is None else order.fence_no
+                seen = OrderSeen(now, self.instance, order.owner or "", fence_no, order.stage, action.status)
+                self._orders.append(seen)
+            self._do(action)
+
     def gone(self, call: Call) -> None:
         """The caller of a call has left."""
         if self._calls.pop(call.number, None) is not None and not self.ended.is_set():
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -10,9 +10,10 @@
 import socket
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -31,16 +32,20 @@
 RESTART_S = 0.4
 ZONE = "here"
 SPEC = EngineSpec(link_mbps=2_000_000.0)
-FLEET = {"g1": ("prefill", "prefill", "decode", "decode", "decode"), "g2": ("prefill", "decode", "decode")}
+FLEET: Mapping[str, tuple[str, ...]] = MappingProxyType(
+    {"g1": ("prefill", "prefill", "decode", "decode", "decode"), "g2": ("prefill", "decode", "decode")}
+)
 
 
 class Step(msgspec.Struct, frozen=True):
     """Something that happens: a change (amend, race, invalid), a trouble (kill-primary, stop-proxy, crash) or a
-    drain, or a fault of a backend for a while (dark, cut, late, silent)."""
+    drain, or a fault of a backend for a while (dark, cut, late, silent). A drain and a crash are followed by a
+    replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces. ``stage`` says of which."""
 
     at: float
     what: str
     for_s: float = 1.5
+    stage: str = "decode"
 
 
 class DayPlan(msgspec.Struct, frozen=True):
@@ -51,6 +56,7 @@
     steps: tuple[Step, ...]
     seed: int = 1
     beat_ms: float = 500
+    fleet: Mapping[str, tuple[str, ...]] = FLEET  # stages of each service's backends
 
 
 DEMO = DayPlan(
@@ -272,10 +278,10 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         await asyncio.gather(*(process.start(True) for process in self._all))
-        for service, stages in FLEET.items():
+        for service, stages in self.plan.fleet.items():
             for stage in stages:
                 await self._add_backend(service, stage)
-        await self._operator.begin(first_configuration(dict.fromkeys(FLEET, SPEC)))
+        await self._operator.begin(first_configuration(dict.fromkeys(self.plan.fleet, SPEC)))
         proxies = list(self._platform.proxies.values())
         while not all(await asyncio.gather(*(self._platform.look(proxy) for proxy in proxies))):
             missing = [proxy.name for proxy in proxies if proxy.misses]
@@ -301,6 +307,7 @@
             self.record.arrivals,
             self.record.drains,
             self._handles,
+            self.record.orders,
         )
         await backend.start()
         self._backends.append(backend)
@@ -336,19 +343,21 @@
                 await self._kill_primary(step.for_s)
             case "stop-proxy":
                 await self._stop_proxy("edge-2")
-            case "drain":
-                backend = self._one("decode")
+            case "drain" | "scale-in":
+                backend = self._one(step.stage)
                 self._say(f"{backend.instance} drains")
                 backend.drain()
-                await self._add_backend(backend.service, backend.model.stage)
-            case "crash":
-                backend = self._one("decode")
+                if step.what == "drain":
+                    await self._add_backend(backend.service, backend.model.stage)
+            case "crash" | "lose":
+                backend = self._one(step.stage)
                 self._say(f"{backend.instance} crashes")
                 backend.stop()
-                await asyncio.sleep(step.for_s)
-                await self._add_backend(backend.service, backend.model.stage)
+                if step.what == "crash":
+                    await asyncio.sleep(step.for_s)
+                    await self._add_backend(backend.service, backend.model.stage)
             case fault:
-                backend = self._one("decode")
+                backend = self._one(step.stage)
                 self._say(f"{backend.instance}: {fault} for {step.for_s:g} s")
                 backend.fault(fault)
                 await asyncio.sleep(step.for_s)
--- a/cranebank/fleetlab/judge.py
+++ b/cranebank/fleetlab/judge.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cranebank.fleetlab.records import Arrival, Change, DayRecord, Trouble, Try
+from cranebank.fleetlab.records import Arrival, Change, DayRecord, OrderSeen, Trouble, Try
 
 RULES = {
     "MIXED": "an answer is the whole answer of the backend that the request ran at, and of no other request",
@@ -22,6 +22,7 @@
     "CONFIG": "a configuration is in force in time, never goes back, and only one that was accepted",
     "ORDER": "a stream is whole, in order and of one run, unless it may be resumed",
     "BUDGET": "further arrivals stay within the ratio and the slack",
+    "ONE": "orders to a backend come from one holder of the newest fence, and holders don't take turns within lease_ms",
     "ACKS": "valid configurations and drains are acknowledged in time",
 }
 EXAMPLES = 3
@@ -90,6 +91,7 @@
         self._never_back()
         self._custody()
         self._acks()
+        self._orders()
         return Verdict(self._judged, list(self._breaches.values()), list(self._refused_alone()))
 
     def _broke(self, rule: str, example: str) -> None:
@@ -358,6 +360,28 @@
         if len(without) > len(calm) / 5:
             self._broke("ACKS", f"{len(without)} of {len(calm)} drains without one, {without[0].instance} among them")
 
+    def _orders(self) -> None:
+        """Orders to each backend, pair by pair in the order of their arrival."""
+        by_backend: dict[str, list[OrderSeen]] = defaultdict(list)
+        for order in sorted(self._day.orders, key=lambda order: order.at):
+            by_backend[order.instance].append(order)
+        for orders in by_backend.values():
+            self._judged["ONE"] += len(orders)
+            for before, after in pairwise(orders):
+                self._one_holder(before, after)
+
+    def _one_holder(self, before: OrderSeen, after: OrderSeen) -> None:
+        told = f"{before.owner} with {before.fence_no}, then {after.owner} with {after.fence_no}"
+        place = f"{after.instance} at {self._clock(after.at)}: {told}"
+        if after.fence_no < before.fence_no:
+            self._broke("ONE", f"a lower fence, {place}")
+        if after.owner == before.owner:
+            return
+        if after.fence_no == before.fence_no:
+            self._broke("ONE", f"two holders of one fence, {place}")
+        elif after.at - before.at <= self._bounds.lease_ms / 1e3:
+            self._broke("ONE", f"holders take turns after {after.at - before.at:.2f} s, {place}")
+
     def _refused_alone(self) -> Iterator[str]:
         """Valid changes on top of the newest version that were refused though no other took their place."""
         for change in self._day.changes:
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -18,6 +18,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 20
+    lease_ms: float = 3000
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -102,6 +103,17 @@
     answered: float = 0.0  # when the clear answer came
 
 
+class OrderSeen(msgspec.Struct, frozen=True):
+    """An order that reached a backend, and its answer."""
+
+    at: float
+    instance: str
+    owner: str
+    fence_no: int
+    stage: str
+    status: int
+
+
 class Drain(msgspec.Struct):
     """A backend that announced its end."""
 
@@ -144,3 +156,4 @@
     stray: list[str] = []  # bytes on clients' connections where no request was waiting
     primaries: list[tuple[float, str]] = []  # who was primary
     exits: list[tuple[str, int]] = []  # processes that ended by themselves
+    orders: list[OrderSeen] = []
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -14,6 +14,7 @@
     Change,
     DayRecord,
     Drain,
+    OrderSeen,
     ReadBack,
     RouteRule,
     StreamEvent,
@@ -138,6 +139,10 @@
     return tuple(StreamEvent(number, made.attempt, f"i-1.{made.attempt}") for number in numbers)
 
 
+def order(at: float, owner: str, fence_no: int, instance: str = "i-1") -> OrderSeen:
+    return OrderSeen(at, instance, owner, fence_no, "decode", 202)
+
+
 S = sent("t900", 15.0)
 R = sent("t901", 15.0, repeatable=True)
 BREAKS: dict[str, tuple[str, Break]] = {
@@ -222,6 +227,9 @@
         "ACKS",
         lambda day: put(day, changes=[*day.changes, Change(9, 6, (CHAT, NEW), "c9", 45.0)]),
     ),
+    "a lower fence": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(30.0, "c-1", 4)])),
+    "two holders of one fence": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(30.0, "c-2", 5)])),
+    "holders that take turns": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(22.9, "c-2", 6)])),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
@@ -273,3 +281,11 @@
     add(day, made, arrived(made))
     day.troubles.append(Trouble(made.proxy, 32.5, 32.6, "kill"))
     assert judge(day).kept
+
+
+def test_orders_of_one_holder_after_another_to_one_backend_and_to_several_keep_the_rule() -> None:
+    day = make_day()
+    day.orders += [order(20.0, "c-1", 5), order(20.5, "c-1", 5), order(20.6, "c-2", 6, "i-2"), order(23.6, "c-2", 6)]
+    verdict = judge(day)
+    assert verdict.kept, verdict.breaches
+    assert verdict.judged["ONE"] == 4
