--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -60,6 +60,7 @@
             copies=record.copies if record is not None else (),
             members=record.members if record is not None else (),
             revision=self._value.revision,
+            term=record.term if record is not None else -1,
         )
 
     # Events.
--- a/cranebank/control/events.py
+++ b/cranebank/control/events.py
@@ -281,3 +281,4 @@
     copies: tuple[str, ...]
     members: tuple[str, ...]
     revision: int
+    term: int = -1  # the epoch at which that primary took over
--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -166,6 +166,16 @@
         self._forget(now)
         return found
 
+    @property
+    def heard_at(self) -> Mapping[str, float]:
+        """When the newest heartbeat of each backend that isn't over was received, by any controller."""
+        return self._heard
+
+    def is_current(self, now: float) -> bool:
+        """Whether a backend that isn't known here is known not to be there: most controllers have been heard for long
+        enough since this one started, and since it last was without them."""
+        return self._in_touch and now >= self._quiet_until
+
     def changes(self) -> tuple[Backend, ...]:
         """The records that are news since last asked."""
         news = tuple(self._news.values())
--- /dev/null
+++ b/cranebank/control/stage_balancer.py
@@ -0,0 +1,338 @@
+"""Keeps the stages of each service staffed by ordering backends to change theirs: a core free of I/O.
+
+Only the primary orders, under its lease, with its epoch as the fence. After a takeover it waits until no order of the
+former primary can arrive within the rule's lease time of its own first one. A backend has one order at a time, and so
+has a service. What became of an order that got no clear answer is learnt from the backend's report and heartbeats.
+
+docs/stage-orders.md says why it is done so. Times are a steady clock's seconds.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from enum import Enum
+
+import msgspec
+from loguru import logger
+
+from cranebank.control.stage_events import (
+    Action,
+    Answered,
+    AskReport,
+    Authority,
+    Connect,
+    Connected,
+    Event,
+    Look,
+    NotConnected,
+    Order,
+    Reported,
+    Service,
+    Stage,
+    Transmit,
+    Unanswered,
+    Unreported,
+)
+from cranebank.control.stage_policy import ServiceStages, needed_stage
+from cranebank.transport.messages import Backend
+
+CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
+CONNECT_LIMIT_S = 1.0  # an order whose connection took longer is abandoned: it was decided on by what was known then
+REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
+FINISH_S = 10.0  # for what runs at a backend to reach its end before the switch begins
+UNFIT_S = 5.0  # a backend that could not be reached is passed over for so long
+REFUSED_S = 30.0  # a backend that refused an order for good is passed over for so long
+HEARD_BEATS, HEARD_MARGIN_S = 2.0, 1.0  # only a backend heard within so many heartbeats, and this, is ordered
+STALL_S = 1.5  # after so long without a look, what was known before is old
+UNATTENDED_S = 5.0  # a stage that is needed is without an order no longer than this
+
+
+class OrderState(Enum):
+    """Of the order to one backend; a backend without one is idle."""
+
+    CONNECTING = "connecting"  # nothing was sent
+    SENT = "sent"  # no answer yet
+    UNKNOWN = "unknown"  # it may have been taken
+    REPORTING = "reporting"  # the backend is asked what became of it
+    SWITCHING = "switching"  # it was taken; the heartbeats show the old stage still
+    OVER = "over"
+
+
+NEXT_STATES: Mapping[OrderState, frozenset[OrderState]] = {
+    OrderState.CONNECTING: frozenset({OrderState.SENT, OrderState.OVER}),
+    OrderState.SENT: frozenset({OrderState.SWITCHING, OrderState.UNKNOWN, OrderState.OVER}),
+    OrderState.UNKNOWN: frozenset({OrderState.REPORTING, OrderState.OVER}),
+    OrderState.REPORTING: frozenset({OrderState.SWITCHING, OrderState.UNKNOWN, OrderState.OVER}),
+    OrderState.SWITCHING: frozenset({OrderState.UNKNOWN, OrderState.OVER}),
+    OrderState.OVER: frozenset(),
+}
+
+AWAITED = frozenset({OrderState.SENT, OrderState.REPORTING, OrderState.SWITCHING})
+ACCEPTED = frozenset({200, 202})  # it holds already, or is being done
+CONFLICT = 409  # another order is under way, or the number of orders taken differs
+REFUSED = frozenset({400, 404, 405, 412, 421})  # it was not taken, and would not be if it were sent again
+
+
+class BalancerSettings(msgspec.Struct, frozen=True):
+    """``owner`` is this controller's name in its orders; ``takeover_wait_s`` how long after a takeover it sends none;
+    ``beat_s`` the time between a backend's heartbeats."""
+
+    owner: str
+    takeover_wait_s: float
+    beat_s: float
+
+
+class BackendOrder:
+    """The order to one backend, from the decision until the backend shows its new stage."""
+
+    __slots__ = ("backend", "began_at", "changed_at", "number", "stage", "state", "switch_s")
+
+    def __init__(self, number: int, now: float, backend: Backend, stage: Stage, switch_s: float) -> None:
+        self.number, self.backend, self.stage, self.switch_s = number, backend, stage, switch_s
+        self.state = OrderState.CONNECTING
+        self.began_at = self.changed_at = now
+
+    @property
+    def overdue_s(self) -> float:
+        """After so long a switch should be over."""
+        return self.switch_s + FINISH_S
+
+    def blocks(self, now: float) -> bool:
+        """Whether no other backend of the service is ordered meanwhile."""
+        return now - self.began_at < self.overdue_s
+
+
+class StageBalancer:
+    """One controller's part. Tell it events with `handle`; do the actions that it returns in their order."""
+
+    def __init__(self, settings: BalancerSettings) -> None:
+        self._settings = settings
+        self._numbers = itertools.count(1)
+        self._orders: dict[int, BackendOrder] = {}
+        self._expected: dict[str, int] = {}  # orders taken by a backend, as it reported
+        self._unfit_until: dict[str, float] = {}
+        self._needed: dict[str, tuple[Stage, float]] = {}  # by service: which stage, and since when
+        self._unattended_since: dict[str, float] = {}
+        self._term: int | None = None
+        self._orders_from = float("inf")
+        self._last_fence = -1
+        self._looked_at = float("-inf")
+        self._actions: list[Action] = []
+        self.counts: Counter[str] = Counter()
+        self.violations: Counter[str] = Counter()
+
+    @property
+    def orders(self) -> tuple[BackendOrder, ...]:
+        """The orders that are not over."""
+        return tuple(self._orders.values())
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event at a time of the steady clock; return what is to be done, in order."""
+        self._actions = []
+        if isinstance(event, Look):
+            self._look(now, event)
+        else:
+            order = self._orders.get(event.number)
+            if order is not None:
+                self._handle_for(now, order, event)
+        return self._actions
+
+    def _handle_for(self, now: float, order: BackendOrder, event: Event) -> None:
+        match event:
+            case Connected(_, authority):
+                self._transmit(now, order, authority)
+            case NotConnected():
+                self._pass_over(now, order, UNFIT_S, "unreachable")
+            case Answered(_, status):
+                self._answered(now, order, status)
+            case Unanswered():
+                self.counts["unanswered"] += 1
+                self._change(now, order, OrderState.UNKNOWN)
+            case Reported():
+                self._reported(now, order, event)
+            case Unreported():
+                self._change(now, order, OrderState.UNKNOWN)
+
+    def _change(self, now: float, order: BackendOrder, state: OrderState) -> None:
+        """The one function that changes an order's state."""
+        is_allowed = state in NEXT_STATES[order.state]
+        self._require(is_allowed, "an order takes only the steps that it may")
+        order.state, order.changed_at = state, now
+        if state is OrderState.OVER:
+            self._orders.pop(order.number, None)
+
+    def _require(self, holds: bool, what: str) -> bool:
+        """Count and log a broken invariant."""
+        if not holds:
+            self.violations[what] += 1
+            logger.error("stage balancer: violated: {}", what)
+        return holds
+
+    # Looking.
+
+    def _look(self, now: float, look: Look) -> None:
+        if now - self._looked_at > STALL_S:
+            self._needed.clear()
+            self._unattended_since.clear()
+        self._looked_at = now
+        self._follow_authority(now, look.authority)
+        for order in self.orders:
+            self._follow(now, order, look)
+        self._forget(now, look.records)
+        if not look.authority.holds_lease or not look.is_registry_current:
+            self._needed.clear()
+            self._unattended_since.clear()
+            return
+        for name, stages in _by_service(look).items():
+            self._staff(now, look.services[name], stages, look.heard_at)
+
+    def _follow_authority(self, now: float, authority: Authority) -> None:
+        """A new term begins with a wait. In one and the same term no other controller has been primary."""
+        if authority.holds_lease and authority.term != self._term:
+            self._term = authority.term
+            self._orders_from = now + self._settings.takeover_wait_s
+
+    def _may_order(self, now: float, authority: Authority) -> bool:
+        return authority.holds_lease and authority.term == self._term and now >= self._orders_from
+
+    def _follow(self, now: float, order: BackendOrder, look: Look) -> None:
+        """What the registry tells of an order's backend, and what time does."""
+        record = look.records.get(order.backend.id)
+        if record is None or record.phase != "ready":
+            self._end(now, order, "backend left")
+        elif record.stage == order.stage and record.call_seq > order.backend.call_seq:
+            self._end(now, order, "settled")
+        elif order.state is OrderState.CONNECTING and now - order.began_at > CONNECT_LIMIT_S:
+            self._pass_over(now, order, UNFIT_S, "unreachable")
+        elif order.state in AWAITED and now - order.changed_at >= order.overdue_s:
+            self._change(now, order, OrderState.UNKNOWN)
+        elif (
+            order.state is OrderState.UNKNOWN
+            and now - order.changed_at >= REPORT_AFTER_S
+            and look.authority.holds_lease
+        ):
+            self._change(now, order, OrderState.REPORTING)
+            self._actions.append(AskReport(order.number, record))
+
+    def _end(self, now: float, order: BackendOrder, why: str) -> None:
+        self.counts[why] += 1
+        self._change(now, order, OrderState.OVER)
+
+    def _forget(self, now: float, records: Mapping[str, Backend]) -> None:
+        """Nothing is kept of backends that the registry has forgotten."""
+        self._expected = {name: taken for name, taken in self._expected.items() if name in records}
+        self._unfit_until = {name: until for name, until in self._unfit_until.items() if until > now}
+
+    # Deciding.
+
+    def _staff(self, now: float, service: Service, stages: ServiceStages, heard_at: Mapping[str, float]) -> None:
+        """Order a backend where a stage needs one and has needed it for long enough."""
+        stage = needed_stage(stages)
+        if stage is None:
+            self._needed.pop(service.name, None)
+            self._unattended_since.pop(service.name, None)
+            return
+        known = self._needed.get(service.name)
+        if known is None or known[0] is not stage:
+            known = self._needed[service.name] = stage, now
+        candidate = None
+        if now >= self._orders_from and not self._has_order(now, service.name):
+            candidate = self._candidate(now, stages.of(stage.other), heard_at)
+        self._check_attended(now, service.name, candidate is None)
+        if candidate is not None and now - known[1] >= CONFIRM_S:
+            self._begin(now, service, candidate, stage)
+
+    def _has_order(self, now: float, service: str) -> bool:
+        return any(order.backend.target == service and order.blocks(now) for order in self.orders)
+
+    def _check_attended(self, now: float, service: str, is_attended: bool) -> None:
+        """A stage that is needed has an order, or there is nobody who could be ordered."""
+        if is_attended:
+            self._unattended_since.pop(service, None)
+            return
+        since = self._unattended_since.setdefault(service, now)
+        self._require(now - since <= UNATTENDED_S, "a stage that is needed gets an order in time")
+
+    def _candidate(self, now: float, backends: Iterable[Backend], heard_at: Mapping[str, float]) -> Backend | None:
+        """Who is to change its stage: heard lately, not passed over, warm, of the zone that has the most of them."""
+        heard_since = now - HEARD_BEATS * self._settings.beat_s - HEARD_MARGIN_S
+        ordered = {order.backend.id for order in self.orders}
+        fit = [
+            one
+            for one in backends
+            if heard_at.get(one.id, float("-inf")) >= heard_since
+            and one.id not in ordered
+            and one.id not in self._unfit_until
+        ]
+        zones = Counter(one.zone for one in fit)
+        return min(fit, key=lambda one: (one.cold_left_ms, -zones[one.zone], one.id), default=None)
+
+    def _begin(self, now: float, service: Service, backend: Backend, stage: Stage) -> None:
+        order = BackendOrder(next(self._numbers), now, backend, stage, service.switch_s)
+        self._orders[order.number] = order
+        logger.info("service {}: {} is to be {}", service.name, backend.id, stage)
+        self._actions.append(Connect(order.number, backend))
+
+    # Sending.
+
+    def _transmit(self, now: float, order: BackendOrder, authority: Authority) -> None:
+        """The last look before an order is written."""
+        if order.state is not OrderState.CONNECTING:
+            return
+        if not self._may_order(now, authority) or now - order.began_at > CONNECT_LIMIT_S:
+            self._end(now, order, "abandoned")
+            return
+        self._check_order(now, order, authority)
+        expected = self._expected.get(order.backend.id, msgspec.UNSET)
+        body = Order(order.stage, self._settings.owner, authority.fence, expected=expected)
+        self.counts["sent"] += 1
+        self._change(now, order, OrderState.SENT)
+        self._actions.append(Transmit(order.number, body))
+
+    def _check_order(self, now: float, order: BackendOrder, authority: Authority) -> None:
+        others = [one for one in self.orders if one is not order]
+        self._require(authority.holds_lease and now >= self._orders_from, "orders are sent under the lease only")
+        self._require(authority.fence >= self._last_fence, "the fence never falls")
+        self._require(all(one.backend.id != order.backend.id for one in others), "a backend has one order at a time")
+        self._require(
+            not any(one.backend.target == order.backend.target and one.blocks(now) for one in others),
+            "a service has one order at a time",
+        )
+        self._last_fence = max(self._last_fence, authority.fence)
+
+    # What became of an order.
+
+    def _answered(self, now: float, order: BackendOrder, status: int) -> None:
+        self.counts[f"answered {status}"] += 1
+        if order.state is not OrderState.SENT:
+            return
+        if status in ACCEPTED:
+            self._change(now, order, OrderState.SWITCHING)
+        elif status in REFUSED:
+            self._pass_over(now, order, REFUSED_S, "refused")
+        else:  # a conflict, or an answer that says nothing of the order: the backend's report tells
+            self._change(now, order, OrderState.UNKNOWN)
+
+    def _reported(self, now: float, order: BackendOrder, report: Reported) -> None:
+        if order.state is not OrderState.REPORTING:
+            return
+        self._expected[order.backend.id] = report.orders_taken
+        if report.is_busy or report.stage == order.stage:
+            self._change(now, order, OrderState.SWITCHING)
+        else:
+            self._end(now, order, "not taken")
+
+    def _pass_over(self, now: float, order: BackendOrder, seconds: float, why: str) -> None:
+        self._unfit_until[order.backend.id] = now + seconds
+        self._end(now, order, why)
+
+
+def _by_service(look: Look) -> dict[str, ServiceStages]:
+    """The ready backends of each service that is routed to."""
+    found: dict[str, ServiceStages] = {}
+    for record in look.records.values():
+        if record.phase == "ready" and record.target in look.services:
+            found.setdefault(record.target, ServiceStages()).add(record)
+    return found
--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -13,7 +13,7 @@
 
 from cranebank.fleetlab import model as m
 from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
-from cranebank.fleetlab.wire import ask_once
+from cranebank.transport.http_client import ask_once
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
 CUT_AFTER = 2  # events, before an answer is cut short
--- a/cranebank/fleetlab/clients.py
+++ b/cranebank/fleetlab/clients.py
@@ -12,7 +12,7 @@
 from cranebank.fleetlab.backend import digest
 from cranebank.fleetlab.operator import HOST
 from cranebank.fleetlab.records import DayRecord, StreamEvent, Try
-from cranebank.fleetlab.wire import Answer, HttpLink, ask_once, connect, request_bytes
+from cranebank.transport.http_client import Answer, HttpLink, ask_once, connect, request_bytes
 
 TRIES = 3
 DEADLINE_S = 6.0
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -24,7 +24,7 @@
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.operator import Operator, first_configuration
 from cranebank.fleetlab.records import Bounds, DayRecord, Trouble
-from cranebank.fleetlab.wire import ask_once
+from cranebank.transport.http_client import ask_once
 
 ROOT = Path(__file__).parents[2]
 FRONT, READY, CONTROL, LINKS, BACKEND, CLAIM = 8263, 8268, 8262, 7300, 8080, 8259
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -12,7 +12,7 @@
 from cranebank.fleetlab.backend import digest
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.records import Change, ReadBack, RouteRule
-from cranebank.fleetlab.wire import Answer, ask_once
+from cranebank.transport.http_client import Answer, ask_once
 
 HOST = "shop.example"
 Document = dict[str, Any]
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -27,6 +27,7 @@
 from cranebank.programs.local_state import LAST_S, LocalState, Storage
 from cranebank.programs.registry_service import RegistryService, wait_for_acks
 from cranebank.programs.settings import NodeSettings, SettingsError
+from cranebank.programs.stage_duty import StageDuty
 from cranebank.transport.links import PULSE_S, Link, listen
 from cranebank.transport.messages import Backend, ConfigAck
 
@@ -78,6 +79,7 @@
             self._registry_service,
             self._publish,
         )
+        self.stage_duty = StageDuty(settings, self.now, self._consensus, self._driver.holds, self.registry)
         self._api = Server(OperatorApi(self).calls(), self.now)
         self._linked_at = now  # when another controller was last linked
         self._reloaded_at = now
@@ -94,6 +96,7 @@
         self._link_server = await listen(self._protocol, self._settings.ip, self._settings.link_port)
         self._tick()
         self._registry_tick()
+        self.stage_duty.start()
         ip, _, port = self._settings.binds.get(
             "control_addr", f"{self._settings.ip}:{self._settings.control_port}"
         ).rpartition(":")
@@ -109,6 +112,7 @@
         await self._until(lambda: self._may_end(successor_by), self._handover_s())
         self._api.stop()
         await self._until(lambda: self._api.is_idle, FINISH_S)
+        self.stage_duty.stop()
         for timer in self._timers:
             timer.cancel()
         if self._link_server is not None:
--- a/cranebank/fleetlab/wire.py
+++ b/cranebank/transport/http_client.py
@@ -1,15 +1,21 @@
-"""The day's own end of HTTP/1.1: one connection, one request at a time, and everything seen on it."""
+"""A small HTTP/1.1 client: one connection, one request at a time, and everything seen on it."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 import msgspec
 
+UNBOUNDED = 1 << 62
+NO_LINGER = struct.pack("ii", 0, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time: what was not delivered yet is dropped
+
 
 class Answer(msgspec.Struct):
     """What came back for one request."""
@@ -24,10 +30,11 @@
 
 
 class HttpLink(asyncio.Protocol):
-    """A client's connection. ``stray`` hears of bytes that come while nothing is asked."""
+    """A client's connection. ``stray`` hears of bytes that come while nothing is asked; an answer of more than
+    ``most_bytes`` is not whole."""
 
-    def __init__(self, stray: Callable[[bytes], None] | None = None) -> None:
-        self._stray = stray
+    def __init__(self, stray: Callable[[bytes], None] | None = None, most_bytes: int = UNBOUNDED) -> None:
+        self._stray, self._most_bytes = stray, most_bytes
         self._transport: asyncio.Transport | None = None
         self._answer: Answer | None = None
         self._done: asyncio.Future[None] | None = None
@@ -63,6 +70,14 @@
             self.close()
         return answer
 
+    def reset_on_close(self, is_wanted: bool) -> None:
+        """Whether its end drops bytes that were not delivered yet: without, they may reach the other side later."""
+        connection = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if connection is not None:
+            linger = RESET_ON_CLOSE if is_wanted else NO_LINGER
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self) -> None:
         """End it now."""
         if self._transport is not None:
@@ -85,7 +100,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             answer.is_http = False
             self.close()
             self._end()
@@ -112,8 +127,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Part of the body."""
-        self._body.append(body)
         self._size += len(body)
+        if self._size > self._most_bytes:
+            raise ValueError("an answer that is too large")
+        self._body.append(body)
         if self._answer is not None:
             self._answer.pieces.append((asyncio.get_running_loop().time(), self._size))
 
@@ -125,10 +142,15 @@
             self._end()
 
 
-async def connect(address: str, seconds: float = 1.0, stray: Callable[[bytes], None] | None = None) -> HttpLink | None:
+async def connect(
+    address: str,
+    seconds: float = 1.0,
+    stray: Callable[[bytes], None] | None = None,
+    most_bytes: int = UNBOUNDED,
+) -> HttpLink | None:
     """A connection, or none if it isn't up in time."""
     host, _, port = address.rpartition(":")
-    link = HttpLink(stray)
+    link = HttpLink(stray, most_bytes)
     try:
         async with asyncio.timeout(seconds):
             await asyncio.get_running_loop().create_connection(lambda: link, host, int(port))
--- a/tests/controlsim/__main__.py
+++ b/tests/controlsim/__main__.py
@@ -47,12 +47,15 @@
     counts: Counter[str] = Counter()
     rules: Counter[str] = Counter()
     longest: dict[str, float] = {}
+    shortest: dict[str, float] = {}
     broken: list[Played] = []
     with ProcessPoolExecutor(arguments.jobs) as pool:
         for played in pool.map(partial(play, arguments.point, go_on=go_on), seeds, chunksize=4):
             counts.update(played.counts)
             for what, seconds in played.longest.items():
                 longest[what] = max(seconds, longest.get(what, 0.0))
+            for what, seconds in played.shortest.items():
+                shortest[what] = min(seconds, shortest.get(what, seconds))
             if played.breaches:
                 broken.append(played)
                 rules.update({breach.partition(":")[0] for breach in played.breaches})
@@ -63,6 +66,8 @@
         print(f"{count:8d} {case}")
     for what, seconds in longest.items():
         print(f"{seconds:8.2f} s at most: {what}")
+    for what, seconds in shortest.items():
+        print(f"{seconds:8.2f} s at least: {what}")
     print(f"broken: {len(broken)} of {len(seeds)} {dict(rules)}; seeds {[played.seed for played in broken[:20]]}")
     print(f"never reached: {unreached}; {time.monotonic() - begin:.0f} s")
     return int(bool(broken or unreached))
--- a/tests/controlsim/actors.py
+++ b/tests/controlsim/actors.py
@@ -190,7 +190,7 @@
             {
                 "revision": revision,
                 "routes": [_route(mark, service)],
-                "services": [{"name": "s"}],
+                "services": [self.world.service],
                 "limits": {},
                 "padding": "x" * self.size,
             }
@@ -280,6 +280,15 @@
         while self.loop.time() < end and not self.world.is_over:
             await self._beat("ready")
             await asyncio.sleep(self.world.beat_s)
+        await self._end()
+
+    @property
+    def stage(self) -> str:
+        """What its heartbeats tell."""
+        return "decode"
+
+    async def _end(self) -> None:
+        """Say that it drains, and leave."""
         for _ in range(4):
             answer = await self._beat("draining")
             if answer is not None:
@@ -302,7 +311,7 @@
                 "capacity": 4,
                 "phase": phase,
                 "cold_left_ms": 0,
-                "stage": "decode",
+                "stage": self.stage,
                 "models": [],
                 "call_seq": self._number,
             }
--- a/tests/controlsim/judge.py
+++ b/tests/controlsim/judge.py
@@ -56,10 +56,15 @@
         self.ledger = Ledger()
         self.counts: Counter[str] = Counter()
         self.longest: dict[str, float] = {}  # seconds
+        self.shortest: dict[str, float] = {}  # seconds
         self.breaches: list[str] = []
         self.trace: deque[str] = deque(maxlen=TRACE)
         self._handed: dict[object, tuple[int, float]] = {}  # newest revision by life of a proxy, and since when
 
+    def now(self) -> float:
+        """The simulated time."""
+        return self._now()
+
     def note(self, text: str) -> None:
         """A line of the story."""
         self.trace.append(f"{self._now():8.4f} {text}")
@@ -74,6 +79,10 @@
         """A span of time was measured: the longest is kept."""
         self.longest[what] = max(seconds, self.longest.get(what, 0.0))
 
+    def lasted_at_least(self, what: str, seconds: float) -> None:
+        """A span of time was measured: the shortest is kept."""
+        self.shortest[what] = min(seconds, self.shortest.get(what, seconds))
+
     # Changes.
 
     def sent(self, change: Change) -> None:
--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from .judge import CATCH_UP_S
+from .stages import SWITCH_S, StagedBackend
 from .world import Machine, Proxy, World
 
 CUTS = ("both", "out", "in", "partly", "frozen")
@@ -37,6 +38,7 @@
     counts: dict[str, int]
     longest: dict[str, float]
     trace: list[str]
+    shortest: dict[str, float]
 
 
 def play(point: str, seed: int, go_on: frozenset[str] = frozenset()) -> Played:
@@ -48,7 +50,7 @@
         judge = world.judge
         try:
             world.run()
-            return Played(seed, judge.breaches, dict(judge.counts), judge.longest, list(judge.trace))
+            return Played(seed, judge.breaches, dict(judge.counts), judge.longest, list(judge.trace), judge.shortest)
         finally:
             world.close()
     finally:
@@ -343,6 +345,62 @@
     world.cut(machine, pairs, random.choice([0.3, 1.0, 2.5]) * random.uniform(0.5, 1.5), f"from {others}")
 
 
+# 6: backends of both stages leave or crash, under everything that makes and unmakes primaries.
+
+
+STAGES_S = 40.0
+LAST_LOSS_S = 24.0
+ENDS = ("drain", "crash")
+ORDER_TROUBLES = ("primary struck", "", "held up", "answer held up")
+
+
+def _stages(seed: int) -> World:
+    world = World(seed, faults_s=STAGES_S)
+    random = world.random
+    world.add_operators(1)
+    world.operators[0].pause_s = (0.4, 1.2)
+    world.switch_s = random.choice(SWITCH_S)
+    for number in range(random.randint(2, 6)):
+        stage = "decode" if number % 2 else "prefill"
+        is_lost = stage == "decode" or random.random() < 0.2
+        end = random.uniform(6.0, LAST_LOSS_S) if is_lost else 10 * STAGES_S
+        backend = world.add_staged_backend(stage, random.uniform(0.5, 1.5), end, random.choice(ENDS))
+        backend.share_lost = random.choice([0.0, 0.0, 0.5, 1.0])
+    world.on_backend_called = lambda backend, machine: _disturb_order(world, backend, machine)
+    if seed % 3:
+        _kills(world, 5.0, (1.0, 5.0) if seed % 3 == 1 else (6.0, 14.0))
+    if seed % 4 == 1:
+        world.scheduler.at(random.uniform(8.0, 20.0), lambda: _cut_off(world))
+    return world
+
+
+def _disturb_order(world: World, backend: StagedBackend, machine: Machine) -> None:
+    """Something happens while an order is on its way, or has just been taken."""
+    if world.scheduler.now > STAGES_S - LAST_S:
+        return
+    random = world.random
+    kind = _next_kind(world, "order", ORDER_TROUBLES)
+    seconds = random.uniform(0.3, 6.0)
+    if kind == "held up":
+        world.cut(machine, [(machine.ip, backend.loop.ip)], seconds, "an order is held up")
+    elif kind == "answer held up":
+        world.cut(machine, [(backend.loop.ip, machine.ip)], seconds, "the answer to an order is held up")
+    elif kind == "primary struck":
+        world.scheduler.after(random.choice([0.0, 0.05, 1.0]), lambda: _replace_holder(world, machine))
+
+
+def _replace_holder(world: World, machine: Machine) -> None:
+    """The holder stands still, or is down, for longer than a takeover takes: another one holds the lease then."""
+    if machine in world.in_trouble() or len(world.in_trouble()) >= world.tolerance:
+        return
+    _count(world, "a holder struck after its order")
+    if world.random.random() < 0.4:
+        world.freeze(machine, world.random.uniform(2.0, 6.0))
+        return
+    world.stop(machine, has_power=world.random.random() < 0.5)
+    world.scheduler.after(world.random.uniform(2.5, 6.0), lambda: world.start(machine))
+
+
 SCENARIOS: dict[str, Scenario] = {
     "cut": Scenario(
         _cut,
@@ -390,4 +448,18 @@
             "takeovers",
         ),
     ),
+    "stages": Scenario(
+        _stages,
+        (
+            "takeovers",
+            "orders answered 202",
+            "answers to orders and reports lost",
+            "services staffed again",
+            "backends ordered by two holders",
+            "a holder struck after its order",
+            *(f"order: {kind}" for kind in ORDER_TROUBLES),
+            "cut off: primary",
+            *(f"struck: {kind}" for kind in STRIKES),
+        ),
+    ),
 }
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from random import Random
 from typing import Any
@@ -24,6 +24,7 @@
 from .judge import ACK_S, CATCH_UP_S, CONTACT_S, DRAIN_S, Change, Judge
 from .loop import ProcessLoop, Scheduler, process_loop
 from .network import Network
+from .stages import SWITCH_S, StagedBackend, StageRules
 
 LINK_PORT = 7000
 SEED_LAG_S = 3.0
@@ -176,6 +177,11 @@
         self.tolerance = tolerance
         self.beat_s = 1.0
         self.share_doubled = 0.0
+        self.service: Mapping[str, object] = {"name": "s"}
+        self.staged: list[StagedBackend] = []
+        self.switch_s = SWITCH_S[0]
+        self.on_backend_called: Callable[[StagedBackend, Machine], None] | None = None
+        self.stage_rules = StageRules(self.judge)
         self.is_over = self.is_closed = False  # no new changes; no more tries
         self.takeovers = 0
         self._takeovers_at: dict[Change, int] = {}
@@ -242,6 +248,20 @@
         backend = BackendActor(self, f"i-{number}", Random(f"{self.seed} backend {number}"), lives_s)
         self.scheduler.at(at, backend.start)
 
+    def add_staged_backend(self, stage: str, at: float, lives_s: float, ends: str) -> StagedBackend:
+        """A backend that takes orders; the service has an engine from now on."""
+        self.service = {"name": "s", "engine": {"switch_s": self.switch_s}}
+        name = f"i-{len(self.staged)}"
+        backend = StagedBackend(self, name, Random(f"{self.seed} backend {name}"), lives_s, stage, ends)
+        self.staged.append(backend)
+        self.scheduler.at(at, backend.start)
+        return backend
+
+    def backend_called(self, backend: StagedBackend, ip: str) -> None:
+        """A controller has connected to a backend: its order or its asking for a report comes next."""
+        if self.on_backend_called is not None:
+            self.on_backend_called(backend, self.machines[ip])
+
     # Controllers.
 
     def start(self, machine: Machine, is_first_start: bool = False) -> None:
@@ -462,6 +482,17 @@
         for loop in self._loops:
             if loop.errors:
                 self.judge.breach("error", loop.errors[0])
+        self._look_at_stages()
+
+    def _look_at_stages(self) -> None:
+        if not self.staged or self.is_over:
+            return
+        for machine in self.machines.values():
+            if machine.controller is not None:
+                for what in machine.controller.stage_duty.balancer.violations:
+                    self.judge.breach("invariant", f"{machine.ip}: {what}")
+        is_in_trouble = any(one.troubles or not one.is_running for one in self.machines.values() if not one.is_removed)
+        self.stage_rules.look(self.staged, self.switch_s, self.scheduler.now if is_in_trouble else self.last_event)
 
     def _look_at_majority(self) -> None:
         """Whether the group would keep a majority under every further loss that may come now."""
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -17,13 +17,17 @@
 from controlsim.network import Network
 from controlsim.scenarios import SCENARIOS, play
 
-from cranebank.control import call_table, events, primary
+from cranebank.control import call_table, events, primary, stage_balancer
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
 from cranebank.control.custody import Custody, CustodySettings
 from cranebank.control.delivery import Delivery
 from cranebank.control.membership import GroupSize, View
 from cranebank.control.replication import RegistryReplication
+from cranebank.control.stage_balancer import BackendOrder, OrderState, StageBalancer
+from cranebank.control.stage_events import Authority
+from cranebank.programs import stage_duty
 from cranebank.programs.consensus_driver import ConsensusDriver
+from cranebank.programs.stage_duty import StageDuty
 
 SCHEDULES = 10
 A, B = "10.0.0.1", "10.0.0.2"
@@ -151,6 +155,36 @@
     patch.setattr(primary, "next_members", grown)
 
 
+def _no_wait_after_a_takeover(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(stage_duty, "takeover_wait_s", lambda settings: 0.0)
+
+
+def _orders_without_a_lease(patch: pytest.MonkeyPatch) -> None:
+    """The primary of the newest record that this controller knows, whether its lease runs or not."""
+
+    def authority(self: StageDuty) -> Authority:
+        status = self._consensus.status(self._now())
+        return Authority(status.primary == status.id, status.term, status.epoch)
+
+    patch.setattr(StageDuty, "_authority", authority)
+    patch.setattr(stage_duty, "takeover_wait_s", lambda settings: 0.0)
+
+
+def _orders_nobody(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(stage_balancer, "needed_stage", lambda stages: None)
+
+
+def _unanswered_orders_count_as_taken(patch: pytest.MonkeyPatch) -> None:
+    """Nothing asks what became of them, and nothing ends them."""
+    changed = StageBalancer._change
+
+    def change(self: StageBalancer, now: float, order: BackendOrder, state: OrderState) -> None:
+        changed(self, now, order, OrderState.SWITCHING if state is OrderState.UNKNOWN else state)
+
+    patch.setattr(StageBalancer, "_change", change)
+    patch.setattr(BackendOrder, "blocks", lambda self, now: True)
+
+
 PLANTS: tuple[tuple[Plant, str, set[str]], ...] = (
     (_no_lease, "cut", {"lease", "reading", "two on one base"}),
     (_published_without_contact, "cut", {"contact"}),
@@ -166,6 +200,10 @@
     (_restarts_without_its_value, "orders", {"reading", "two on one base", "in step", "two of one number", "error"}),
     (_wrong_caller, "resets", {"two on one base", "refused", "two of one number"}),
     (_no_hand_out, "many", {"in step", "recovery", "reading", "resend"}),
+    (_no_wait_after_a_takeover, "stages", {"one"}),
+    (_orders_without_a_lease, "stages", {"one", "invariant"}),
+    (_orders_nobody, "stages", {"staffed"}),
+    (_unanswered_orders_count_as_taken, "stages", {"staffed", "invariant"}),
 )
 
 
--- /dev/null
+++ b/tests/test_stage_balancer.py
@@ -0,0 +1,403 @@
+"""The stage balancer's core: when it orders, when it must not, and what it makes of each answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from cranebank.control.stage_balancer import (
+    CONFIRM_S,
+    CONNECT_LIMIT_S,
+    FINISH_S,
+    REFUSED_S,
+    REPORT_AFTER_S,
+    UNATTENDED_S,
+    UNFIT_S,
+    BalancerSettings,
+    OrderState,
+    StageBalancer,
+)
+from cranebank.control.stage_events import (
+    Action,
+    Answered,
+    AskReport,
+    Authority,
+    Connect,
+    Connected,
+    Event,
+    Look,
+    NotConnected,
+    Reported,
+    Service,
+    Transmit,
+    Unanswered,
+    Unreported,
+)
+from cranebank.programs.settings import Bounds, NodeSettings
+from cranebank.programs.stage_duty import ANSWER_S, read_services, takeover_wait_s
+from cranebank.transport.messages import Backend
+
+WAIT_S = 3.8
+LOOK_S = 0.25
+SWITCH_S = 0.8
+PRIMARY = Authority(True, 4, 7)
+
+
+def backend(name: str, stage: str, phase: str = "ready", call_seq: int = 1, zone: str = "a") -> Backend:
+    return Backend(name, "s", f"10.0.0.{name[-1]}:80", zone, stage, 8, phase, call_seq)
+
+
+class Bench:
+    """A balancer, and what it is shown; ``pass_time`` looks every quarter of a second."""
+
+    def __init__(self, *backends: Backend, authority: Authority = PRIMARY) -> None:
+        self.balancer = StageBalancer(BalancerSettings("node-1", WAIT_S, 1.0))
+        self.now = 100.0
+        self.authority = authority
+        self.is_current = True
+        self.records = {one.id: one for one in backends}
+        self.silent: set[str] = set()
+        self.heard_at: dict[str, float] = {}
+        self.services = {"s": Service("s", SWITCH_S)}
+
+    def put(self, *backends: Backend) -> None:
+        """Their heartbeats tell this from now on."""
+        self.records |= {one.id: one for one in backends}
+
+    def look(self) -> list[Action]:
+        self.heard_at |= {name: self.now for name in self.records if name not in self.silent}
+        look = Look(self.authority, self.services, self.records, self.heard_at, self.is_current)
+        return self.balancer.handle(self.now, look)
+
+    def tell(self, event: Event) -> list[Action]:
+        return self.balancer.handle(self.now, event)
+
+    def pass_time(self, seconds: float) -> list[Action]:
+        """All that is asked for meanwhile."""
+        actions, end = self.look(), self.now + seconds
+        while self.now < end:
+            self.now += LOOK_S
+            actions += self.look()
+        return actions
+
+    def connect(self) -> Connect:
+        """Wait until an order is begun."""
+        end = self.now + WAIT_S + CONFIRM_S + LOOK_S
+        while not (found := self.look()):
+            assert self.now < end, "nothing is ordered"
+            self.now += LOOK_S
+        (connect,) = found
+        assert isinstance(connect, Connect)
+        return connect
+
+    def transmit(self) -> Transmit:
+        """Wait until an order is sent."""
+        (found,) = self.tell(Connected(self.connect().number, self.authority))
+        assert isinstance(found, Transmit)
+        return found
+
+    def state(self) -> OrderState | None:
+        orders = self.balancer.orders
+        return orders[0].state if orders else None
+
+    def check(self) -> None:
+        assert not self.balancer.violations
+
+
+def test_a_prefill_backend_is_ordered_once_the_last_decode_one_drains() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"), backend("i-3", "decode"))
+    assert bench.pass_time(WAIT_S + 2.0) == []
+    bench.put(backend("i-3", "decode", "draining", 2))
+    (connect,) = bench.pass_time(CONFIRM_S + LOOK_S)
+    assert isinstance(connect, Connect)
+    assert connect.backend.id == "i-1"
+    (transmit,) = bench.tell(Connected(connect.number, PRIMARY))
+    assert isinstance(transmit, Transmit)
+    order = transmit.order
+    assert (order.order_kind, order.stage, order.owner, order.fence_no) == ("stage", "decode", "node-1", 7)
+    assert bench.tell(Answered(transmit.number, 202)) == []
+    assert bench.pass_time(3.0) == []
+    bench.put(backend("i-1", "decode", call_seq=9))
+    assert bench.pass_time(3.0) == []
+    assert bench.state() is None
+    bench.check()
+
+
+@pytest.mark.parametrize(
+    "stages",
+    [("decode",), ("decode", "decode"), ("prefill", "decode"), (), ("", "")],
+    ids=["one decode", "two decode", "both", "none", "of no stage"],
+)
+def test_nothing_is_ordered_where_requests_can_be_served_or_nobody_is_there(stages: tuple[str, ...]) -> None:
+    bench = Bench(*(backend(f"i-{number}", stage) for number, stage in enumerate(stages)))
+    assert bench.pass_time(3 * WAIT_S) == []
+    bench.check()
+
+
+@pytest.mark.parametrize("phase", ["draining", "gone", "lost"])
+def test_a_backend_that_leaves_staffs_no_stage_and_is_not_ordered(phase: str) -> None:
+    bench = Bench(backend("i-1", "decode", phase), backend("i-2", "prefill", phase), backend("i-3", "prefill"))
+    assert bench.connect().backend.id == "i-3"
+
+
+def test_a_replacement_whose_first_heartbeat_comes_in_time_makes_an_order_needless() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-3", "decode"))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.put(backend("i-3", "decode", "draining", 2))
+    assert bench.pass_time(CONFIRM_S - LOOK_S) == []
+    bench.put(backend("i-4", "decode"))
+    assert bench.pass_time(5.0) == []
+
+
+def test_a_service_that_no_route_leads_to_is_left_alone() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    bench.services = {}
+    assert bench.pass_time(3 * WAIT_S) == []
+
+
+# Authority.
+
+
+def test_nothing_is_ordered_without_the_lease() -> None:
+    bench = Bench(backend("i-1", "prefill"), authority=Authority(False, 4, 7))
+    assert bench.pass_time(3 * WAIT_S) == []
+
+
+def test_a_new_primary_waits_before_its_first_order() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    assert bench.pass_time(WAIT_S - LOOK_S) == []
+    assert bench.connect()
+
+
+def test_each_term_begins_with_the_wait_and_a_lease_won_again_in_the_same_term_does_not() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-3", "decode"))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.authority = Authority(False, 4, 7)
+    bench.pass_time(1.0)
+    bench.put(backend("i-3", "decode", "gone", 2))
+    bench.authority = Authority(True, 4, 8)
+    (connect,) = bench.pass_time(CONFIRM_S + LOOK_S)
+    bench.tell(NotConnected(connect.number))
+    bench.authority = Authority(True, 9, 9)
+    assert bench.pass_time(WAIT_S - LOOK_S) == []
+    assert bench.connect()
+
+
+@pytest.mark.parametrize(
+    "authority", [Authority(False, 4, 7), Authority(True, 9, 9)], ids=["lease lost", "a later term"]
+)
+def test_an_order_is_abandoned_when_its_authority_is_gone_by_the_time_it_is_connected(authority: Authority) -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    connect = bench.connect()
+    assert bench.tell(Connected(connect.number, authority)) == []
+    assert bench.state() is None
+    assert bench.balancer.counts["abandoned"] == 1
+
+
+def test_an_order_that_took_long_to_connect_is_abandoned() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    connect = bench.connect()
+    bench.now += CONNECT_LIMIT_S + LOOK_S
+    assert bench.tell(Connected(connect.number, PRIMARY)) == []
+
+
+def test_the_fence_of_an_order_is_the_newest_when_it_is_written() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    connect = bench.connect()
+    (transmit,) = bench.tell(Connected(connect.number, Authority(True, 4, 9)))
+    assert isinstance(transmit, Transmit)
+    assert transmit.order.fence_no == 9
+
+
+# What the registry is known to lack.
+
+
+def test_nothing_is_ordered_while_the_registry_may_lack_backends() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    bench.is_current = False
+    assert bench.pass_time(3 * WAIT_S) == []
+    bench.is_current = True
+    assert bench.pass_time(CONFIRM_S - LOOK_S) == []
+    assert bench.connect()
+
+
+def test_only_a_backend_that_was_heard_lately_is_ordered() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    bench.look()
+    bench.silent = {"i-1"}
+    assert bench.connect().backend.id == "i-2"
+    bench = Bench(backend("i-1", "prefill"))
+    bench.silent = {"i-1"}
+    assert bench.pass_time(3 * WAIT_S) == []
+    bench.check()
+
+
+def test_a_process_that_stood_still_confirms_anew_what_is_needed() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-3", "decode"))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.put(backend("i-3", "decode", "gone", 2))
+    bench.look()
+    bench.now += 30.0
+    assert bench.look() == []
+    assert bench.connect()
+
+
+def test_the_zone_with_the_most_backends_of_the_other_stage_gives_one() -> None:
+    bench = Bench(*(backend(f"i-{number}", "prefill", zone=zone) for number, zone in enumerate("abbc")))
+    assert bench.connect().backend.zone == "b"
+
+
+# Answers.
+
+
+@pytest.mark.parametrize("status", [200, 202])
+def test_an_order_that_was_taken_is_followed_until_a_later_heartbeat_shows_the_stage(status: int) -> None:
+    bench = Bench(backend("i-1", "prefill", call_seq=5), backend("i-2", "prefill"))
+    bench.tell(Answered(bench.transmit().number, status))
+    assert bench.state() is OrderState.SWITCHING
+    bench.put(backend("i-1", "decode", call_seq=6))
+    bench.look()
+    assert bench.state() is None
+    assert bench.balancer.counts["settled"] == 1
+
+
+@pytest.mark.parametrize("status", [400, 404, 405, 412, 421])
+def test_a_backend_that_refuses_is_passed_over(status: int) -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    first = bench.transmit()
+    bench.tell(Answered(first.number, status))
+    (second,) = bench.pass_time(LOOK_S)
+    assert isinstance(second, Connect)
+    assert second.backend.id == "i-2"
+    bench.tell(NotConnected(second.number))
+    assert bench.pass_time(UNFIT_S - 2 * LOOK_S) == []
+    (third,) = bench.pass_time(2 * LOOK_S)
+    assert isinstance(third, Connect)
+    assert third.backend.id == "i-2"
+    bench.check()
+
+
+def test_a_backend_that_refused_is_asked_again_in_the_end() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    bench.tell(Answered(bench.transmit().number, 412))
+    assert bench.pass_time(REFUSED_S - 2 * LOOK_S) == []
+    assert bench.pass_time(2 * LOOK_S)
+
+
+@pytest.mark.parametrize("status", [0, 409, 500, 503])
+def test_after_an_unclear_answer_the_backend_is_asked_for_its_report(status: int) -> None:
+    """Nothing is sent again before: the order may have been taken."""
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    number = bench.transmit().number
+    bench.tell(Answered(number, status) if status else Unanswered(number))
+    assert bench.state() is OrderState.UNKNOWN
+    assert bench.pass_time(REPORT_AFTER_S - LOOK_S) == []
+    (ask,) = bench.pass_time(LOOK_S)
+    assert ask == AskReport(number, bench.records["i-1"])
+    bench.tell(Reported(number, "prefill", True, 1))
+    assert bench.state() is OrderState.SWITCHING
+    bench.check()
+
+
+def test_an_order_that_was_not_taken_is_sent_again_with_the_count_that_was_reported() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    number = bench.transmit().number
+    bench.tell(Unanswered(number))
+    bench.pass_time(REPORT_AFTER_S)
+    bench.tell(Reported(number, "prefill", False, 3))
+    again = bench.transmit()
+    assert again.number != number
+    assert again.order.expected == 3
+
+
+def test_a_report_that_does_not_come_is_asked_for_again() -> None:
+    bench = Bench(backend("i-1", "prefill"))
+    number = bench.transmit().number
+    bench.tell(Unanswered(number))
+    assert len(bench.pass_time(REPORT_AFTER_S)) == 1
+    bench.tell(Unreported(number))
+    assert len(bench.pass_time(REPORT_AFTER_S)) == 1
+
+
+def test_a_backend_that_says_nothing_for_long_lets_another_be_ordered() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    bench.tell(Answered(bench.transmit().number, 202))
+    actions = bench.pass_time(SWITCH_S + FINISH_S + REPORT_AFTER_S + 2 * LOOK_S)
+    assert [type(action) for action in actions] == [Connect, AskReport]
+    assert isinstance(actions[0], Connect) and actions[0].backend.id == "i-2"
+    bench.check()
+
+
+@pytest.mark.parametrize("phase", ["draining", "gone", "lost"])
+def test_a_backend_that_leaves_ends_its_order_and_another_is_ordered(phase: str) -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    bench.tell(Answered(bench.transmit().number, 202))
+    bench.put(backend("i-1", "prefill", phase, 2))
+    (connect,) = bench.pass_time(LOOK_S)
+    assert isinstance(connect, Connect) and connect.backend.id == "i-2"
+    bench.check()
+
+
+def test_late_answers_of_orders_that_are_over_change_nothing() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-3", "decode", "draining"))
+    number = bench.transmit().number
+    bench.put(backend("i-1", "decode", call_seq=9))
+    bench.look()
+    for event in (
+        Answered(number, 202),
+        Unanswered(number),
+        Reported(number, "prefill", True, 1),
+        NotConnected(number),
+    ):
+        assert bench.tell(event) == []
+    assert bench.state() is None
+    bench.check()
+
+
+def test_an_order_whose_connection_is_never_told_of_is_given_up() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    bench.connect()
+    (connect,) = bench.pass_time(CONNECT_LIMIT_S + 2 * LOOK_S)
+    assert isinstance(connect, Connect) and connect.backend.id == "i-2"
+
+
+# Invariants, on a balancer whose guards are taken out.
+
+
+def test_a_stage_that_gets_no_order_in_time_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(StageBalancer, "_begin", lambda *_: None)
+    bench = Bench(backend("i-1", "prefill"))
+    bench.pass_time(WAIT_S + UNATTENDED_S + 1.0)
+    assert bench.balancer.violations["a stage that is needed gets an order in time"]
+
+
+def test_an_order_without_a_lease_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(StageBalancer, "_may_order", lambda *_: True)
+    bench = Bench(backend("i-1", "prefill"))
+    connect = bench.connect()
+    bench.tell(Connected(connect.number, Authority(False, 4, 5)))
+    assert bench.balancer.violations["orders are sent under the lease only"] == 1
+
+
+def test_a_fence_that_falls_is_counted() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    first = bench.transmit()
+    bench.tell(Answered(first.number, 421))
+    bench.authority = Authority(True, 4, 6)
+    bench.transmit()
+    assert bench.balancer.violations["the fence never falls"] == 1
+
+
+# The settings and the configuration.
+
+
+def test_the_wait_after_a_takeover_covers_the_lease_time_and_an_order_on_its_way() -> None:
+    settings = NodeSettings("n", "10.0.0.1", "z", (7000, 7009), ("10.0.0.1:80",), bounds=Bounds(lease_ms=5000))
+    assert takeover_wait_s(settings) > 5.0 + ANSWER_S
+
+
+def test_services_are_those_with_engines_that_a_route_leads_to() -> None:
+    document = b"""{"revision": 3, "routes": [{"name": "r", "target": "a"}, {"name": "q", "branches": [{"target": "b",
+    "share": 1}, {"target": "plain", "share": 1}]}], "services": [{"name": "a", "engine": {"switch_s": 0.5}},
+    {"name": "b", "engine": {}}, {"name": "plain"}, {"name": "idle", "engine": {"switch_s": 2}}]}"""
+    assert read_services(document) == {"a": Service("a", 0.5), "b": Service("b", 1.0)}
+    assert read_services(b"") == read_services(b"{") == {}
