--- a/tests/controlsim/actors.py
+++ b/tests/controlsim/actors.py
@@ -270,6 +270,7 @@
     def __init__(self, world: World, name: str, random: Random, lives_s: float) -> None:
         super().__init__(world, name, random)
         self._lives_s, self._number = lives_s, 0
+        self.preferred: str = ""  # a controller that it reports to for as long as that one answers
 
     def start(self) -> None:
         """Begin."""
@@ -307,8 +308,15 @@
                 "call_seq": self._number,
             }
         ).encode()
-        answer = await self.ask("POST", f"/api/Servers.Heartbeat/{self.name}", body)
-        return answer if answer is not None and answer.status == 200 else None
+        path = f"/api/Servers.Heartbeat/{self.name}"
+        answer = await self.ask("POST", path, body, ip=self.preferred)
+        if self.preferred and (answer is None or answer.status != 200):
+            answer = await self.ask("POST", path, body)
+        if answer is None or answer.status != 200:
+            return None
+        if phase == "ready":
+            self.world.liveness.acknowledged(self.name, answer.controller)
+        return answer
 
     def _told(self, answer: Answer, phase: str) -> None:
         world = self.world
--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -343,7 +343,40 @@
     world.cut(machine, pairs, random.choice([0.3, 1.0, 2.5]) * random.uniform(0.5, 1.5), f"from {others}")
 
 
+# 6: controllers are cut off from each other, and backends report to those that the others don't hear.
+
+
+PARTITIONS = ("one from the others", "each from all others", "one way", "one, and from most proxies")
+
+
+def _heard(seed: int) -> World:
+    world = World(seed, proxies=4, faults_s=LONG_S)
+    world.add_operators(1)
+    world.operators[0].pause_s = (0.2, 1.2)
+    _backends(world, 6, LONG_S, LONG_S + 2.0)
+    world.scheduler.at(world.random.uniform(4.5, 6.0), lambda: _partition(world))
+    return world
+
+
+def _partition(world: World) -> None:
+    random, kind = world.random, PARTITIONS[world.seed % len(PARTITIONS)]
+    _count(world, f"partition: {kind}")
+    ips, seconds = list(world.machines), random.uniform(17.0, 21.0)
+    victim = random.choice(ips)
+    for backend in random.sample(world.backends, 4):
+        backend.preferred = random.choice(ips) if kind == "each from all others" else victim
+    for ip in ips if kind == "each from all others" else [victim]:
+        pairs = [(ip, other) for other in ips if other != ip]
+        if kind != "one way":
+            pairs += [(other, one) for one, other in pairs]
+        if kind == "one, and from most proxies":
+            far = random.sample([proxy.ip for proxy in world.proxies], len(world.proxies) - 1)
+            pairs += [pair for proxy in far for pair in ((ip, proxy), (proxy, ip))]
+        world.cut(world.machines[ip], pairs, seconds, kind)
+
+
 SCENARIOS: dict[str, Scenario] = {
+    "heard": Scenario(_heard, tuple(f"partition: {kind}" for kind in PARTITIONS)),
     "cut": Scenario(
         _cut,
         (
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -22,6 +22,7 @@
 from .actors import Backend as BackendActor
 from .disk import MachineDisk, ProcessDisk
 from .judge import ACK_S, CATCH_UP_S, CONTACT_S, DRAIN_S, Change, Judge
+from .liveness import LivenessWatch
 from .loop import ProcessLoop, Scheduler, process_loop
 from .network import Network
 
@@ -196,6 +197,8 @@
         self._listings: list[tuple[float, tuple[str, ...]]] = [(0.0, tuple(self.machines))]
         self.proxies = [Proxy(self, f"10.0.1.{number + 1}") for number in range(proxies)]
         self.operators: list[Operator] = []
+        self.backends: list[BackendActor] = []
+        self.liveness = LivenessWatch(self)
         self.reader = Reader(self, "reader", Random(f"{seed} reader"))
         for machine in self.machines.values():
             self.scheduler.at(self.random.uniform(0.0, 0.3), partial(self.start, machine, True))
@@ -240,6 +243,7 @@
     def add_backend(self, number: int, at: float, lives_s: float) -> None:
         """A backend that comes at a time and lives for so long."""
         backend = BackendActor(self, f"i-{number}", Random(f"{self.seed} backend {number}"), lives_s)
+        self.backends.append(backend)
         self.scheduler.at(at, backend.start)
 
     # Controllers.
@@ -439,6 +443,7 @@
         now = self.scheduler.now
         self.scheduler.at(now + LOOK_S, self._look)
         self._look_at_majority()
+        self.liveness.look()
         holders = [one.ip for one in self.machines.values() if one.controller is not None and one.controller.holds()]
         if len(holders) > 1:
             self.judge.breach("lease", f"{holders} all hold it")
