--- a/cranebank/dataplane/backend_answers.py
+++ b/cranebank/dataplane/backend_answers.py
@@ -9,8 +9,9 @@
 
 SEAL = "x-server-seal"
 NOT_RUN_MARK = "x-not-run"
-REJECTIONS = frozenset({421, 429, 503})  # with the mark; 421 says it by itself
-PROMISES = frozenset({408, 421, 429, 503})  # to a client these say that the request has not run and never will
+MISDIRECTED = 421  # this is another backend, or it does other work than it was sent
+REJECTIONS = frozenset({MISDIRECTED, 429, 503})  # with the mark; 421 says it by itself
+PROMISES = frozenset({408, MISDIRECTED, 429, 503})  # to a client these say that the request has not run and never will
 
 
 class AnswerKind(Enum):
@@ -27,7 +28,7 @@
     """The kind of an answer with this status and these headers, named in lower case."""
     if 200 <= status < 300:
         return AnswerKind.SEALED if SEAL in headers else AnswerKind.UNSEALED
-    if status in REJECTIONS and (status == 421 or NOT_RUN_MARK in headers):
+    if status in REJECTIONS and (status == MISDIRECTED or NOT_RUN_MARK in headers):
         return AnswerKind.REJECTED
     return AnswerKind.UNPROVEN if status in PROMISES else AnswerKind.FAILED
 
--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -1,9 +1,11 @@
-"""The ready lists of each service and stage, and what this proxy has seen of each backend itself."""
+"""The backends that requests may go to, by service and stage: the ready ones, and suspects where that is better."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Set
 
+from cranebank.dataplane.seen import Seen
+from cranebank.dataplane.suspects import Place, Suspects, is_last_resort
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend
 
@@ -12,35 +14,8 @@
 AWAY_S = (0.5, 8.0)  # a backend that failed us is left alone for so long, at first and at most
 
 
-class Seen:
-    """One backend as seen from here. ``calls`` and ``tokens`` are out at it from this proxy, ``others_calls`` and
-    ``others_tokens`` from the neighbours that tell us theirs."""
-
-    __slots__ = (
-        "answered_at",
-        "away_for",
-        "away_until",
-        "backend",
-        "calls",
-        "figured_at",
-        "others_calls",
-        "others_tokens",
-        "tokens",
-    )
-
-    def __init__(self, backend: Backend) -> None:
-        self.backend = backend
-        self.calls = 0
-        self.tokens = 0
-        self.others_calls = self.others_tokens = 0
-        self.figured_at = 0.0  # when the figures last changed, by a call sent or ended
-        self.answered_at = 0.0
-        self.away_until = self.away_for = 0.0
-
-
-def _place(backend: Backend) -> tuple[str, str] | None:
-    """Which ready list it stands in, if any."""
-    return (backend.target, backend.stage) if backend.phase == "ready" else None
+def _place(backend: Backend) -> Place:
+    return backend.target, backend.stage
 
 
 class Candidates:
@@ -49,13 +24,16 @@
     def __init__(self) -> None:
         self.records: dict[str, Backend] = {}
         self.seen: dict[str, Seen] = {}
-        self._ready: dict[tuple[str, str], list[Seen]] = {}
-        self.version = 0  # rises whenever a ready list changes
+        self._ready: dict[Place, list[Seen]] = {}
+        self._suspects = Suspects()
+        self._holders: dict[str, str] = {}  # address: id of who was last known to serve there
+        self.version = 0  # rises whenever the ready ones or the suspects of a service and stage change
+        self.empty_though_known = 0  # violations of the invariant of ``ready``
         self._away: set[str] = set()  # those that failed lately
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
 
-    def merge(self, records: Iterable[Backend]) -> list[str]:
+    def merge(self, records: Iterable[Backend], now: float = 0.0) -> list[str]:
         """Take records of any source; return the ids of backends that are over."""
         over: list[str] = []
         for record in records:
@@ -67,48 +45,72 @@
                 self._gone[record.id] = None
                 while len(self._gone) > GONE_KEPT:
                     del self._gone[next(iter(self._gone))]
-                continue
-            self.records[record.id] = record
-            known = self.seen.get(record.id)
-            if known is None:
-                known = self.seen[record.id] = Seen(record)
-                self._list(known)
-            elif _place(known.backend) == _place(record):
-                known.backend = record
             else:
-                self._unlist(known)
-                known.backend = record
-                self._list(known)
-            self._lost.pop(record.id, None)
-            if record.phase == "lost":
-                self._lost[record.id] = None
+                self._replace(record, now)
         while len(self._lost) > LOST_KEPT:
             oldest = next(iter(self._lost))
             over.append(oldest)
             self._forget(oldest)
         return over
 
+    def _replace(self, record: Backend, now: float) -> None:
+        self.records[record.id] = record
+        known = self.seen.get(record.id)
+        if known is None:
+            known = self.seen[record.id] = Seen(record)
+            self._list(known, now)
+        elif (known.backend.phase, *_place(known.backend)) == (record.phase, *_place(record)):
+            known.backend = record
+        else:
+            self._unlist(known)
+            known.backend = record
+            self._list(known, now)
+        self._lost.pop(record.id, None)
+        if record.phase == "lost":
+            self._lost[record.id] = None
+
     def _forget(self, backend: str) -> None:
         self.records.pop(backend, None)
         self._lost.pop(backend, None)
         self._away.discard(backend)
         ended = self.seen.pop(backend, None)
-        if ended is not None:
-            self._unlist(ended)
+        if ended is None:
+            return
+        self._unlist(ended)
+        if self._holders.get(ended.backend.address) == backend:
+            del self._holders[ended.backend.address]
 
-    def _list(self, seen: Seen) -> None:
-        place = _place(seen.backend)
-        if place is not None:
+    def _list(self, seen: Seen, now: float) -> None:
+        backend, place = seen.backend, _place(seen.backend)
+        if backend.phase == "ready":
             self._ready.setdefault(place, []).append(seen)
-            self.version += 1
+            self._take_address(seen)
+        elif backend.phase == "lost":
+            seen.lost_at = now
+            seen.is_replaced = self._holders.get(backend.address, backend.id) != backend.id
+            if not seen.is_replaced:
+                self._suspects.add(place, seen)
+        self.version += 1
+
+    def _take_address(self, seen: Seen) -> None:
+        """A suspect whose address has passed to another backend is dead."""
+        backend = seen.backend
+        before = self.seen.get(self._holders.get(backend.address, ""))
+        self._holders[backend.address] = backend.id
+        seen.is_replaced = False
+        if before is not None and before is not seen and before.backend.phase == "lost":
+            before.is_replaced = True
+            self._suspects.remove(_place(before.backend), before.backend.id)
 
     def _unlist(self, seen: Seen) -> None:
         place = _place(seen.backend)
-        if place is not None:
+        if seen.backend.phase == "ready":
             self._ready[place].remove(seen)
             if not self._ready[place]:
                 del self._ready[place]
-            self.version += 1
+        elif seen.backend.phase == "lost":
+            self._suspects.remove(place, seen.backend.id)
+        self.version += 1
 
     def known(self) -> tuple[Backend, ...]:
         """Everything to tell a controller that has forgotten."""
@@ -120,22 +122,44 @@
         return record is not None and record.phase in {"ready", "lost"}
 
     def ready(self, now: float, service: str, stage: str, without: Set[str] = frozenset()) -> list[Seen]:
-        """The ready list, which is not to be changed; those that failed us lately stand back, unless all did."""
+        """Whom to send to; the list is not to be changed. Those that failed us lately stand back, unless all did.
+
+        Invariant: it is empty only where no backend of the service and stage is ready, nor lost and not backed off,
+        ``without`` left out. Violations are counted in ``empty_though_known``.
+        """
+        place = (service, stage)
+        listed = self._ready.get(place, [])
+        if self._suspects:
+            listed = self._suspects.merged(now, place, listed)
         if self._away:
             self._away = {name for name in self._away if self.seen[name].away_until > now}
-        if not without and not self._away:
-            return self._ready.get((service, stage), [])
-        listed = [s for s in self._ready.get((service, stage), ()) if s.backend.id not in without]
-        well = [s for s in listed if s.away_until <= now]
-        return well or listed
+        if without or self._away:
+            listed = [seen for seen in listed if seen.backend.id not in without]
+            listed = [seen for seen in listed if seen.away_until <= now] or listed
+        if not listed:
+            listed = [seen for seen in self._suspects.last_resort(now, place) if seen.backend.id not in without]
+        if not listed:
+            self._check_empty(now, place, without)
+        return listed
+
+    def _check_empty(self, now: float, place: Place, without: Set[str]) -> None:
+        self.empty_though_known += any(
+            _place(seen.backend) == place and seen.backend.id not in without and self._may_be_tried(now, seen)
+            for seen in self.seen.values()
+        )
+
+    @staticmethod
+    def _may_be_tried(now: float, seen: Seen) -> bool:
+        phase = seen.backend.phase
+        return phase == "ready" or (phase == "lost" and is_last_resort(now, seen))
 
     def count(self, service: str, stage: str) -> int:
         """How many are ready, well or not."""
         return len(self._ready.get((service, stage), ()))
 
     def any_ready(self) -> bool:
-        """Whether there is anybody to send to."""
-        return any(self._ready.values())
+        """Whether there is anybody to send to, suspects counted."""
+        return any(self._ready.values()) or bool(self._suspects)
 
     def failed(self, now: float, backend: str) -> None:
         """A call ended without a word, or the backend couldn't be reached."""
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -4,13 +4,13 @@
 
 from cranebank.dataplane.attempts import Attempts
 from cranebank.dataplane.budget import Budget
-from cranebank.dataplane.candidates import Seen
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.exchange_events import Call
 from cranebank.dataplane.open_legs import Handle, Leg, OpenLegs
 from cranebank.dataplane.pair import Plan
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine, Route
+from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.shared import Shared
 
 HANDLE_MARGIN_S = 0.5  # of a handle's life that is not relied on
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 
 from cranebank.dataplane.attempts import Attempts
-from cranebank.dataplane.backend_answers import REJECTIONS, AnswerKind, handle_in, kind_of
+from cranebank.dataplane.backend_answers import MISDIRECTED, REJECTIONS, AnswerKind, handle_in, kind_of
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.dispatch import Dispatch
 from cranebank.dataplane.events_stream import EventTooLong
@@ -249,6 +249,8 @@
         self._dispatch.without.add(backend.id)
         if leg.status in REJECTIONS:
             self._shared.count("readings_rejected")
+            if leg.status == MISDIRECTED:
+                self._shared.candidates.failed(now, backend.id)
             self._attempts.reading_rejected(leg.is_counted)
             if self._attempts.arrivals > 1:
                 self._dispatch.budget.spend(now)
@@ -266,7 +268,7 @@
         """A backend said that it did not run the request."""
         self._shared.count("rejected")
         self._dispatch.without.add(leg.seen.backend.id)
-        if leg.status == 421:
+        if leg.status == MISDIRECTED:
             self._shared.candidates.failed(now, leg.seen.backend.id)
         if not self._legs:  # else another copy is out
             self._replan(now)
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cranebank.dataplane.candidates import Seen
+from cranebank.dataplane.seen import Seen
 from cranebank.transport.messages import Backend
 
 
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -18,9 +18,10 @@
 import msgspec
 
 from cranebank.dataplane.cache_view import CacheView
-from cranebank.dataplane.candidates import Candidates, Seen
+from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine
+from cranebank.dataplane.seen import Seen
 from cranebank.decisions.balance import beta
 
 KEPT_HOMES = 4096  # shared parts of a service whose homes are remembered
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -272,7 +272,7 @@
 
     def learn(self, backends: Iterable[Backend]) -> None:
         """Take records of backends."""
-        for over in self.shared.candidates.merge(backends):
+        for over in self.shared.candidates.merge(backends, asyncio.get_running_loop().time()):
             self.pool.drop(over)
             self.shared.cache.forget(over)
 
--- /dev/null
+++ b/cranebank/dataplane/seen.py
@@ -0,0 +1,40 @@
+"""What this proxy has seen of one backend itself: its calls there, and how they ended."""
+
+from __future__ import annotations
+
+from cranebank.transport.messages import Backend
+
+
+class Seen:
+    """One backend as seen from here. ``calls`` and ``tokens`` are out at it from this proxy, ``others_calls`` and
+    ``others_tokens`` from the neighbours that tell us theirs."""
+
+    __slots__ = (
+        "answered_at",
+        "away_for",
+        "away_until",
+        "backend",
+        "calls",
+        "figured_at",
+        "is_replaced",
+        "lost_at",
+        "others_calls",
+        "others_tokens",
+        "tokens",
+    )
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.calls = 0
+        self.tokens = 0
+        self.others_calls = self.others_tokens = 0
+        self.figured_at = 0.0  # when the figures last changed, by a call sent or ended
+        self.answered_at = float("-inf")
+        self.lost_at = 0.0  # when its heartbeats ceased, where they have
+        self.is_replaced = False  # another backend was last known to serve at its address
+        self.away_until = self.away_for = 0.0
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether a call failed since the last answer."""
+        return self.away_for > 0.0
--- /dev/null
+++ b/cranebank/dataplane/suspects.py
@@ -0,0 +1,77 @@
+"""Backends whose heartbeats ceased (suspects), as this proxy's own calls show them.
+
+Ceased heartbeats are an observation of the controllers. They mean that the backend is dead, or that it is cut off from
+the controllers that this proxy hears. What the proxy sees itself is the better evidence: a suspect that has just
+answered a call is alive, and one whose call has failed since is not relied on. Where few others are left, a mass of
+lost heartbeats is likelier a fault of the control side than of the backends: suspects that failed no call are then
+used like ready ones (fail open, as a panic threshold does).
+"""
+
+from __future__ import annotations
+
+from cranebank.dataplane.seen import Seen
+
+ANSWERED_S = 3.0  # an answer vouches for so long: less than the time after which a dead backend is lost
+SUSPECT_S = 60.0  # a backend that was lost for longer is dead; controllers forget it then too
+FAIL_OPEN_SHARE = 0.5  # of the backends thought to be alive are ready: with fewer, suspects are used like them
+
+Place = tuple[str, str]
+"""A service and a stage."""
+
+
+class Suspects:
+    """The suspects of each service and stage, in the order in which they were lost."""
+
+    def __init__(self) -> None:
+        self._by_place: dict[Place, dict[str, Seen]] = {}
+        self._merged: dict[Place, list[Seen]] = {}  # the list that was made last
+
+    def __bool__(self) -> bool:
+        return bool(self._by_place)
+
+    def add(self, place: Place, seen: Seen) -> None:
+        """Its heartbeats ceased."""
+        self._by_place.setdefault(place, {})[seen.backend.id] = seen
+
+    def remove(self, place: Place, backend: str) -> None:
+        """It beats again, or is over."""
+        suspects = self._by_place.get(place, {})
+        suspects.pop(backend, None)
+        if not suspects:
+            self._by_place.pop(place, None)
+            self._merged.pop(place, None)
+
+    def merged(self, now: float, place: Place, ready: list[Seen]) -> list[Seen]:
+        """The ready ones, and the suspects that are used like them; the same list for as long as it holds."""
+        if place not in self._by_place:
+            return ready
+        self._forget(now, place)
+        chosen = self._like_ready(now, place, ready)
+        if not chosen:
+            return ready
+        merged = ready + chosen
+        if self._merged.get(place) != merged:
+            self._merged[place] = merged
+        return self._merged[place]
+
+    def last_resort(self, now: float, place: Place) -> list[Seen]:
+        """Suspects that may be tried for want of any other: also those that failed a call, one call at a time."""
+        return [seen for seen in self._by_place.get(place, {}).values() if is_last_resort(now, seen)]
+
+    def _like_ready(self, now: float, place: Place, ready: list[Seen]) -> list[Seen]:
+        unfailed = [seen for seen in self._by_place.get(place, {}).values() if not seen.has_failed]
+        well = sum(seen.away_until <= now for seen in ready)
+        if well < FAIL_OPEN_SHARE * (well + len(unfailed)):
+            return unfailed
+        return [seen for seen in unfailed if now - seen.answered_at <= ANSWERED_S]
+
+    def _forget(self, now: float, place: Place) -> None:
+        for backend, seen in list(self._by_place[place].items()):
+            if now - seen.lost_at <= SUSPECT_S:
+                return
+            self.remove(place, backend)
+
+
+def is_last_resort(now: float, seen: Seen) -> bool:
+    """Whether a suspect may be tried where there is no other."""
+    return not seen.is_replaced and now - seen.lost_at <= SUSPECT_S and seen.away_until <= now
--- a/tests/mutant.py
+++ b/tests/mutant.py
@@ -14,6 +14,7 @@
     LOSSES_AFTER_REPAIR = "losses-after-repair"
     HUNDREDS_OF_CHANGES = "hundreds-of-changes"
     RIGHT_CALLER = "right-caller"
+    LIVENESS = "liveness"
     OTHER = "other"
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -23,6 +23,7 @@
 from mutant import Mutant, Point
 from mutants_control import CONTROL_MUTANTS
 from mutants_data_plane import DATA_PLANE_MUTANTS
+from mutants_liveness import LIVENESS_MUTANTS
 from mutants_replication import REPLICATION_MUTANTS
 from mutants_storage import STORAGE_MUTANTS
 
@@ -41,6 +42,7 @@
     *REPLICATION_MUTANTS,
     *STORAGE_MUTANTS,
     *DATA_PLANE_MUTANTS,
+    *LIVENESS_MUTANTS,
 )
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -127,6 +127,17 @@
     assert story.out() == {make.backend.id: 1}
 
 
+def test_whoever_is_another_than_the_one_that_was_to_read_stands_back() -> None:
+    """An address that has passed to another backend answers 421, a reading too: it is no answer of that backend."""
+    story = Story(makers=1, readers=2, tries=4)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 421, {}))
+    (again,) = calls(story.do(LegEnd(read.leg)))
+    assert again.backend.id != read.backend.id
+    ready = story.shared.candidates.ready(story.now, "svc", "prefill")
+    assert read.backend.id not in {seen.backend.id for seen in ready}
+
+
 def test_a_prompt_that_nobody_takes_is_freed_when_the_client_leaves() -> None:
     story = Story(tries=1, resumable=False, goal_ms=600.0, makers=1)
     (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
--- a/tests/test_exchange_parts.py
+++ b/tests/test_exchange_parts.py
@@ -6,11 +6,11 @@
 
 from cranebank.dataplane.attempts import UNSENT, Attempts
 from cranebank.dataplane.backend_answers import AnswerKind, handle_in, kind_of
-from cranebank.dataplane.candidates import Seen
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.errors import NotRun, OutOfTime, Unknown
 from cranebank.dataplane.exchange_events import Break, Data, Finish, Head, Reply
 from cranebank.dataplane.open_legs import Leg, OpenLegs
+from cranebank.dataplane.seen import Seen
 from cranebank.transport.messages import Backend
 
 BACKEND = Backend("d0", "svc", "10.0.0.1:1", "z", "decode", 4, "ready", 1)
