--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -275,11 +275,11 @@
 
     def learn(self, backends: Iterable[Backend]) -> None:
         """Take records of backends."""
-        candidates = self.shared.candidates
-        for over in candidates.merge(backends):
+        candidates, now = self.shared.candidates, asyncio.get_running_loop().time()
+        for over in candidates.merge(backends, now):
             self.pool.drop(over)
             self.shared.cache.forget(over)
-        self._stages.observe(asyncio.get_running_loop().time(), candidates.staffed(), candidates.records.values())
+        self._stages.observe(now, candidates.staffed(), candidates.records.values())
 
     def noted(self, backend: str, part: str, tokens: int) -> None:
         """A neighbour had this backend read a prompt up to and with this shared part."""
