Laboratory: real processes on a network whose paths can be cut, without privileges

Taken: a launcher that runs the unchanged program on an event loop whose connections hold bytes, ends and handshakes back while a path is cut, and a file that says which paths are.

--- /dev/null
+++ b/tests/test_network_cuts.py
@@ -0,0 +1,306 @@
+"""Cut paths between processes: silence while they last, and what TCP would do when they heal. Real loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path as FilePath
+
+import pytest
+
+from cranebank.fleetlab.launcher import GuardedLoop, guarded_sockets
+from cranebank.fleetlab.network import LabNetwork, NetworkView, Path, both_ways, one_way
+
+OWN, PEER = "127.0.14.1", "127.0.14.2"
+TO_PEER, FROM_PEER = (Path(OWN, PEER),), (Path(PEER, OWN),)
+STORY_S = 10.0
+SILENT_S = 0.15  # in which something that isn't held up would have come
+
+
+class Recorder(asyncio.Protocol):
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.events: list[str] = []
+        self.error: Exception | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.events.append("made")
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+
+    def eof_received(self) -> None:
+        self.events.append("end")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.error = exc
+        self.events.append("lost")
+
+
+class Peer:
+    """The other machine: plain sockets, which know nothing of cuts."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((PEER, 0))
+        self.listener.setblocking(False)
+        self.port: int = self.listener.getsockname()[1]
+
+    async def accept(self) -> socket.socket:
+        found, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        return found
+
+
+Story = Callable[[LabNetwork, NetworkView, Peer], Awaitable[None]]
+
+
+def play(folder: FilePath, story: Story) -> None:
+    """Run a story on a loop that keeps to the cuts."""
+    loop: GuardedLoop | None = None
+    view: NetworkView | None = None
+
+    def make() -> GuardedLoop:
+        nonlocal loop, view
+        view = NetworkView(folder / "network.json", OWN)
+        loop = GuardedLoop(view)
+        return loop
+
+    async def run() -> None:
+        assert view is not None
+        peer = Peer()
+        with peer.listener:
+            async with asyncio.timeout(STORY_S):
+                await story(network, view, peer)
+
+    network = asyncio.run(made(folder))
+    with asyncio.Runner(loop_factory=make) as runner:
+        runner.run(run())
+
+
+async def made(folder: FilePath) -> LabNetwork:
+    return LabNetwork(folder / "network.json")
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+async def cut(network: LabNetwork, view: NetworkView, paths: tuple[Path, ...]) -> None:
+    """Cut, and wait until the process knows."""
+    network.cut(paths)
+    await until(lambda: all(view.is_cut_to(p.target) if p.source == OWN else view.is_cut_from(p.source) for p in paths))
+
+
+async def dial(peer: Peer) -> tuple[Recorder, socket.socket]:
+    loop = asyncio.get_running_loop()
+    _, recorder = await loop.create_connection(Recorder, PEER, peer.port)
+    return recorder, await peer.accept()
+
+
+async def has_nothing_to_read(sock: socket.socket) -> bool:
+    try:
+        async with asyncio.timeout(SILENT_S):
+            await asyncio.get_running_loop().sock_recv(sock, 100)
+    except TimeoutError:
+        return True
+    return False
+
+
+@pytest.mark.parametrize("paths", [TO_PEER, FROM_PEER, TO_PEER + FROM_PEER], ids=["out", "in", "both"])
+def test_bytes_on_a_cut_path_come_when_it_heals_in_order(tmp_path: FilePath, paths: tuple[Path, ...]) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        loop = asyncio.get_running_loop()
+        recorder, far = await dial(peer)
+        with far:
+            assert recorder.transport is not None
+            await cut(network, view, paths)
+            recorder.transport.write(b"to ")
+            await loop.sock_sendall(far, b"from ")
+            if paths == TO_PEER:
+                await until(lambda: recorder.data == b"from ")
+            if paths == FROM_PEER:
+                assert await loop.sock_recv(far, 100) == b"to "
+            if paths != FROM_PEER:
+                assert await has_nothing_to_read(far)
+            if paths != TO_PEER:
+                assert recorder.data == b""
+            network.heal(paths)
+            recorder.transport.write(b"peer")
+            await loop.sock_sendall(far, b"peer")
+            await until(lambda: recorder.data == b"from peer")
+            found = b"to " if paths == FROM_PEER else b""
+            while found != b"to peer":
+                found += await loop.sock_recv(far, 100)
+
+    play(tmp_path, story)
+
+
+def test_a_dial_hangs_until_the_cut_heals(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        await cut(network, view, FROM_PEER)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(SILENT_S):
+                await dial(peer)
+        waiting = asyncio.ensure_future(dial(peer))
+        network.heal(FROM_PEER)
+        recorder, far = await waiting
+        far.close()
+        assert recorder.events == ["made"]
+
+    play(tmp_path, story)
+
+
+def test_a_connection_accepted_while_cut_off_is_told_when_the_cut_heals(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        loop = asyncio.get_running_loop()
+        accepted: list[Recorder] = []
+
+        def accept() -> Recorder:
+            accepted.append(Recorder())
+            return accepted[-1]
+
+        server = await loop.create_server(accept, OWN, 0)
+        port = server.sockets[0].getsockname()[1]
+        await cut(network, view, TO_PEER)
+        with socket.socket() as far:
+            far.setblocking(False)
+            far.bind((PEER, 0))
+            await loop.sock_connect(far, (OWN, port))
+            await loop.sock_sendall(far, b"early")
+            await until(lambda: bool(accepted))
+            assert accepted[0].events == []
+            network.heal(TO_PEER)
+            await until(lambda: accepted[0].data == b"early")
+        server.close()
+
+    play(tmp_path, story)
+
+
+def test_an_end_behind_a_cut_is_noticed_when_it_heals(tmp_path: FilePath) -> None:
+    """An orderly end brings the bytes before it."""
+
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, far = await dial(peer)
+        await cut(network, view, FROM_PEER)
+        await asyncio.get_running_loop().sock_sendall(far, b"last")
+        far.close()
+        await asyncio.sleep(SILENT_S)
+        assert (recorder.events, recorder.data) == (["made"], b"")
+        network.heal(FROM_PEER)
+        await until(lambda: "lost" in recorder.events)
+        assert (recorder.events, recorder.data) == (["made", "end", "lost"], b"last")
+
+    play(tmp_path, story)
+
+
+def test_the_peer_does_not_see_an_end_through_a_cut(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, far = await dial(peer)
+        with far:
+            assert recorder.transport is not None
+            await cut(network, view, TO_PEER)
+            recorder.transport.abort()
+            assert recorder.transport.is_closing()
+            await until(lambda: "lost" in recorder.events)
+            assert await has_nothing_to_read(far)
+            network.heal(TO_PEER)
+            assert await asyncio.get_running_loop().sock_recv(far, 100) == b""
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("paths", [TO_PEER, FROM_PEER], ids=["out", "in"])
+def test_unacknowledged_bytes_end_a_connection_by_its_user_timeout(tmp_path: FilePath, paths: tuple[Path, ...]) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, far = await dial(peer)
+        with far:
+            assert recorder.transport is not None
+            sock = recorder.transport.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 100)
+            await cut(network, view, paths)
+            recorder.transport.write(b"lost")
+            await until(lambda: "lost" in recorder.events)
+            assert isinstance(recorder.error, TimeoutError)
+
+    play(tmp_path, story)
+
+
+def test_a_reset_ends_only_the_connections_of_its_pair(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, far = await dial(peer)
+        with far:
+            network.reset("127.0.14.3", PEER)
+            network.reset(OWN, "127.0.14.3")
+            network.reset(PEER, OWN)
+            with pytest.raises(ConnectionResetError):
+                await asyncio.get_running_loop().sock_recv(far, 100)
+            await until(lambda: "lost" in recorder.events)
+
+    play(tmp_path, story)
+
+
+def test_a_pair_that_was_not_reset_lives_on(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, far = await dial(peer)
+        with far:
+            network.reset("127.0.14.3", PEER)
+            network.reset(OWN, "127.0.14.3")
+            await cut(network, view, TO_PEER)  # by then the resets were read too
+            network.heal(TO_PEER)
+            await asyncio.get_running_loop().sock_sendall(far, b"on")
+            await until(lambda: recorder.data == b"on")
+
+    play(tmp_path, story)
+
+
+def test_datagrams_on_a_cut_path_are_lost(tmp_path: FilePath) -> None:
+    async def story(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        with (
+            guarded_sockets(view)(socket.AF_INET, socket.SOCK_DGRAM) as own,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as far,
+        ):
+            own.setblocking(False)
+            own.bind((OWN, 0))
+            far.bind((PEER, 0))
+            far.settimeout(STORY_S)
+            await cut(network, view, TO_PEER)
+            assert own.sendto(b"lost", far.getsockname()) == 4
+            network.heal(TO_PEER)
+            await until(lambda: not view.is_cut_to(PEER))
+            own.sendto(b"comes", far.getsockname())
+            assert far.recv(100) == b"comes"
+            await cut(network, view, FROM_PEER)
+            far.sendto(b"lost", own.getsockname())
+            await until(lambda: is_readable(own))
+            with pytest.raises(BlockingIOError):
+                own.recvfrom(100)
+
+    play(tmp_path, story)
+
+
+def is_readable(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+
+
+def test_overlapping_cuts_of_a_path_heal_one_by_one(tmp_path: FilePath) -> None:
+    async def story() -> None:
+        network = LabNetwork(tmp_path / "network.json")
+        first, second = both_ways([OWN], [PEER]), one_way([OWN], [PEER, "127.0.14.3"])
+        network.cut(first)
+        network.cut(second)
+        network.heal(first)
+        assert network.is_cut(OWN, PEER)
+        assert not network.is_cut(PEER, OWN)
+        network.heal(second)
+        assert not network.is_cut(OWN, PEER)
+
+    asyncio.run(story())
