--- /dev/null
+++ b/cranebank/fleetlab/lab_run.py
@@ -0,0 +1,202 @@
+"""What all plays of the laboratory share: the fleet, backends, clients and operator, started, watched and ended."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import tempfile
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from cranebank.fleetlab.backend import Backend
+from cranebank.fleetlab.clients import Clients, Ingress, Platform
+from cranebank.fleetlab.fleet import FRONT, READY, ZONE, Fleet, FleetShape, Programs, StartError, claim
+from cranebank.fleetlab.model import EngineSpec
+from cranebank.fleetlab.operator import Operator, first_configuration
+from cranebank.fleetlab.records import Bounds, DayRecord, Trouble
+from cranebank.fleetlab.wire import ask_once
+
+START_S = 10.0  # for the whole fleet to be ready
+KEEP_S = 0.2  # between looks for processes that ended by themselves
+SAMPLE_S = 0.5  # between questions for the primary
+PROBES, PROBE_EVERY_S, PROBE_AFTER_S = 3, 1.2, 0.1  # of the routes of a change, at each proxy
+SPEC = EngineSpec(link_mbps=2_000_000.0)
+SERVICES = {"g1": ("prefill", "prefill", "decode", "decode", "decode"), "g2": ("prefill", "decode", "decode")}
+
+
+class LabRun:
+    """One play. ``_play`` is what happens in it; the record is what clients, backends and the operator saw."""
+
+    def __init__(
+        self, seed: int, beat_ms: float, shape: FleetShape, progress: Callable[[str], None], folder: Path | None
+    ) -> None:
+        """``folder``: where settings, logs and disks are left; without one they are removed."""
+        self.record = DayRecord(Bounds())
+        self._seed, self._beat_ms, self._shape = seed, beat_ms, shape
+        self._folder = folder
+        self._progress = progress
+        self._random = Random(seed)
+        self._backends: list[Backend] = []
+        self._handles: dict[str, str] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._begin = 0.0
+
+    async def play(self) -> DayRecord:
+        """Play it; everything that was started has ended when this returns."""
+        net, held = claim()
+        with held, tempfile.TemporaryDirectory(prefix="cranebank-run-") as temporary:
+            folder = self._folder or Path(temporary)
+            self._fleet = Fleet(self._shape, net, folder, self._beat_ms, self.record.bounds, self._programs(folder))
+            self._prepare()
+            try:
+                await self._start()
+                await self._play()
+            finally:
+                await self._end()
+        self.record.ended = self.record.ended or asyncio.get_running_loop().time()
+        return self.record
+
+    def _programs(self, folder: Path) -> Programs:
+        """How this run starts the programs."""
+        return Programs()
+
+    async def _play(self) -> None:
+        """From the first ready proxy to the end."""
+        raise NotImplementedError
+
+    def _say(self, text: str) -> None:
+        at = asyncio.get_running_loop().time() - self._begin if self._begin else 0.0
+        self._progress(f"{at:5.1f} s  {text}")
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        return task
+
+    # Start and end.
+
+    def _prepare(self) -> None:
+        proxies = self._fleet.proxies.values()
+        self._platform = Platform(
+            Ingress(proxy.name, f"{proxy.ip}:{FRONT}", f"{proxy.ip}:{READY}") for proxy in proxies
+        )
+        self._clients = Clients(self._platform, self.record, SPEC.stride, self._random)
+        self._operator = Operator(
+            lambda: self._fleet.control_addresses, self.record.changes, Random(self._seed + 1), self._say
+        )
+
+    async def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await self._fleet.start_all()
+        for service, stages in SERVICES.items():
+            for stage in stages:
+                await self._add_backend(service, stage)
+        await self._operator.begin(first_configuration(dict.fromkeys(SERVICES, SPEC)))
+        proxies = list(self._platform.proxies.values())
+        while not all(await asyncio.gather(*(self._platform.look(proxy) for proxy in proxies))):
+            missing = [proxy.name for proxy in proxies if proxy.misses]
+            if loop.time() > begun + START_S:
+                raise StartError(f"not ready after {START_S:g} s: {', '.join(missing)}")
+            await asyncio.sleep(0.05)
+        self.record.begun = self._begin = loop.time()
+        self.record.troubles.append(Trouble("core", begun, begun, "start"))
+        shape = self._shape
+        self._say(
+            f"{shape.controllers} controllers, {shape.proxies} proxies and {len(self._backends)} backends "
+            f"are up on {self._fleet.net}.0"
+        )
+        self._spawn(self._platform.watch())
+        self._spawn(self._sample())
+        self._spawn(self._keep())
+
+    async def _end(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for backend in self._backends:
+            backend.stop()
+        for process in await self._fleet.stop_all(self.record.bounds.grace_s):
+            self._say(f"{process.name} did not end by itself")
+
+    async def _add_backend(self, service: str, stage: str) -> Backend:
+        number = next(self._numbers)
+        turn = number % self._shape.controllers
+
+        def controllers() -> list[str]:
+            addresses = self._fleet.control_addresses
+            return addresses[turn:] + addresses[:turn]
+
+        backend = Backend(
+            SPEC,
+            f"i-{number:02x}",
+            service,
+            stage,
+            self._fleet.backend_address(number),
+            ZONE,
+            controllers,
+            self._beat_ms / 1e3,
+            self.record.bounds.drain_ms / 1e3,
+            self.record.arrivals,
+            self.record.drains,
+            self._handles,
+        )
+        await backend.start()
+        self._backends.append(backend)
+        return backend
+
+    # While it runs.
+
+    async def _amend(self) -> None:
+        """A change; then every proxy is asked directly on the routes that came, went, or never were."""
+        before = {rule["path_prefix"].strip("/") for rule in self._operator.current["routes"]}
+        if not await self._operator.amend():
+            return
+        after = {rule["path_prefix"].strip("/") for rule in self._operator.current["routes"]}
+        await asyncio.sleep(PROBE_AFTER_S)
+        for _ in range(PROBES):
+            await asyncio.gather(
+                *(
+                    self._clients.probe(proxy, name)
+                    for proxy in self._platform.proxies.values()
+                    if proxy.misses == 0
+                    for name in [*sorted(before ^ after), "never"]
+                )
+            )
+            await asyncio.sleep(PROBE_EVERY_S)
+
+    async def _keep(self) -> None:
+        """Start again what ended by itself."""
+        while True:
+            await asyncio.sleep(KEEP_S)
+            for process in self._fleet.processes:
+                if process.wanted and process.process is not None and process.process.returncode is not None:
+                    self._say(f"{process.name} ended by itself with {process.process.returncode}")
+                    self.record.exits.append((process.name, process.process.returncode))
+                    await self._fleet.start(process)
+
+    async def _primary(self) -> str:
+        """Who says that it is primary."""
+        addresses = self._fleet.control_addresses
+        found = await asyncio.gather(*(ask_once(at, "GET", "/api/System.Status", seconds=0.4) for at in addresses))
+        for answer in found:
+            if answer.status == 200 and answer.whole:
+                told = msgspec.json.decode(answer.body)
+                if told["is_primary"]:
+                    return str(told["node"])
+        return ""
+
+    async def _sample(self) -> None:
+        loop = asyncio.get_running_loop()
+        for turn in itertools.count():
+            now = loop.time()
+            self.record.primaries.append((now, await self._primary()))
+            if turn % 4 == 0 and turn:
+                clients = self._clients
+                self._say(f"{clients.asked} asked, {clients.served} served, {clients.failed} not")
+            await asyncio.sleep(max(0.05, SAMPLE_S - (loop.time() - now)))
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -107,7 +107,11 @@
     """Sends changes one after another, or two at once, and remembers what was acknowledged."""
 
     def __init__(
-        self, controllers: list[str], changes: list[Change], random: Random, progress: Callable[[str], None]
+        self,
+        controllers: Callable[[], list[str]],
+        changes: list[Change],
+        random: Random,
+        progress: Callable[[str], None],
     ) -> None:
         self._controllers, self._changes, self._random, self._progress = controllers, changes, random, progress
         self.current: Document = {"revision": 0, "routes": [], "services": []}
@@ -188,7 +192,7 @@
 
     async def _call(self, method: str, call: str, body: bytes, headers: dict[str, str]) -> Answer:
         """One call to any controller, following it twice to where it is sent on."""
-        at = self._random.choice(self._controllers)
+        at = self._random.choice(self._controllers())
         path = f"/api/Configuration.{call}"
         answer = Answer()
         for _ in range(3):
