--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -13,7 +13,7 @@
 
 from cranebank.fleetlab import model as m
 from cranebank.fleetlab.records import Arrival, Drain
-from cranebank.fleetlab.wire import ask_once
+from cranebank.fleetlab.wire import Caller, ask_once
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
 CUT_AFTER = 2  # events, before an answer is cut short
@@ -135,7 +135,9 @@
         arrivals: list[Arrival],
         drains: list[Drain],
         handles: dict[str, str],
+        caller: Caller | None = None,
     ) -> None:
+        """``controllers`` lists their addresses, the one to begin with first; ``caller`` makes the calls to them."""
         self.model = m.ModelBackend(spec, instance, stage)
         self.instance, self.service, self.address, self.zone = instance, service, address, zone
         self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
@@ -150,7 +152,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.phase = "ready"
-        self._turn = 0
+        self._caller = caller
+        self._beat_address = ""  # the controller that took the last heartbeat: used until one fails there
         self.ended = asyncio.Event()
 
     async def start(self) -> None:
@@ -223,15 +226,23 @@
         }
         return await self._tell("Heartbeat", msgspec.json.encode(body))
 
+    def beat_at(self, address: str) -> None:
+        """Send the next heartbeat to this controller."""
+        self._beat_address = address
+
     async def _tell(self, what: str, body: bytes) -> bool:
         """Tell one controller; after a failure the next one is used."""
         controllers = self._controllers()
-        for _ in controllers:
-            at = controllers[self._turn % len(controllers)]
-            answer = await ask_once(at, "POST", f"/api/Servers.{what}/{self.instance}", body)
+        if self._beat_address not in controllers:
+            self._beat_address = controllers[0]
+        first = controllers.index(self._beat_address)
+        for at in controllers[first:] + controllers[:first]:
+            self._beat_address = at
+            path = f"/api/Servers.{what}/{self.instance}"
+            answer = await ask_once(at, "POST", path, body, caller=self._caller)
             if 200 <= answer.status < 300 and answer.whole:
                 return True
-            self._turn += 1
+        self._beat_address = controllers[(first + 1) % len(controllers)]
         return False
 
     async def _leave(self) -> None:
--- a/cranebank/fleetlab/clients.py
+++ b/cranebank/fleetlab/clients.py
@@ -68,11 +68,17 @@
         self.asked = self.served = self.failed = 0
 
     async def load(self, rate: float, seconds: float) -> None:
-        """Poisson arrivals, and then until the last request has ended."""
+        """Poisson arrivals for so long, and then until the last request has ended."""
+        enough = asyncio.Event()
+        asyncio.get_running_loop().call_later(seconds, enough.set)
+        await self.load_until(rate, enough)
+
+    async def load_until(self, rate: float, enough: asyncio.Event) -> None:
+        """Poisson arrivals until it is enough, and then until the last request has ended."""
         loop = asyncio.get_running_loop()
-        begin = at = loop.time()
+        at = loop.time()
         async with asyncio.TaskGroup() as group:
-            while at < begin + seconds:
+            while not enough.is_set():
                 at += self._random.expovariate(rate)
                 await asyncio.sleep(max(0.0, at - loop.time()))
                 group.create_task(self._request())
--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -150,6 +150,8 @@
             self.add_controller()
         for number in range(1, shape.proxies + 1):
             self._add_proxy(number)
+        self.listed_controllers: list[str] = []  # addresses on callers' lists, which lag
+        self.list_controllers()
 
     @property
     def processes(self) -> list[Process]:
@@ -161,6 +163,10 @@
         """Where the controllers serve control."""
         return [f"{process.ip}:{CONTROL}" for process in self.controllers.values()]
 
+    def list_controllers(self) -> None:
+        """Bring callers' lists up to date."""
+        self.listed_controllers = self.control_addresses
+
     def backend_address(self, number: int) -> str:
         """The address of the n-th backend of the run."""
         return f"{self.net}.{FIRST_BACKEND + number}:{BACKEND}"
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -87,7 +87,7 @@
         )
         self._clients = Clients(self._platform, self.record, SPEC.stride, self._random)
         self._operator = Operator(
-            lambda: self._fleet.control_addresses, self.record.changes, Random(self._seed + 1), self._say
+            lambda: self._fleet.listed_controllers, self.record.changes, Random(self._seed + 1), self._say
         )
 
     async def _start(self) -> None:
@@ -129,7 +129,7 @@
         turn = number % self._shape.controllers
 
         def controllers() -> list[str]:
-            addresses = self._fleet.control_addresses
+            addresses = self._fleet.listed_controllers
             return addresses[turn:] + addresses[:turn]
 
         backend = Backend(
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -11,14 +11,15 @@
 
 from cranebank.fleetlab.backend import digest
 from cranebank.fleetlab.model import EngineSpec
-from cranebank.fleetlab.records import Change, ReadBack, RouteRule
-from cranebank.fleetlab.wire import Answer, ask_once
+from cranebank.fleetlab.records import Change, ReadBack, Reading, RouteRule
+from cranebank.fleetlab.wire import Answer, Caller, ask_once
 
 HOST = "shop.example"
 Document = dict[str, Any]
 FINAL = frozenset({400, 409, 412, 413, 422})
 GIVE_UP_S = 15.0
 PATIENCE_S = 1.0
+RETRY_S = 0.1
 
 
 def route(name: str, service: str, variant: str = "streaming", **more: object) -> Document:
@@ -112,8 +113,11 @@
         changes: list[Change],
         random: Random,
         progress: Callable[[str], None],
+        readings: list[Reading] | None = None,
+        caller: Caller | None = None,
     ) -> None:
         self._controllers, self._changes, self._random, self._progress = controllers, changes, random, progress
+        self._readings, self._caller = [] if readings is None else readings, caller
         self.current: Document = {"revision": 0, "routes": [], "services": []}
         self._steps = 0
 
@@ -162,13 +166,29 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            answer = await self._call("GET", "Read", b"", {})
-            if answer.status == 200 and answer.whole:
-                document = json.loads(answer.body)
+            document = await self.read()
+            if document is not None:
                 return ReadBack(loop.time(), document["revision"], known_by(document))
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(RETRY_S)
         return ReadBack(loop.time(), 0, "")
 
+    async def read(self) -> Document | None:
+        """Ask any controller once for the newest configuration; nothing where it is not sure of it."""
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        answer = await self._call("GET", "Read", b"", {})
+        if answer.status != 200 or not answer.whole:
+            return None
+        document: Document = json.loads(answer.body)
+        self._readings.append(Reading(sent, loop.time(), document["revision"], known_by(document)))
+        return document
+
+    async def catch_up(self) -> None:
+        """Go on from the newest configuration, whatever became of the changes that had no clear answer."""
+        while (document := await self.read()) is None:
+            await asyncio.sleep(RETRY_S)
+        self.current = document
+
     async def _change(self, call: str, body: Document, whole: Document, base: int, valid: bool = True) -> bool:
         loop = asyncio.get_running_loop()
         change = Change(whole["revision"], base, rules(whole), known_by(whole), loop.time(), valid)
@@ -186,7 +206,7 @@
                 change.refused, change.answered = True, loop.time()
                 self._progress(f"revision {change.revision} refused with {answer.status}")
                 return False
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(RETRY_S)
         self._progress(f"revision {change.revision} got no clear answer")
         return False
 
@@ -196,7 +216,7 @@
         path = f"/api/Configuration.{call}"
         answer = Answer()
         for _ in range(3):
-            answer = await ask_once(at, method, path, body, PATIENCE_S, headers)
+            answer = await ask_once(at, method, path, body, PATIENCE_S, headers, self._caller)
             if answer.status != 307:
                 break
             at = urlsplit(answer.headers.get("location", "")).netloc
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 
@@ -129,6 +131,47 @@
     digest: str
 
 
+class Reading(msgspec.Struct, frozen=True):
+    """A configuration that a controller answered as the newest, whenever it was asked."""
+
+    sent: float
+    answered: float
+    revision: int
+    digest: str
+
+
+class OrderSeen(msgspec.Struct):
+    """An order that reached a backend, and its answer."""
+
+    at: float
+    instance: str
+    owner: str
+    fence: int
+    status: int = 0
+
+
+class InjectedFault(msgspec.Struct):
+    """A fault as it happened; ``end`` is when all of it had healed."""
+
+    kind: str
+    begin: float
+    end: float = math.inf
+    victims: str = ""
+
+
+class Health(msgspec.Struct, frozen=True):
+    """What could have served at a time, by what the laboratory itself did: it knows nothing of what processes think.
+
+    ``backends`` counts the decode backends of each service that are well, can be reached by all proxies that run and
+    reach a controller themselves."""
+
+    at: float
+    proxies: int  # that run and have had time to come up
+    all_proxies: int
+    controllers_lost: int  # down, standing still, cut off from most others, or back for too short a time
+    backends: dict[str, int]
+
+
 class DayRecord(msgspec.Struct):
     """Everything."""
 
@@ -144,3 +187,8 @@
     stray: list[str] = []  # bytes on clients' connections where no request was waiting
     primaries: list[tuple[float, str]] = []  # who was primary
     exits: list[tuple[str, int]] = []  # processes that ended by themselves
+    readings: list[Reading] = []
+    orders: list[OrderSeen] = []
+    faults: list[InjectedFault] = []
+    health: list[Health] = []
+    violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/cranebank/fleetlab/wire.py
+++ b/cranebank/fleetlab/wire.py
@@ -5,11 +5,41 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from typing import cast
+from random import Random
+from typing import Protocol, cast
 
 import httptools
 import msgspec
 
+SILENT_LOSS = 0.5  # of lost answers: the caller hears nothing; of the others it sees the connection end
+
+
+class Reachability(Protocol):
+    """A network whose paths may be cut."""
+
+    async def until_connectable(self, one: str, other: str) -> None:
+        """Wait until a handshake between two IPs can come to its end."""
+
+
+class Caller:
+    """Who makes calls to control: from which IP, over which network, and how many answers to it are lost."""
+
+    def __init__(self, ip: str, network: Reachability, random: Random) -> None:
+        self.ip, self._network, self._random = ip, network, random
+        self.share_lost = 0.0  # of the answers
+
+    async def until_connectable(self, host: str) -> None:
+        """Wait until a connection there can stand."""
+        await self._network.until_connectable(self.ip, host)
+
+    def loses_answer(self) -> bool:
+        """Whether the next answer is lost on its way."""
+        return self._random.random() < self.share_lost
+
+    def loses_in_silence(self) -> bool:
+        """Whether the caller waits in vain for an answer that is lost."""
+        return self._random.random() < SILENT_LOSS
+
 
 class Answer(msgspec.Struct):
     """What came back for one request."""
@@ -125,13 +155,23 @@
             self._end()
 
 
-async def connect(address: str, seconds: float = 1.0, stray: Callable[[bytes], None] | None = None) -> HttpLink | None:
+async def connect(
+    address: str,
+    seconds: float = 1.0,
+    stray: Callable[[bytes], None] | None = None,
+    caller: Caller | None = None,
+) -> HttpLink | None:
     """A connection, or none if it isn't up in time."""
     host, _, port = address.rpartition(":")
     link = HttpLink(stray)
+    loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
-            await asyncio.get_running_loop().create_connection(lambda: link, host, int(port))
+            if caller is None:
+                await loop.create_connection(lambda: link, host, int(port))
+            else:
+                await caller.until_connectable(host)
+                await loop.create_connection(lambda: link, host, int(port), local_addr=(caller.ip, 0))
     except (OSError, TimeoutError):
         return None
     return link
@@ -146,17 +186,30 @@
 
 
 async def ask_once(
-    address: str, method: str, path: str, body: bytes = b"", seconds: float = 1.0, headers: dict[str, str] | None = None
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    seconds: float = 1.0,
+    headers: dict[str, str] | None = None,
+    caller: Caller | None = None,
 ) -> Answer:
-    """One request over a connection of its own."""
-    link = await connect(address, seconds)
+    """One request over a connection of its own. An answer that is lost on its way is empty."""
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    link = await connect(address, seconds, caller=caller)
     if link is None:
         return Answer()
+    told = {"Host": address, **(headers or {})}
+    if body:
+        told["Content-Type"] = "application/json"
     try:
-        told = {"Host": address, **(headers or {})}
-        if body:
-            told["Content-Type"] = "application/json"
-        return await link.ask(request_bytes(method, path, told, body), seconds)
+        answer = await link.ask(request_bytes(method, path, told, body), seconds)
     finally:
         with contextlib.suppress(RuntimeError):
             link.close()
+    if caller is None or not caller.loses_answer():
+        return answer
+    if caller.loses_in_silence():
+        await asyncio.sleep(max(0.0, begun + seconds - loop.time()))
+    return Answer()
