--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -17,9 +17,7 @@
 from cranebank.control.custody_types import (
     FILE,
     HANDED,
-    CustodyCode,
     CustodySettings,
-    InvariantBroken,
     Leadership,
     PendingChange,
     State,
@@ -29,8 +27,9 @@
 from cranebank.control.epochs import ip_of
 from cranebank.control.primary import ASK_S, Primary
 from cranebank.control.replica import DISK_AGAIN_S, LEAVING_FRESH_S
+from cranebank.invariants import InvariantBroken
 
-__all__ = ["FILE", "HANDED", "Custody", "CustodyCode", "CustodySettings", "InvariantBroken", "State", "Value"]
+__all__ = ["FILE", "HANDED", "Custody", "CustodySettings", "InvariantBroken", "State", "Value"]
 
 CANDIDACY_S = 1.0  # after which a candidate gives up
 JOIN_S = 0.3  # between asks to be admitted, or to be told of a newer record
--- a/cranebank/control/custody_types.py
+++ b/cranebank/control/custody_types.py
@@ -28,22 +28,6 @@
     OUTSIDER = "outsider"  # no member of the newest record
 
 
-class CustodyCode(enum.StrEnum):
-    """Codes of the custody's errors."""
-
-    INVARIANT_BROKEN = "invariant_broken"
-
-
-class InvariantBroken(Exception):
-    """The state contradicts itself; the process must end, and its disk then tells what holds."""
-
-    code = CustodyCode.INVARIANT_BROKEN
-
-    def __init__(self, what: str) -> None:
-        super().__init__(self.code.value, what)
-        self.what = what
-
-
 class CustodySettings(msgspec.Struct, frozen=True):
     """`seeds` are IPs; `tolerance` is how many machines may be lost at once; `zones` names the zone of an IP.
 
--- a/cranebank/control/replica.py
+++ b/cranebank/control/replica.py
@@ -18,7 +18,6 @@
 from cranebank.control.custody_types import (
     NO_VALUE,
     CustodySettings,
-    InvariantBroken,
     Leadership,
     State,
     Value,
@@ -36,6 +35,7 @@
     ip_of,
 )
 from cranebank.control.membership import group_size
+from cranebank.invariants import broken
 
 MARGIN_S = 0.1  # by which the primary stops before its lease ends
 ELECTION_TIMEOUT_S = (0.05, 0.25)  # random wait before a candidacy, so that two seldom coincide
@@ -283,4 +283,4 @@
     @staticmethod
     def _require(holds: bool, what: str) -> None:
         if not holds:
-            raise InvariantBroken(what)
+            raise broken(what)
--- a/cranebank/dataplane/attempts.py
+++ b/cranebank/dataplane/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cranebank.invariants import broken
+
 UNSENT = 4  # calls of one request that never left us, before it is given up
 FURTHER_READINGS = 1  # of one request's prompt after its first
 
@@ -72,5 +74,6 @@
             self.arrivals -= 1
 
     def check(self) -> None:
-        """Assert what must hold."""
-        assert self.count <= max(1, self._tries), "more attempts than tries"
+        """Raise InvariantBroken where the state contradicts itself."""
+        if self.count > max(1, self._tries):
+            raise broken("no more attempts than tries", f"{self.count} of {self._tries}")
--- a/cranebank/dataplane/client_answer.py
+++ b/cranebank/dataplane/client_answer.py
@@ -9,6 +9,7 @@
 from cranebank.dataplane.events_stream import EventSplitter
 from cranebank.dataplane.exchange_events import Break, Data, Finish, Head, Reply
 from cranebank.dataplane.open_legs import Leg
+from cranebank.invariants import broken
 
 RETRY_AFTER_S = 0.1
 
@@ -53,7 +54,8 @@
 
     def pass_failure(self, leg: Leg) -> list[Head | Data | Finish]:
         """A backend's failure, whole, as it came."""
-        assert not self.is_begun, "a second answer"
+        if self.is_begun:
+            raise broken("one answer a request")
         return [Head(leg.status, leg.headers), Data(leg.body), Finish()]
 
     def drop_rest(self) -> None:
@@ -80,5 +82,6 @@
         return [Head(leg.status, leg.headers)]
 
     def _reply(self, error: RequestError) -> Reply:
-        assert not (isinstance(error, NotRun) and self.may_have_run), "a refusal of what may have run"
+        if isinstance(error, NotRun) and self.may_have_run:
+            raise broken("what may have run is not refused")
         return Reply(error, RETRY_AFTER_S if isinstance(error, NotRun) else None)
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -37,6 +37,7 @@
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.shared import Shared
+from cranebank.invariants import broken
 
 SILENT_STREAM_S = 0.6  # a stream that may be resumed is given up after so long without an event
 UNPASSED_BYTES = 1 << 20  # of an answer that is held until it is whole
@@ -137,12 +138,15 @@
         return self.state is State.OVER
 
     def _change(self, state: State) -> None:
-        assert state in NEXT[self.state], f"{self.state} to {state}"
+        if state not in NEXT[self.state]:
+            raise broken("states of a request follow one another", f"{self.state} to {state}")
         self.state = state
 
     def _check(self) -> None:
-        assert self.state is not State.OVER or not self._legs, "legs outlive their request"
-        assert self._route.repeatable or self._legs.runs <= 1, "two runs at once"
+        if self.state is State.OVER and self._legs:
+            raise broken("no call outlives its request")
+        if not self._route.repeatable and self._legs.runs > 1:
+            raise broken("what can't be repeated runs once")
         self._attempts.check()
 
     def _replan(self, now: float) -> None:
@@ -154,7 +158,8 @@
             self._give_up(now)
             return
         leg = self._legs.get(call.leg)
-        assert leg is not None, "a call without its leg"
+        if leg is None:
+            raise broken("a planned call has its leg")
         if leg.reads:
             self._change(State.READING)
         elif self.state is not State.STREAMING:
--- a/cranebank/membership/loads.py
+++ b/cranebank/membership/loads.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 
+from cranebank.invariants import broken
 from cranebank.transport.messages import Load
 
 KEPT_S = 1.0
@@ -81,7 +82,8 @@
             return
         old_calls, old_tokens = self._sums.get(backend, (0, 0))
         total = (old_calls + calls, old_tokens + tokens)
-        assert total[0] >= 0 and total[1] >= 0, f"{backend}: {total} out"
+        if total[0] < 0 or total[1] < 0:
+            raise broken("loads are not below zero", f"{backend}: {total}")
         if total == (0, 0):
             self._sums.pop(backend, None)
         else:
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -15,6 +15,7 @@
 
 from loguru import logger
 
+from cranebank.invariants import broken
 from cranebank.membership.loads import Loads, Sums
 from cranebank.membership.outbox import Outbox
 from cranebank.membership.views import Event, FetchEnded, FetchFrom, Heard, SendShuffle, Shown, Tick, Views, Welcomed
@@ -159,7 +160,8 @@
                     self._fetch = asyncio.get_running_loop().create_task(self._fetch_from(ip))
 
     def _send(self, ip: str, frame: bytes) -> None:
-        assert len(frame) <= LARGEST, f"a datagram of {len(frame)} bytes"
+        if len(frame) > LARGEST:
+            raise broken("a datagram fits into one packet", f"{len(frame)} bytes")
         if self._socket is None:
             return
         try:
--- a/cranebank/membership/views.py
+++ b/cranebank/membership/views.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from cranebank.invariants import broken
+
 MOST = 12  # neighbours
 PART = 6  # of the view that goes into one shuffle, the sender included
 ROUND_S = 1.0
@@ -169,7 +171,8 @@
                 self._named = tuple(ip for ip in ips[:MOST] if ip != self._ip and is_address(ip))
                 self._take(((ip, 0) for ip in self._named), [])
             case FetchEnded():
-                assert self._standing is Standing.FETCHING, "a fetch ended that was not begun"
+                if self._standing is not Standing.FETCHING:
+                    raise broken("a fetch that ends was begun")
                 self._newer = 0  # who has it still shows it within a second: no tries at one that is gone
                 self._stand(Standing.CURRENT)
         self._check()
@@ -265,16 +268,23 @@
     # Changes of state.
 
     def _change(self, asking: Asking) -> None:
-        assert asking in NEXT_ASKING[self._asking], f"{self._asking} to {asking}"
+        if asking not in NEXT_ASKING[self._asking]:
+            raise broken("states of asking follow one another", f"{self._asking} to {asking}")
         self._asking = asking
 
     def _stand(self, standing: Standing) -> None:
-        assert standing in NEXT_STANDING[self._standing], f"{self._standing} to {standing}"
+        if standing not in NEXT_STANDING[self._standing]:
+            raise broken("states of standing follow one another", f"{self._standing} to {standing}")
         self._standing = standing
 
     def _check(self) -> None:
-        assert len(self._ages) <= MOST, f"{len(self._ages)} neighbours"
-        assert self._ip not in self._ages, "a proxy is its own neighbour"
-        assert all(0 <= age <= OLDEST for age in self._ages.values()), "a neighbour too old"
-        assert (self._asking is Asking.NONE) == (not self._asked), "a state without whom it is about"
-        assert not self._asked or self._asked in self._ages, "someone is asked who is no neighbour"
+        if len(self._ages) > MOST:
+            raise broken("the view is bounded", f"{len(self._ages)} neighbours")
+        if self._ip in self._ages:
+            raise broken("no proxy is its own neighbour")
+        if not all(0 <= age <= OLDEST for age in self._ages.values()):
+            raise broken("no neighbour is too old")
+        if (self._asking is Asking.NONE) != (not self._asked):
+            raise broken("whoever asks knows whom")
+        if self._asked and self._asked not in self._ages:
+            raise broken("only neighbours are asked")
--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -15,8 +15,8 @@
 
 from cranebank.control import events
 from cranebank.control.consensus import ConsensusCore
-from cranebank.control.custody import InvariantBroken
 from cranebank.control.operator_api import WRITE_S
+from cranebank.invariants import InvariantBroken
 from cranebank.programs.controller_links import ControllerLinks
 from cranebank.programs.local_state import LocalState, Storage
 from cranebank.storage.records import StorageError
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Literal, Protocol
@@ -16,6 +17,7 @@
 from loguru import logger
 
 from cranebank.control.web import Call, Request, Response, Server
+from cranebank.invariants import violations
 from cranebank.programs.settings import NodeSettings
 
 if TYPE_CHECKING:
@@ -139,6 +141,7 @@
             int(edge.links.unconfirmed_s),
         ),
         gauge("links_up", "Links to controllers that stand.", edge.links.up),
+        _invariant_violations(prefix),
     ]
 
 
@@ -181,9 +184,20 @@
             label="result",
             values={result: controller.writes.get(kind, 0) for result, kind in RESULTS.items()},
         ),
+        _invariant_violations(prefix),
     ]
 
 
+def _invariant_violations(prefix: str) -> Metric:
+    return Metric(
+        f"{prefix}invariant_violations_total",
+        "counter",
+        "Invariants found violated since the start, by name; none in a sound process.",
+        label="invariant",
+        values={re.sub(r"\W+", "_", name): number for name, number in violations().items()},
+    )
+
+
 def _ready_by_stage(prefix: str, records: Iterable[Backend]) -> Metric:
     stages = Counter(record.stage for record in records if record.phase == "ready")
     return Metric(
