--- a/cranebank/cli/system.py
+++ b/cranebank/cli/system.py
@@ -86,3 +86,52 @@
     report.write(page, report.day_page(record, verdict))
     click.echo(f"report: {page}")
     return 0 if verdict.kept and not record.exits else EXIT_FOUND
+
+
+def _seeds(text: str) -> list[int]:
+    """Of ``3``, ``1-50`` or ``1-5,9``."""
+    found: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        if not first.isdigit() or (last and not last.isdigit()):
+            raise click.BadParameter(f"{text}: expected seeds such as 7, 1-50 or 1-5,9")
+        found += range(int(first), int(last or first) + 1)
+    return found
+
+
+@system.command("soak")
+@click.option("--seeds", default="1-8", show_default=True, help="Seeds, such as 7, 1-50 or 1-5,9.")
+@click.option("--jobs", type=click.IntRange(1, 4), default=1, show_default=True, help="Runs at a time.")
+@click.option("--without", multiple=True, help="A kind of fault that is left out; may be given again.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, exists=True), help="Play the kept plan of a run.")
+@click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
+@needs_lab
+def soak(seeds: str, jobs: int, without: tuple[str, ...], file: Path | None, out: Path | None) -> int:
+    """Play real processes under faults that overlap, drawn from seeds: kills, pauses, cuts, lost disks and answers,
+    backends that come and go. A run takes about a minute. Exit code 1 if anything was found, or a kind of fault that
+    was wanted never happened. What failing runs left stays in the folder.
+
+    Example: cranebank system soak --seeds 1-50 --jobs 4
+    """
+    import msgspec  # noqa: PLC0415
+
+    from cranebank.fleetlab import campaign, soak_plan  # noqa: PLC0415
+
+    known = {kind.value: kind for kind in soak_plan.FaultKind}
+    unknown = [name for name in without if name not in known]
+    if unknown:
+        raise click.BadParameter(f"{', '.join(unknown)}: expected some of {', '.join(known)}", param_hint="--without")
+    kinds = tuple(kind for name, kind in known.items() if name not in without)
+    if file is not None:
+        plans = [msgspec.json.decode(file.read_bytes(), type=soak_plan.SoakPlan)]
+        wanted: tuple[soak_plan.FaultKind, ...] = ()
+    else:
+        plans = [soak_plan.draw(seed, soak_plan.PlanOptions(kinds)) for seed in _seeds(seeds)]
+        wanted = kinds
+    folder = out or Path(FOLDER) / f"soak-{stamp()}"
+    report = campaign.run(plans, jobs, folder, wanted, lambda line: click.echo(line, err=True))
+    (folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    for line in campaign.describe(report):
+        click.echo(line)
+    click.echo(f"results: {folder}")
+    return 0 if report.is_passed else EXIT_FOUND
--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cranebank.fleetlab import model as m
-from cranebank.fleetlab.records import Arrival, Drain
+from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
 from cranebank.fleetlab.wire import Caller, ask_once
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
@@ -36,13 +36,14 @@
 class Call:
     """One request that is open at the backend."""
 
-    __slots__ = ("arrival", "connection", "headed", "number", "request", "silent")
+    __slots__ = ("arrival", "connection", "headed", "number", "order", "request", "silent")
 
     def __init__(
         self, number: int, connection: BackendConnection, arrival: Arrival | None, request: m.GenerationRequest | None
     ) -> None:
         self.number, self.connection, self.arrival, self.request = number, connection, arrival, request
         self.headed = False
+        self.order: OrderSeen | None = None
         self.silent = "silent" in connection.backend.faults
 
 
@@ -135,6 +136,7 @@
         arrivals: list[Arrival],
         drains: list[Drain],
         handles: dict[str, str],
+        orders: list[OrderSeen],
         caller: Caller | None = None,
     ) -> None:
         """``controllers`` lists their addresses, the one to begin with first; ``caller`` makes the calls to them."""
@@ -143,6 +145,7 @@
         self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
         self._arrivals, self._drains = arrivals, drains
         self._handles = handles  # whose prompt each handle is, for the judge
+        self._orders = orders
         self.faults: set[str] = set()
         self.connections: set[BackendConnection] = set()
         self._calls: dict[int, Call] = {}
@@ -152,6 +155,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.phase = "ready"
+        self.serves_since = 0.0
         self._caller = caller
         self._beat_address = ""  # the controller that took the last heartbeat: used until one fails there
         self.ended = asyncio.Event()
@@ -162,6 +166,7 @@
         self._server = await asyncio.get_running_loop().create_server(
             lambda: BackendConnection(self), host, int(port), reuse_address=True
         )
+        self.serves_since = asyncio.get_running_loop().time()
         self._spawn(self._beat_on())
 
     def fault(self, name: str, on: bool = True) -> None:
@@ -274,7 +279,12 @@
         elif path == "/api/report":
             self._feed(m.ReportAsked(number))
         elif path == "/api/order":
-            self._feed(m.Ordered(number, _order(body, headers)))
+            order = _order(body, headers)
+            call.order = OrderSeen(
+                now, self.instance, order.owner or "", -1 if order.fence_no is None else order.fence_no
+            )
+            self._orders.append(call.order)
+            self._feed(m.Ordered(number, order))
         elif path.startswith("/api/kv-handle/") and method == "DELETE":
             self._feed(m.DeleteHandle(number, path.removeprefix("/api/kv-handle/")))
         else:
@@ -319,6 +329,8 @@
             case m.Respond(_, status, body, not_run):
                 if call.request is not None and call.request.is_prefill and status == 200:
                     self._handles[msgspec.json.decode(body)["prompt_handle"]] = call.request.attempt
+                if call.order is not None:
+                    call.order.status = status
                 self._answer(call, status, body, {"X-Not-Run": "1"} if not_run else {})
             case m.Prefilled(_, kept, read):
                 if call.arrival is not None:
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -14,7 +14,9 @@
     Change,
     DayRecord,
     Drain,
+    OrderSeen,
     ReadBack,
+    Reading,
     RouteRule,
     StreamEvent,
     Trouble,
@@ -81,6 +83,11 @@
     )
 
 
+def order(owner: str, fence: int, status: int, instance: str = "i-1") -> OrderSeen:
+    """An order that reached a backend; later ones have come later."""
+    return OrderSeen(20.0, instance, owner, fence, status)
+
+
 def make_day() -> DayRecord:
     """A day that keeps every rule: three changes, a drain, a lost race, a kill of the primary."""
     day = DayRecord(
@@ -222,6 +229,11 @@
         "ACKS",
         lambda day: put(day, changes=[*day.changes, Change(9, 6, (CHAT, NEW), "c9", 45.0)]),
     ),
+    "an older reading": ("CONFIG", lambda day: put(day, readings=[Reading(32.3, 32.4, 3, "c3")])),
+    "a reading of what was refused": ("CONFIG", lambda day: put(day, readings=[Reading(11.0, 11.1, 4, "c4")])),
+    "a reading of other contents": ("CONFIG", lambda day: put(day, readings=[Reading(31.0, 31.1, 6, "c7")])),
+    "two holders of a fence": ("ONE", lambda day: put(day, orders=[order("n-1", 4, 412), order("n-2", 4, 412)])),
+    "a lower fence that is taken": ("ONE", lambda day: put(day, orders=[order("n-1", 4, 202), order("n-2", 3, 200)])),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
@@ -243,6 +255,31 @@
     assert "revision 9 on top of 6" in "".join(verdict.remarks)
 
 
+def test_readings_and_orders_that_are_right() -> None:
+    day = make_day()
+    day.readings += [
+        Reading(31.9, 32.4, 3, "c3"),  # sent before the newest had to be in force
+        Reading(10.2, 10.3, 3, "c3"),  # not acknowledged yet
+        Reading(59.0, 59.1, 6, "c6"),
+    ]
+    day.orders += [
+        order("n-1", 4, 202),
+        order("n-1", 4, 409),
+        order("n-2", 5, 200),
+        order("n-1", 4, 412),
+        order("n-3", 1, 202, "i-2"),
+    ]
+    assert judge(day).kept
+
+
+def test_an_acknowledgement_may_be_late_where_answers_are_lost_or_the_backend_is_in_trouble() -> None:
+    for machine in ("answers", "i-8"):
+        day = make_day()
+        day.drains.append(Drain("i-8", 33.0))
+        day.troubles.append(Trouble(machine, 33.5, 36.0, "lost answers"))
+        assert judge(day).kept
+
+
 def test_every_rule_is_broken_here() -> None:
     assert {rule for rule, _ in BREAKS.values()} == set(RULES)
 
--- /dev/null
+++ b/tests/test_soak_plan.py
@@ -0,0 +1,80 @@
+"""Plans of soak runs: the same for a seed, within their bounds, and with everything in them before long."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import msgspec
+import pytest
+
+from cranebank.fleetlab.soak import BACKEND_FAULTS, PROCESS_FAULTS
+from cranebank.fleetlab.soak_plan import (
+    AT_ONCE,
+    TRAITS,
+    Fault,
+    FaultKind,
+    PlanOptions,
+    SoakPlan,
+    draw,
+    overlaps,
+)
+
+SEEDS = range(1, 101)
+
+
+def under_way(faults: tuple[Fault, ...], at: float) -> int:
+    return sum(fault.at <= at < fault.at + fault.seconds for fault in faults)
+
+
+def test_a_seed_gives_the_same_plan_and_it_can_be_kept() -> None:
+    plan = draw(17)
+    assert draw(17) == plan
+    assert draw(18) != plan
+    assert msgspec.json.decode(msgspec.json.encode(plan), type=SoakPlan) == plan
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_faults_overlap_and_no_more_than_three_at_a_time(seed: int) -> None:
+    for faults in draw(seed).episodes:
+        assert len(faults) >= 2
+        assert max(under_way(faults, fault.at) for fault in faults) in range(2, AT_ONCE + 1)
+        for before, after in pairwise(faults):
+            assert before.at <= after.at
+        for fault in faults:
+            assert fault.seconds >= TRAITS[fault.kind].shortest
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_more_disks_are_lost_in_an_episode_than_may_be(seed: int) -> None:
+    plan = draw(seed)
+    for faults in plan.episodes:
+        assert sum(TRAITS[fault.kind].loses_disk for fault in faults) <= plan.shape.tolerance
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_stage_that_leaves_for_good_leaves_in_the_last_episode(seed: int) -> None:
+    *first, last = draw(seed).episodes
+    assert not any(TRAITS[fault.kind].is_final for faults in first for fault in faults)
+    assert sum(TRAITS[fault.kind].is_final for fault in last) <= 1
+
+
+def test_as_many_seeds_as_there_are_kinds_have_all_of_them() -> None:
+    plans = [draw(seed) for seed in range(1, len(FaultKind) + 1)]
+    assert {fault.kind for plan in plans for faults in plan.episodes for fault in faults} == set(FaultKind)
+
+
+def test_only_the_kinds_that_are_asked_for_are_drawn() -> None:
+    kinds = (FaultKind.KILL_PROXY, FaultKind.CUT_HALVES, FaultKind.WIPE_CONTROLLER)
+    for seed in SEEDS:
+        drawn = {fault.kind for faults in draw(seed, PlanOptions(kinds)).episodes for fault in faults}
+        assert drawn <= set(kinds)
+
+
+def test_every_kind_has_traits_and_one_who_injects_it() -> None:
+    assert set(TRAITS) == set(FaultKind)
+    assert not PROCESS_FAULTS & BACKEND_FAULTS
+
+
+def test_overlaps_are_counted_by_pairs_and_threes() -> None:
+    intervals = [("a", 0.0, 4.0), ("b", 1.0, 3.0), ("c", 2.0, 5.0), ("b", 4.5, 6.0), ("d", 7.0, 8.0)]
+    assert overlaps(intervals) == {"a + b": 1, "a + c": 1, "b + c": 2, "three at once": 1}
