--- a/cranebank/cli/system.py
+++ b/cranebank/cli/system.py
@@ -127,7 +127,7 @@
         wanted: tuple[soak_plan.FaultKind, ...] = ()
     else:
         plans = [soak_plan.draw(seed, soak_plan.PlanOptions(kinds)) for seed in _seeds(seeds)]
-        wanted = kinds
+        wanted = kinds if len(plans) >= len(kinds) else ()
     folder = out or Path(FOLDER) / f"soak-{stamp()}"
     report = campaign.run(plans, jobs, folder, wanted, lambda line: click.echo(line, err=True))
     (folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)))
--- a/cranebank/fleetlab/network_faults.py
+++ b/cranebank/fleetlab/network_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
 from random import Random
 
@@ -13,6 +14,7 @@
 from cranebank.fleetlab.wire import Caller
 
 RESET_EVERY_S = 0.3
+SHARE_MOST_HEARD = 0.5  # of the cuts of one controller strike the one that hears most backends
 LOST = (0.3, 0.8)  # share of the answers that are lost, at least and at most
 
 
@@ -125,8 +127,12 @@
         return [process.ip for process in self._scene.fleet.proxies.values()]
 
     def _controller(self, random: Random) -> tuple[str, list[str]]:
-        """One controller and the others."""
-        one = pick(random, self._scene.free_controllers()).ip
+        """One controller, often the one that most backends send their heartbeats to, and the others."""
+        free = self._scene.free_controllers()
+        heard = Counter(_ip(backend.beat_address) for backend in self._scene.ready_backends())
+        one = pick(random, free).ip
+        if random.random() < SHARE_MOST_HEARD:
+            one = max((process.ip for process in free), key=lambda ip: heard[ip])
         return one, [ip for ip in self._controllers if ip != one]
 
     def _some_backends(self, random: Random) -> list[str]:
