--- a/cranebank/fleetlab/clients.py
+++ b/cranebank/fleetlab/clients.py
@@ -15,6 +15,7 @@
 from cranebank.fleetlab.wire import Answer, HttpLink, ask_once, connect, request_bytes
 
 TRIES = 3
+OUT_AFTER = 2  # misses in a row that take a proxy out
 DEADLINE_S = 6.0
 KEPT = 0.6  # of the connections serve a further request
 NOT_AGAIN = frozenset({200, 400, 401, 404, 413, 431})
@@ -31,8 +32,12 @@
     front: str
     ready_addr: str
     life: int = 1
-    misses: int = 2
-    seen_ready: bool = False
+    misses: int = OUT_AFTER
+
+    @property
+    def is_in(self) -> bool:
+        """Whether it receives new connections."""
+        return self.misses < OUT_AFTER
 
 
 class Platform:
@@ -54,7 +59,7 @@
 
     def pick(self, random: Random) -> Ingress:
         """A proxy for a new connection; all of them where under half are in."""
-        ready = [proxy for proxy in self.proxies.values() if proxy.misses < 2]
+        ready = [proxy for proxy in self.proxies.values() if proxy.is_in]
         return random.choice(ready if 2 * len(ready) >= len(self.proxies) else list(self.proxies.values()))
 
 
--- a/cranebank/fleetlab/liveness.py
+++ b/cranebank/fleetlab/liveness.py
@@ -1,6 +1,7 @@
 """Whether the system served when it could: two rules over windows of time, judged by what clients saw.
 
-RECOVER: once all faults have healed and the system had its time to come back, nearly everything is served.
+RECOVER: once all faults have healed and the system had its time to come back, nearly everything is served, each proxy
+is ready and serves, and changes of the configuration are acknowledged.
 OUTAGE: while no more is lost than must be borne, and backends are well, no window of some seconds is without service.
 """
 
@@ -12,12 +13,14 @@
 
 import msgspec
 
+from cranebank.fleetlab.judge import served as is_served
 from cranebank.fleetlab.records import DayRecord, Health, Try
 
 WINDOW_S = 3.0
 STEP_S = 0.5
 FEWEST = 8  # requests by which a window can be judged
 RECOVERED_SHARE = 0.9  # of the requests of each window in a calm time
+PROXY_SHARE = 0.5  # of the tries at each proxy in a calm time: clients go on to others, so requests don't tell
 SERVED_SHARE = 0.25  # of the requests of each window while only tolerated faults are on
 AFTERMATH_S = 4.0  # what was lost this long before a window still counts
 MARGIN_S = 1.0  # at the end of a calm time: a request may still be open when the next fault comes
@@ -55,7 +58,7 @@
         Request(
             min(sent.sent for sent in tries),
             tries[0].path.split("/")[1],
-            any(sent.whole and 200 <= sent.status < 300 for sent in tries),
+            any(map(is_served, tries)),
         )
         for tries in by_number.values()
     ]
@@ -82,6 +85,7 @@
         for begin in _steps(calm.begin, calm.end - WINDOW_S):
             judged += 1
             findings += _poor(record, requests, begin, RECOVERED_SHARE, "RECOVER")
+        findings += _not_back(record, calm)
     for begin in _steps(record.begun + AFTERMATH_S, record.ended - WINDOW_S - MARGIN_S):
         if _is_tolerated(record.health, begin, tolerance):
             judged += 1
@@ -89,6 +93,25 @@
     return _merged(findings), judged
 
 
+def _not_back(record: DayRecord, calm: Calm) -> Iterator[Finding]:
+    """Proxies that do not serve or are not ready, and a control side that acknowledges nothing, in a calm time."""
+    at = calm.begin - record.begun
+    for proxy in sorted({sent.proxy for sent in record.tries}):
+        tries = [sent for sent in record.tries if sent.proxy == proxy and calm.begin <= sent.sent < calm.end]
+        own = [sent for sent in tries if not sent.is_probe]
+        count = sum(map(is_served, own))
+        if len(own) >= FEWEST and count < PROXY_SHARE * len(own):
+            yield Finding("RECOVER", f"{proxy} served {count} of {len(own)} tries from {at:.1f} s on")
+    unready = [one for one in record.health if calm.begin <= one.at < calm.end and one.ready < one.all_proxies]
+    if unready:
+        yield Finding(
+            "RECOVER",
+            f"{unready[0].ready} of {unready[0].all_proxies} proxies ready at {unready[0].at - record.begun:.1f} s",
+        )
+    if not any(change.acked is not None and calm.begin <= change.acked < calm.end for change in record.changes):
+        yield Finding("RECOVER", f"no change acknowledged from {at:.1f} s to {calm.end - record.begun:.1f} s")
+
+
 def _steps(begin: float, end: float) -> Iterator[float]:
     at = begin
     while at <= end:
@@ -128,7 +151,7 @@
     by_rule: dict[str, list[Finding]] = defaultdict(list)
     for finding in findings:
         by_rule[finding.rule].append(finding)
-    return [Finding(rule, f"{len(found)} windows, the first: {found[0].text}") for rule, found in by_rule.items()]
+    return [Finding(rule, f"{len(found)} times, first: {found[0].text}") for rule, found in by_rule.items()]
 
 
 def longest_outage(record: DayRecord) -> float:
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -168,6 +168,7 @@
     at: float
     proxies: int  # that run and have had time to come up
     all_proxies: int
+    ready: int  # proxies that the platform sends new connections to
     controllers_lost: int  # down, standing still, cut off from most others, or back for too short a time
     backends: dict[str, int]
 
--- a/cranebank/fleetlab/soak.py
+++ b/cranebank/fleetlab/soak.py
@@ -207,6 +207,7 @@
             asyncio.get_running_loop().time(),
             len(proxies),
             len(self._fleet.proxies),
+            sum(proxy.is_in for proxy in self._platform.proxies.values()),
             self._shape.controllers - len(sound),
             backends,
         )
--- a/cranebank/fleetlab/soak_plan.py
+++ b/cranebank/fleetlab/soak_plan.py
@@ -86,17 +86,17 @@
     FaultKind.KILL_PROXIES: Traits(0.3, 1.0),
     FaultKind.PAUSE_PROXY: Traits(0.5, 5.0),
     FaultKind.ROLL_PROXIES: Traits(6.0, 10.0),
-    FaultKind.CUT_CONTROLLER_FROM_CONTROLLERS: Traits(3.0, 14.0),
-    FaultKind.CUT_CONTROLLER_FROM_ALL: Traits(3.0, 14.0),
-    FaultKind.DEAF_CONTROLLER: Traits(3.0, 14.0),
-    FaultKind.MUTE_CONTROLLER: Traits(3.0, 14.0),
-    FaultKind.CUT_PAIR_OF_CONTROLLERS: Traits(3.0, 14.0),
+    FaultKind.CUT_CONTROLLER_FROM_CONTROLLERS: Traits(3.0, 18.0),
+    FaultKind.CUT_CONTROLLER_FROM_ALL: Traits(3.0, 18.0),
+    FaultKind.DEAF_CONTROLLER: Traits(3.0, 18.0),
+    FaultKind.MUTE_CONTROLLER: Traits(3.0, 18.0),
+    FaultKind.CUT_PAIR_OF_CONTROLLERS: Traits(3.0, 18.0),
     FaultKind.CUT_HALVES: Traits(3.0, 8.0),
-    FaultKind.CUT_CONTROLLER_FROM_PROXIES: Traits(3.0, 14.0),
+    FaultKind.CUT_CONTROLLER_FROM_PROXIES: Traits(3.0, 18.0),
     FaultKind.CUT_PROXY_FROM_CONTROLLERS: Traits(3.0, 20.0),
     FaultKind.CUT_PROXY_FROM_BACKENDS: Traits(3.0, 8.0),
     FaultKind.CUT_BACKEND_FROM_CONTROL: Traits(3.0, 10.0),
-    FaultKind.CUT_BACKENDS_FROM_SOME_CONTROLLERS: Traits(3.0, 14.0),
+    FaultKind.CUT_BACKENDS_FROM_SOME_CONTROLLERS: Traits(3.0, 18.0),
     FaultKind.RESET_CONNECTIONS: Traits(1.0, 5.0),
     FaultKind.LOSE_OPERATOR_ANSWERS: Traits(2.0, 8.0),
     FaultKind.LOSE_HEARTBEAT_ANSWERS: Traits(2.0, 8.0),
@@ -141,9 +141,9 @@
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     episodes: int = 2
     faults: tuple[int, int] = (4, 6)  # in an episode, at least and at most
-    episode_s: float = 16.0
+    episode_s: float = 19.0
     settle_s: float = 5.0
-    calm_s: float = 10.0
+    calm_s: float = 11.0
 
 
 USUAL = PlanOptions()
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cranebank.fleetlab.liveness import Calm, calm_times, judge_liveness, longest_outage
-from cranebank.fleetlab.records import DayRecord, Health, InjectedFault, Try
+from cranebank.fleetlab.records import Change, DayRecord, Health, InjectedFault, Try
 
 SETTLE_S = 8.0
 EVERY_S = 0.1
@@ -28,6 +28,9 @@
         at, route = number * EVERY_S, routes[number % len(routes)]
         is_dark = any(begin <= at < end for begin, end in dark) and dark_route in {"", route}
         record.tries.append(request(number, 100.0 + at, not is_dark, route))
+    record.changes += [
+        Change(number, number - 1, (), "", 100.0 + number, True, 100.5 + number) for number in range(int(seconds))
+    ]
     record.faults += [InjectedFault("kill-proxy", 100.0 + begin, 100.0 + end) for begin, end in faults]
     return record
 
@@ -37,7 +40,7 @@
     at = record.begun
     while at < record.ended:
         begin, end = troubled
-        values: dict[str, object] = {"proxies": 3, "controllers_lost": 0, "backends": {"g1": 2, "g2": 2}}
+        values: dict[str, object] = {"proxies": 3, "ready": 3, "controllers_lost": 0, "backends": {"g1": 2, "g2": 2}}
         if begin <= at - record.begun < end:
             values |= worse
         record.health.append(Health(at=at, all_proxies=3, **values))  # type: ignore[arg-type]
@@ -79,6 +82,30 @@
     assert rules(record) == set()  # too few to be judged by themselves, and few enough of all
 
 
+def test_a_proxy_that_does_not_come_back() -> None:
+    """Clients go on to another one, so that all requests are served."""
+    record = played(40.0, faults=((10.0, 12.0),))
+    for sent in list(record.tries):
+        if sent.sent >= 110.0 and sent.request % 3 == 0:
+            stuck = request(sent.request, sent.sent, False)
+            stuck.proxy = "edge-2"
+            record.tries.append(stuck)
+    findings, _ = judge_liveness(record, SETTLE_S, 1)
+    assert [finding.rule for finding in findings] == ["RECOVER"]
+    assert "edge-2 served 0 of" in findings[0].text
+
+
+def test_a_proxy_that_is_not_ready_again() -> None:
+    assert rules(healthy(played(40.0, faults=((10.0, 12.0),)), (10.0, 22.0), ready=2)) == {"RECOVER"}
+    assert rules(healthy(played(40.0, faults=((10.0, 12.0),)), (10.0, 19.0), ready=2)) == set()
+
+
+def test_a_control_side_that_acknowledges_nothing() -> None:
+    record = played(40.0, faults=((10.0, 12.0),))
+    record.changes = [change for change in record.changes if change.sent < 110.0]
+    assert rules(record) == {"RECOVER"}
+
+
 def test_no_service_while_only_tolerated_faults_are_on() -> None:
     record = played(30.0, dark=((10.0, 14.0),), faults=((5.0, 28.0),))
     assert rules(healthy(record, (5.0, 28.0), controllers_lost=1, proxies=2)) == {"OUTAGE"}
