--- a/cranebank/fleetlab/launcher.py
+++ b/cranebank/fleetlab/launcher.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import sys
 from collections.abc import Callable, Sequence
@@ -23,6 +24,7 @@
 from cranebank.programs.settings import load
 
 VARIABLE = "CRANEBANK_LAB_NETWORK"
+PARENT_POLL_S = 1.0
 
 ProtocolFactory = Callable[[], Any]
 
@@ -33,7 +35,15 @@
     def __init__(self, view: NetworkView) -> None:
         super().__init__()
         self._view = view
+        self._parent = os.getppid()
         self.call_soon(view.poll_on, self)
+        self.call_soon(self._end_with_parent)
+
+    def _end_with_parent(self) -> None:
+        """A laboratory that was killed leaves no process behind."""
+        if os.getppid() != self._parent:
+            os.kill(os.getpid(), signal.SIGKILL)
+        self.call_later(PARENT_POLL_S, self._end_with_parent)
 
     async def create_connection(  # type: ignore[override]  # the overloads for TLS and given sockets aren't used
         self, protocol_factory: ProtocolFactory, host: Any = None, port: Any = None, **options: Any
--- a/tests/test_network_cuts.py
+++ b/tests/test_network_cuts.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path as FilePath
 
 import pytest
 
+from cranebank.fleetlab.launcher import VARIABLE as NETWORK_VARIABLE
 from cranebank.fleetlab.launcher import GuardedLoop, guarded_sockets
 from cranebank.fleetlab.network import LabNetwork, NetworkView, Path, both_ways, one_way
+from cranebank.programs.settings import VARIABLE as SETTINGS_VARIABLE
 
 OWN, PEER = "127.0.14.1", "127.0.14.2"
 TO_PEER, FROM_PEER = (Path(OWN, PEER),), (Path(PEER, OWN),)
@@ -304,3 +309,26 @@
         assert not network.is_cut(OWN, PEER)
 
     asyncio.run(story())
+
+
+def test_a_process_ends_with_the_laboratory_that_started_it(tmp_path: FilePath) -> None:
+    """A controller whose parent is killed; its grandparent sees it end by the end of what it holds open."""
+    network = asyncio.run(made(tmp_path))
+    settings = tmp_path / "settings.yaml"
+    settings.write_text(
+        f"node_name: n\nip: {OWN}\nzone: z\nis_first_start: true\n"
+        f"port_range: [7380, 7390]\nseed_addrs: ['{OWN}:8299']\n"
+    )
+    environment = {**os.environ, NETWORK_VARIABLE: str(network.file), SETTINGS_VARIABLE: str(settings)}
+    start = "import subprocess, sys; subprocess.run([sys.executable, '-m', 'cranebank.fleetlab.launcher', 'control'])"
+    with subprocess.Popen([sys.executable, "-c", start], env=environment, stdout=subprocess.PIPE) as parent:
+        assert parent.stdout is not None
+        while not listens(OWN, 8299):
+            assert parent.poll() is None
+        parent.kill()
+        assert parent.stdout.read() == b""  # at the end of all who hold it
+
+
+def listens(ip: str, port: int) -> bool:
+    with socket.socket() as trial:
+        return trial.connect_ex((ip, port)) == 0
