Links: a dial that is given up as its connection comes up no longer leaves a link that seems up

The link's owner had heard link_up, so every message to all links broke off at that one with RuntimeError, the consensus core's actions behind it (writes to disk too) were not done, and it stayed so until the next dial. Now whoever gives a dial up tells the link's owner that it is over; the proxies' fetch dials by the same function. Laboratory: a process that is started again isn't taken for one that ended by itself.

--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -68,7 +68,6 @@
         self._file.write_text(yaml.safe_dump(self.settings | {"is_first_start": is_first_start}), encoding="utf-8")
         inherited = {key: os.environ[key] for key in INHERITED if key in os.environ}
         own = {"CRANEBANK_NODE_FILE": str(self._file), "PYTHONPATH": str(ROOT)}
-        self.wanted = True
         self.started_at = asyncio.get_running_loop().time()
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -81,6 +80,7 @@
                 stderr=log,
                 env=inherited | self._programs.variables | own,
             )
+        self.wanted = True  # not before: the former process has ended
 
     @property
     def is_running(self) -> bool:
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -20,7 +20,7 @@
 from cranebank.membership.outbox import Outbox
 from cranebank.membership.views import Event, FetchEnded, FetchFrom, Heard, SendShuffle, Shown, Tick, Views, Welcomed
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
-from cranebank.transport.links import DIAL_S, Link, listen
+from cranebank.transport.links import Link, dial, listen
 from cranebank.transport.messages import Backend, ConfigPush, Fetch, Gossip, Message, Note, Pulse, Push, Shuffle
 
 TICK_S = 0.1
@@ -226,10 +226,7 @@
         self._fetched.clear()
         link: Link | None = None
         try:
-            async with asyncio.timeout(DIAL_S):
-                _, link = await loop.create_connection(
-                    lambda: Link(self, True), ip, self._port, local_addr=(self._ip, 0)
-                )
+            link = await dial(self, self._ip, ip, self._port)
             link.send(Fetch(self._plane.revision))
             async with asyncio.timeout(FETCH_S):
                 await self._fetched.wait()
--- a/cranebank/transport/links.py
+++ b/cranebank/transport/links.py
@@ -109,6 +109,12 @@
         self._transport.write(frame)
         return True
 
+    def abandon(self) -> None:
+        """The dial was given up. Where the connection came up in the same turn of the loop, the loop closes it and
+        tells nobody: whoever heard that it is up must hear that it is over."""
+        self.close()
+        self.connection_lost(None)
+
     def close(self) -> None:
         """End it now."""
         self.up = False
@@ -139,14 +145,10 @@
             self.link.close()
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         pause = REDIAL_S[0]
         while True:
             try:
-                async with asyncio.timeout(DIAL_S):
-                    _, link = await loop.create_connection(
-                        lambda: Link(self._owner, True), self.ip, self._port, local_addr=(self._local, 0)
-                    )
+                link = await dial(self._owner, self._local, self.ip, self._port)
             except OSError:  # TimeoutError is one
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, REDIAL_S[1])
@@ -159,6 +161,20 @@
             await asyncio.sleep(pause)
 
 
+async def dial(owner: Owner, local_ip: str, ip: str, port: int) -> Link:
+    """A link that stands. Raises OSError where it doesn't in time."""
+    link = Link(owner, True)
+    is_connected = False
+    try:
+        async with asyncio.timeout(DIAL_S):
+            await asyncio.get_running_loop().create_connection(lambda: link, ip, port, local_addr=(local_ip, 0))
+        is_connected = True
+    finally:
+        if not is_connected:
+            link.abandon()
+    return link
+
+
 async def listen(owner: Owner, ip: str, port: int) -> asyncio.Server:
     """Accept links."""
     loop = asyncio.get_running_loop()
--- a/tests/test_link_faults.py
+++ b/tests/test_link_faults.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -226,3 +227,46 @@
     assert not pending.done
     delivery.acknowledged(newer, 2)
     assert pending.done
+
+
+class SlowOwner(Owner):
+    """Takes longer over its first dialled link than a dial may last, so that the dial is given up in the same turn."""
+
+    def link_up(self, link: Link) -> None:
+        super().link_up(link)
+        if link.dialled and sum(one.dialled for one in self.up) == 1:
+            begun = time.monotonic()
+            while time.monotonic() < begun + 2 * SHORT_DIAL_S:
+                pass
+
+
+SHORT_DIAL_S = 0.05
+
+
+@pytest.mark.parametrize("stops", [False, True], ids=["goes on", "is stopped"])
+def test_a_dial_that_is_given_up_as_the_connection_comes_up(stops: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by the soak: the loop closes such a connection without a word, its owner took the link for one that is up,
+    and whatever was sent to all links broke off at it with an error."""
+    monkeypatch.setattr(links, "DIAL_S", SHORT_DIAL_S)
+    owner = SlowOwner()
+
+    async def run() -> None:
+        server = await listen(owner, HERE, 0)
+        dialer = Dialer(owner, HERE, *server.sockets[0].getsockname())
+        async with asyncio.timeout(20):
+            await until(lambda: any(link.dialled for link in owner.up))
+            first = next(link for link in owner.up if link.dialled)
+            if stops:
+                dialer.stop()
+            await until(lambda: first in owner.down)
+            assert not first.up
+            assert not first.send(PushAck(1))
+            if not stops:
+                await until(lambda: dialer.link is not None and dialer.link.up)
+                assert dialer.link is not first
+        dialer.stop()
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+    assert len(owner.down) == len(set(owner.down))
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -11,11 +11,11 @@
 
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
-from cranebank.membership import neighbours as ends
 from cranebank.membership.loads import Sums
 from cranebank.membership.neighbours import Neighbours
 from cranebank.programs.edge import Edge
 from cranebank.programs.settings import NodeSettings
+from cranebank.transport import links
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
 from cranebank.transport.messages import Backend, Fetch, Gossip, Load, Note, Push, Shuffle
 
@@ -171,7 +171,7 @@
 
 
 def test_a_fetch_from_one_that_is_not_there_ends_and_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ends, "DIAL_S", 0.2)
+    monkeypatch.setattr(links, "DIAL_S", 0.2)
 
     async def run() -> None:
         plane = Plane()
