--- a/cranebank/fleetlab/soak.py
+++ b/cranebank/fleetlab/soak.py
@@ -96,6 +96,7 @@
         super().__init__(plan.seed, plan.beat_ms, plan.shape, progress, folder)
         self.plan = plan
         self.skipped: Counter[str] = Counter()
+        self._probes: list[asyncio.Task[None]] = []
         self._callers: dict[str, list[Caller]] = {"operator": [], "backend": []}
 
     def _programs(self, folder: Path) -> Programs:
@@ -134,6 +135,7 @@
         await load
         for watch in watches:
             watch.cancel()
+        await asyncio.gather(*self._probes)
         self.record.read_back = await self._operator.read_back(READ_BACK_S)
         self._say(f"read back revision {self.record.read_back.revision}")
         await self._collect_violations()
@@ -176,7 +178,7 @@
             if not is_acknowledged:
                 await operator.catch_up()
             elif number % PROBED_EVERY == 0:
-                self._spawn(self._probe(before ^ self._routes()))
+                self._probes.append(self._spawn(self._probe(before ^ self._routes())))
 
     async def _read_on(self) -> None:
         """Ask for the newest configuration, at any controller."""
--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -1,7 +1,8 @@
 """Runs the consensus core: feeds it events, does the actions that it returns in their order, and awaits its results.
 
 A result of a write is handed on once; a write that is not answered in time counts as unknown. A core that finds its own
-state wrong is fed no more, holds no lease and is in no contact: better no replica than one that is wrong.
+state wrong, or whose actions can't be done, is fed no more, holds no lease and is in no contact: better no replica than
+one that is wrong or waits for ever.
 """
 
 from __future__ import annotations
@@ -78,8 +79,12 @@
             logger.opt(exception=True).critical("consensus: {}", error)
             self.broken.set()
             return
-        for action in actions:
-            self._do(action)
+        try:
+            for action in actions:
+                self._do(action)
+        except Exception as error:  # those behind it are not done: the core would wait for their results for ever
+            logger.opt(exception=True).critical("consensus: what the core asked for failed: {!r}", error)
+            self.broken.set()
 
     def receive(self, link: Link, body: bytes) -> None:
         """A message from another controller's core."""
--- a/cranebank/transport/http_client.py
+++ b/cranebank/transport/http_client.py
@@ -63,11 +63,11 @@
                 await self._done
         except TimeoutError:
             self.close()
-        finally:
+        finally:  # also where the caller was cancelled
             answer.body, answer.ended = b"".join(self._body), loop.time()
             self._answer = self._done = None
-        if not answer.whole:
-            self.close()
+            if not answer.whole:
+                self.close()
         return answer
 
     def reset_on_close(self, is_wanted: bool) -> None:
--- /dev/null
+++ b/tests/test_consensus_driver.py
@@ -0,0 +1,103 @@
+"""The driver of the consensus core does all that the core asks for, or feeds it no more."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import cast
+
+import pytest
+from test_custody import SEEDS
+
+from cranebank.control import events as ev
+from cranebank.control.consensus import ConsensusCore
+from cranebank.programs.consensus_driver import ConsensusDriver, Listener
+from cranebank.programs.controller_links import ControllerLinks
+from cranebank.programs.local_state import LocalState
+
+
+class Core:
+    """Asks for a message to be sent, and then for a write to the disk."""
+
+    def __init__(self) -> None:
+        self.fed: list[ev.Event] = []
+
+    def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+        self.fed.append(event)
+        return [] if len(self.fed) > 1 else [ev.Send(SEEDS[1], ev.Leaving(SEEDS[0])), ev.Persist(7, {"a": b"1"})]
+
+    def holds(self, now: float) -> bool:
+        return True
+
+    def in_contact(self, now: float) -> bool:
+        return True
+
+
+class Storage:
+    def __init__(self) -> None:
+        self.kept: dict[str, bytes] = {}
+
+    async def put(self, values: Mapping[str, bytes]) -> None:
+        self.kept.update(values)
+
+    async def close(self) -> None:
+        pass
+
+
+class Links:
+    """``error`` is what sending comes to."""
+
+    def __init__(self, error: Exception | None) -> None:
+        self._error = error
+
+    def to(self, ip: str) -> Links:
+        return self
+
+    def send(self, message: object) -> bool:
+        if self._error is not None:
+            raise self._error
+        return True
+
+
+def driver_of(core: Core, storage: Storage, links: Links) -> ConsensusDriver:
+    local_state = LocalState(storage, 0.0)
+    return ConsensusDriver(
+        cast(ConsensusCore, core),
+        storage,
+        local_state,
+        cast(ControllerLinks, links),
+        cast(Listener, None),
+        lambda: 0.0,
+    )
+
+
+def test_what_the_core_asks_for_is_done_and_it_hears_of_it() -> None:
+    async def run() -> None:
+        core, storage = Core(), Storage()
+        driver = driver_of(core, storage, Links(None))
+        driver.feed(ev.Tick())
+        while len(core.fed) < 2:
+            await asyncio.sleep(0)
+        assert core.fed == [ev.Tick(), ev.Persisted(7)]
+        assert storage.kept == {"a": b"1"}
+        assert not driver.broken.is_set()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("error", [RuntimeError("the handler is closed"), OSError()])
+def test_a_core_whose_actions_could_not_be_done_is_fed_no_more(error: Exception) -> None:
+    """Found by the soak: a message that could not be sent took the write behind it along, and the core waited for that
+    write for ever. The process ends and comes back from its disk instead."""
+
+    async def run() -> None:
+        core = Core()
+        driver = driver_of(core, Storage(), Links(error))
+        driver.feed(ev.Tick())
+        assert driver.broken.is_set()
+        driver.feed(ev.Tick())
+        assert len(core.fed) == 1
+        assert not driver.holds()
+        assert not driver.in_contact(0.0)
+
+    asyncio.run(run())
