--- a/tests/mutants_control.py
+++ b/tests/mutants_control.py
@@ -173,4 +173,21 @@
         'return Backend(backend_id, "", "", "", "", 1, "gone", 0)',
         "test_registry.py",
     ),
+    Mutant(
+        Point.OTHER,
+        "a dial that is given up leaves its link up",
+        "transport/links.py",
+        "            link.abandon()",
+        "            pass",
+        "test_link_faults.py",
+    ),
+    Mutant(
+        Point.OTHER,
+        "actions that failed are passed over",
+        "programs/consensus_driver.py",
+        """{!r}", error)
+            self.broken.set()""",
+        """{!r}", error)""",
+        "test_consensus_driver.py",
+    ),
 )
