--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -17,6 +17,7 @@
 from cranebank.dataplane.errors import RequestError, TooSlow
 from cranebank.dataplane.routes import ClientLimits
 from cranebank.http.socket_state import readable
+from cranebank.invariants import broken
 
 SWEEP_S = 0.25
 HIGH_WATER = 128 << 10
@@ -132,7 +133,8 @@
 
     def head(self, status: int, headers: dict[str, str]) -> bytes:
         """The bytes of an answer's head; its body follows with ``frame`` and ``tail``."""
-        assert self.open, "a head where no request waits for one"
+        if not self.open:
+            raise broken("a head answers an open request")
         return self._response.head(status, headers, closing=self._front.closing)
 
     def frame(self, data: bytes) -> bytes:
@@ -172,7 +174,8 @@
 
     def reply(self, error: RequestError, retry_after_s: float | None) -> None:
         """An answer of our own."""
-        assert self.open, "a reply where no request waits for one"
+        if not self.open:
+            raise broken("a reply answers an open request")
         self.write(self._response.own_reply(error, retry_after_s, closing=self._front.closing))
         self.finish()
 
--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cranebank.fleetlab import model as m
+from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
 from cranebank.transport.http_client import ask_once
 
@@ -135,14 +136,16 @@
         arrivals: list[Arrival],
         drains: list[Drain],
         handles: dict[str, str],
-        orders: list[OrderSeen] | None = None,
+        orders: list[OrderSeen],
+        caller: Caller | None = None,
     ) -> None:
+        """``controllers`` lists their addresses, the one to begin with first; ``caller`` makes the calls to them."""
         self.model = m.ModelBackend(spec, instance, stage)
         self.instance, self.service, self.address, self.zone = instance, service, address, zone
         self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
         self._arrivals, self._drains = arrivals, drains
-        self._orders = [] if orders is None else orders
         self._handles = handles  # whose prompt each handle is, for the judge
+        self._orders = orders
         self.faults: set[str] = set()
         self.connections: set[BackendConnection] = set()
         self._calls: dict[int, Call] = {}
@@ -152,7 +155,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.phase = "ready"
-        self._turn = 0
+        self.serves_since = 0.0
+        self._ask = ask_once if caller is None else caller.ask
+        self.beat_address = ""  # the controller that took the last heartbeat: used until one fails there
         self.ended = asyncio.Event()
 
     async def start(self) -> None:
@@ -161,6 +166,7 @@
         self._server = await asyncio.get_running_loop().create_server(
             lambda: BackendConnection(self), host, int(port), reuse_address=True
         )
+        self.serves_since = asyncio.get_running_loop().time()
         self._spawn(self._beat_on())
 
     def fault(self, name: str, on: bool = True) -> None:
@@ -225,15 +231,23 @@
         }
         return await self._tell("Heartbeat", msgspec.json.encode(body))
 
+    def beat_at(self, address: str) -> None:
+        """Send the next heartbeat to this controller."""
+        self.beat_address = address
+
     async def _tell(self, what: str, body: bytes) -> bool:
         """Tell one controller; after a failure the next one is used."""
         controllers = self._controllers()
-        for _ in controllers:
-            at = controllers[self._turn % len(controllers)]
-            answer = await ask_once(at, "POST", f"/api/Servers.{what}/{self.instance}", body)
+        if self.beat_address not in controllers:
+            self.beat_address = controllers[0]
+        first = controllers.index(self.beat_address)
+        for at in controllers[first:] + controllers[:first]:
+            self.beat_address = at
+            path = f"/api/Servers.{what}/{self.instance}"
+            answer = await self._ask(at, "POST", path, body)
             if 200 <= answer.status < 300 and answer.whole:
                 return True
-            self._turn += 1
+        self.beat_address = controllers[(first + 1) % len(controllers)]
         return False
 
     async def _leave(self) -> None:
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -15,11 +15,12 @@
 
 from loguru import logger
 
+from cranebank.invariants import broken
 from cranebank.membership.loads import Loads, Sums
 from cranebank.membership.outbox import Outbox
 from cranebank.membership.views import Event, FetchEnded, FetchFrom, Heard, SendShuffle, Shown, Tick, Views, Welcomed
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
-from cranebank.transport.links import DIAL_S, Link, listen
+from cranebank.transport.links import Link, dial, listen
 from cranebank.transport.messages import Backend, ConfigPush, Fetch, Gossip, Message, Note, Pulse, Push, Shuffle
 
 TICK_S = 0.1
@@ -159,7 +160,8 @@
                     self._fetch = asyncio.get_running_loop().create_task(self._fetch_from(ip))
 
     def _send(self, ip: str, frame: bytes) -> None:
-        assert len(frame) <= LARGEST, f"a datagram of {len(frame)} bytes"
+        if len(frame) > LARGEST:
+            raise broken("a datagram fits into one packet", f"{len(frame)} bytes")
         if self._socket is None:
             return
         try:
@@ -224,10 +226,7 @@
         self._fetched.clear()
         link: Link | None = None
         try:
-            async with asyncio.timeout(DIAL_S):
-                _, link = await loop.create_connection(
-                    lambda: Link(self, True), ip, self._port, local_addr=(self._ip, 0)
-                )
+            link = await dial(self, self._ip, ip, self._port)
             link.send(Fetch(self._plane.revision))
             async with asyncio.timeout(FETCH_S):
                 await self._fetched.wait()
--- a/cranebank/transport/http_client.py
+++ b/cranebank/transport/http_client.py
@@ -63,11 +63,11 @@
                 await self._done
         except TimeoutError:
             self.close()
-        finally:
+        finally:  # also where the caller was cancelled
             answer.body, answer.ended = b"".join(self._body), loop.time()
             self._answer = self._done = None
-        if not answer.whole:
-            self.close()
+            if not answer.whole:
+                self.close()
         return answer
 
     def reset_on_close(self, is_wanted: bool) -> None:
@@ -147,13 +147,15 @@
     seconds: float = 1.0,
     stray: Callable[[bytes], None] | None = None,
     most_bytes: int = UNBOUNDED,
+    local_ip: str = "",
 ) -> HttpLink | None:
-    """A connection, or none if it isn't up in time."""
+    """A connection, or none if it isn't up in time. ``local_ip``: what it comes from; else the system chooses."""
     host, _, port = address.rpartition(":")
     link = HttpLink(stray, most_bytes)
+    local = (local_ip, 0) if local_ip else None
     try:
         async with asyncio.timeout(seconds):
-            await asyncio.get_running_loop().create_connection(lambda: link, host, int(port))
+            await asyncio.get_running_loop().create_connection(lambda: link, host, int(port), local_addr=local)
     except (OSError, TimeoutError):
         return None
     return link
@@ -168,10 +170,16 @@
 
 
 async def ask_once(
-    address: str, method: str, path: str, body: bytes = b"", seconds: float = 1.0, headers: dict[str, str] | None = None
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    seconds: float = 1.0,
+    headers: dict[str, str] | None = None,
+    local_ip: str = "",
 ) -> Answer:
     """One request over a connection of its own."""
-    link = await connect(address, seconds)
+    link = await connect(address, seconds, local_ip=local_ip)
     if link is None:
         return Answer()
     try:
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -16,6 +16,7 @@
     Drain,
     OrderSeen,
     ReadBack,
+    Reading,
     RouteRule,
     StreamEvent,
     Trouble,
@@ -230,6 +231,9 @@
     "a lower fence": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(30.0, "c-1", 4)])),
     "two holders of one fence": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(30.0, "c-2", 5)])),
     "holders that take turns": ("ONE", lambda day: put(day, orders=[order(20.0, "c-1", 5), order(22.9, "c-2", 6)])),
+    "an older reading": ("CONFIG", lambda day: put(day, readings=[Reading(32.3, 32.4, 3, "c3")])),
+    "a reading of what was refused": ("CONFIG", lambda day: put(day, readings=[Reading(11.0, 11.1, 4, "c4")])),
+    "a reading of other contents": ("CONFIG", lambda day: put(day, readings=[Reading(31.0, 31.1, 6, "c7")])),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
@@ -251,6 +255,24 @@
     assert "revision 9 on top of 6" in "".join(verdict.remarks)
 
 
+def test_readings_that_are_right() -> None:
+    day = make_day()
+    day.readings += [
+        Reading(31.9, 32.4, 3, "c3"),  # sent before the newest had to be in force
+        Reading(10.2, 10.3, 3, "c3"),  # not acknowledged yet
+        Reading(59.0, 59.1, 6, "c6"),
+    ]
+    assert judge(day).kept
+
+
+def test_an_acknowledgement_may_be_late_where_answers_are_lost_or_the_backend_is_in_trouble() -> None:
+    for machine in ("answers", "i-8"):
+        day = make_day()
+        day.drains.append(Drain("i-8", 33.0))
+        day.troubles.append(Trouble(machine, 33.5, 36.0, "lost answers"))
+        assert judge(day).kept
+
+
 def test_every_rule_is_broken_here() -> None:
     assert {rule for rule, _ in BREAKS.values()} == set(RULES)
 
