--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -15,6 +15,7 @@
 from cranebank.transport.messages import Backend
 
 ENDING = frozenset({"draining", "gone"})  # phases that are never taken back
+LIVING = frozenset({"ready", "draining"})  # phases of backends that beat
 TOMBSTONE_S = 60.0  # how long ends and losses are remembered
 TOMBSTONES_MOST = 20_000
 REJOIN_S = 2.5  # after a time without most other controllers: until their news of who was heard has come again
@@ -85,6 +86,7 @@
         self._ended: dict[str, float] = {}  # when gone or lost, in order
         self._at: dict[str, str] = {}  # address: id of who was last said to have it
         self._news: dict[str, Backend] = {}
+        self.wrong_losses = 0  # reports of heartbeats from before their backend was held for lost here
 
     def heartbeat(self, now: float, backend_id: str, body: bytes) -> Backend:
         """Take a heartbeat; the record that now holds. Raises BadHeartbeat."""
@@ -132,15 +134,25 @@
                 stray.append(msgspec.structs.replace(record, phase="gone" if record.phase == "draining" else "lost"))
         return stray
 
-    def heard(self, now: float, heard: Iterable[tuple[str, int, int]]) -> None:
-        """Another controller heard these: id, call_seq, age in ms."""
+    def heard(self, now: float, heard: Iterable[tuple[str, int, int]]) -> tuple[str, ...]:
+        """Another controller heard these: id, call_seq, age in ms. Returns the ids whose records it should send: this
+        one has none, or holds them for lost though they beat."""
+        asks: list[str] = []
         for backend_id, call_seq, age_ms in heard:
-            old = self.records.get(backend_id)
-            if old is None or call_seq < old.call_seq:
-                continue
-            self._heard[backend_id] = max(self._heard.get(backend_id, 0.0), now - age_ms / 1000)
-            if call_seq > old.call_seq and old.phase in {"ready", "draining"}:
+            old, at = self.records.get(backend_id), now - age_ms / 1000
+            if old is None:
+                asks.append(backend_id)
+            elif old.phase == "lost" and call_seq > old.call_seq:
+                asks.append(backend_id)
+                self.wrong_losses += at <= self._ended[backend_id]
+            elif old.phase in LIVING and call_seq >= old.call_seq:
+                self._heard[backend_id] = max(self._heard.get(backend_id, 0.0), at)
                 self.records[backend_id] = msgspec.structs.replace(old, call_seq=call_seq)
+        return tuple(asks)
+
+    def records_of(self, ids: Iterable[str]) -> tuple[Backend, ...]:
+        """The records of these backends, as far as there are any."""
+        return tuple(record for backend_id in ids if (record := self.records.get(backend_id)) is not None)
 
     def pop_heard(self, now: float) -> tuple[tuple[str, int, int], ...]:
         """Who was heard here since last asked, for the other controllers."""
@@ -186,7 +198,7 @@
 
     def _lose(self, now: float, backend_id: str) -> bool:
         old = self.records.get(backend_id)
-        if old is None or old.phase not in {"ready", "draining"}:
+        if old is None or old.phase not in LIVING:
             return False
         phase = "gone" if old.phase == "draining" else "lost"  # a drain is never taken back
         return self._apply(now, msgspec.structs.replace(old, phase=phase))
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -18,6 +18,9 @@
     Pulse,
     Push,
     PushAck,
+    RegistrySync,
+    Relayed,
+    RelayTo,
     Welcome,
 )
 
@@ -57,6 +60,7 @@
         self.epoch = 0  # the highest that a controller showed
         self._confirmed_at = asyncio.get_running_loop().time()
         self.neighbours: tuple[str, ...] = ()
+        self.relayed = 0  # messages passed on from one controller to another
 
     def name(self, ips: Iterable[str]) -> None:
         """These are controllers, as far as somebody knows."""
@@ -127,9 +131,17 @@
                 self.name(controllers)
             case Pulse(revision, is_current, epoch):
                 self._hear_controller(revision, is_current, epoch)
+            case RelayTo(destination, sync):
+                self._relay(link.peer, destination, sync)
             case _:
                 logger.warning("from {}: {} is not for a proxy", link.peer, type(message).__name__)
 
+    def _relay(self, source: str, destination: str, sync: RegistrySync) -> None:
+        """Pass on what one controller has for another. Without a link there it is dropped: the sender tries others."""
+        dialer = self._dialers.get(destination)
+        if dialer is not None and dialer.link is not None and dialer.link.send(Relayed(source, sync)):
+            self.relayed += 1
+
     def link_down(self, link: Link) -> None:
         """A link ended; its dialer goes on."""
         self._lists.pop(link, None)
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -65,7 +65,7 @@
         self.broken = self._driver.broken  # the consensus core found its own state wrong
         self._delivery = Delivery(settings.node_name, random, self._driver.is_current)
         self._registry_service = RegistryService(
-            settings, self.now, self._consensus, self._links, self._delivery, self._local_state, recalled
+            settings, self.now, self._consensus, self._links, self._delivery, self._local_state, recalled, random
         )
         self._protocol = ControllerProtocol(
             settings,
--- a/cranebank/programs/controller_links.py
+++ b/cranebank/programs/controller_links.py
@@ -50,6 +50,10 @@
                 return link
         return None
 
+    def unreached(self) -> list[str]:
+        """The known controllers to which no connection is up."""
+        return [ip for ip in self._dialers if self.to(ip) is None]
+
     def broadcast(self, message: Message) -> None:
         """Send to every controller that is linked."""
         for ip in {*self._dialled, *self._accepted}:
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -27,6 +27,7 @@
     PushAck,
     RegistryAck,
     RegistrySync,
+    Relayed,
     Welcome,
 )
 
@@ -80,6 +81,8 @@
                 self._delivery.observe_revision(link, revision)
             case RegistrySync():
                 self._registry.merge(link, message)
+            case Relayed(source, sync):
+                self._registry.merge_relayed(link, source, sync)
             case RegistryAck(number):
                 self._registry.acknowledged(link.peer, number)
             case ConfigPush(revision, document):
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -3,12 +3,16 @@
 An end of a backend is confirmed to its caller only when a majority of the controllers has acknowledged it, this one
 counted: so no majority that forms later lacks it. The linked proxies are waited for as well, but not for longer than
 the caller's patience. Each connection to a controller begins with the whole registry.
+
+Who was heard, and what changed, also goes to controllers that there is no connection to, by way of proxies: a backend
+whose heartbeats reach the other side of a partition only is alive all the same.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Iterable
+from random import Random
 
 from loguru import logger
 
@@ -19,6 +23,7 @@
 from cranebank.control.replication import RegistryReplication
 from cranebank.programs.controller_links import ControllerLinks, send_deliveries
 from cranebank.programs.local_state import LocalState
+from cranebank.programs.registry_relay import RegistryRelay
 from cranebank.programs.settings import NodeSettings
 from cranebank.transport.links import Link
 from cranebank.transport.messages import Backend, RegistryAck, RegistrySync
@@ -41,6 +46,7 @@
         delivery: Delivery,
         local_state: LocalState,
         recalled: Iterable[Backend],
+        random: Random,
     ) -> None:
         self._ip = settings.ip
         self._now, self._consensus, self._links = now, consensus, links
@@ -49,6 +55,7 @@
         self.registry = Registry(began, settings.beat_ms / 1000)
         self.registry.restore(began, recalled)
         self._replication = RegistryReplication(settings.ip)
+        self._relay = RegistryRelay(delivery, random)
         self._endings: dict[str, PendingAcks] = {}
         self._published_at = began - BATCH_S
         self._synced_at = 0.0
@@ -69,16 +76,42 @@
         if not acks.done:
             self._endings.update(dict.fromkeys(endings, acks))
         send_deliveries(self._delivery)
-        self._links.broadcast(RegistrySync(news, (), self._replication.advance() if endings else 0))
+        self._tell_all(RegistrySync(news, (), self._replication.advance() if endings else 0))
+
+    def _tell_all(self, sync: RegistrySync) -> None:
+        self._links.broadcast(sync)
+        self._relay_to_unreached(sync)
+
+    def _relay_to_unreached(self, sync: RegistrySync) -> None:
+        for ip in self._links.unreached():
+            self._relay.send(ip, sync)
 
     def merge(self, link: Link, sync: RegistrySync) -> None:
         """Take another controller's records, push what is news, and then acknowledge them."""
+        self._take(link.peer, sync)
+        if sync.number and self.registry.has_ended(sync.backends):
+            link.send(RegistryAck(sync.number))
+
+    def merge_relayed(self, link: Link, source: str, sync: RegistrySync) -> None:
+        """Take what a controller without a connection to this one has sent by way of the proxy on this link."""
+        self._relay.received(self._now(), source, link)
+        self._take(source, sync)
+
+    def _take(self, source: str, sync: RegistrySync) -> None:
         now = self._now()
         self.registry.merge(now, sync.backends)
-        self.registry.heard(now, sync.heard)
+        asks = self.registry.heard(now, sync.heard)
         self.publish()
-        if sync.number and self.registry.has_ended(sync.backends):
-            link.send(RegistryAck(sync.number))
+        answers = self.registry.records_of(sync.asks)
+        if asks or answers:
+            self._tell(source, RegistrySync(answers, asks=asks))
+
+    def _tell(self, ip: str, sync: RegistrySync) -> None:
+        link = self._links.to(ip)
+        if link is not None:
+            link.send(sync)
+        else:
+            self._relay.send(ip, sync)
 
     def greet(self, records: Iterable[Backend]) -> tuple[Backend, ...]:
         """What a proxy that has just come knows; returns what it is to be told: all records, and which of its own
@@ -131,23 +164,27 @@
 
     def tick(self, now: float) -> None:
         """Expire the silent, and tell other controllers who was heard here."""
-        self.registry.expire(now, in_touch=self._sees_most() and now - self._looked_at < STOOD_S)
+        self.registry.expire(now, in_touch=self._hears_most(now) and now - self._looked_at < STOOD_S)
         self._looked_at = now
         if now - self._synced_at >= SYNC_S:
             self._synced_at = now
-            heard = self.registry.pop_heard(now)
-            if heard:
-                self._links.broadcast(RegistrySync((), heard))
+            sync = RegistrySync((), self.registry.pop_heard(now))
+            if sync.heard:
+                self._links.broadcast(sync)
+            self._relay_to_unreached(sync)  # also where nobody was heard: it shows that this controller runs
         self._endings = {key: acks for key, acks in self._endings.items() if not acks.done}
 
     def _member_ips(self) -> set[str]:
         return {ip_of(member) for member in self._consensus.status(self._now()).members}
 
-    def _sees_most(self) -> bool:
-        """Whether more than half of the members are linked here."""
+    def _hears_most(self, now: float) -> bool:
+        """Whether more than half of the members are heard here, over a connection or by way of proxies."""
         members = self._member_ips()
-        seen = sum(ip == self._ip or self._links.to(ip) is not None for ip in members)
-        return not members or 2 * seen > len(members)
+        heard = sum(self._hears(now, ip) for ip in members)
+        return not members or 2 * heard > len(members)
+
+    def _hears(self, now: float, ip: str) -> bool:
+        return ip == self._ip or self._links.to(ip) is not None or self._relay.is_heard(now, ip)
 
 
 async def wait_for_acks(acks: PendingAcks, seconds: float) -> None:
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -3,7 +3,8 @@
 A proxy dials every controller and says Hello; the controller answers Welcome and from then on pushes: numbered lists of
 changed backends (Push, acknowledged by number) and configurations (ConfigPush, acknowledged by ConfigAck). Between
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
-RegistryAck for those that have a number).
+RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
+proxies (RelayTo, which goes on as Relayed).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
@@ -100,11 +101,14 @@
 
 class RegistrySync(msgspec.Struct, frozen=True, tag=9, array_like=True):
     """Between controllers: backends that changed, and who was heard lately: id, call_seq, age of it in ms. A
-    ``number`` other than 0 asks for a RegistryAck; it covers everything sent before on the same connection."""
+    ``number`` other than 0 asks for a RegistryAck; it covers everything sent before on the same connection. ``asks``
+    are ids of backends whose records are to be sent back: they were heard, and the sender holds them for lost or has
+    no record of them."""
 
     backends: tuple[Backend, ...] = ()
     heard: tuple[tuple[str, int, int], ...] = ()
     number: int = 0
+    asks: tuple[str, ...] = ()
 
 
 class RegistryAck(msgspec.Struct, frozen=True, tag=13, array_like=True):
@@ -114,6 +118,20 @@
     number: int
 
 
+class RelayTo(msgspec.Struct, frozen=True, tag=14, array_like=True):
+    """From a controller to a proxy: pass this on to a controller that the sender has no connection to."""
+
+    destination: str  # IP
+    sync: RegistrySync
+
+
+class Relayed(msgspec.Struct, frozen=True, tag=15, array_like=True):
+    """From a proxy to a controller: what another controller has sent by way of this proxy."""
+
+    source: str  # IP
+    sync: RegistrySync
+
+
 class Shuffle(msgspec.Struct, frozen=True, tag=10, array_like=True):
     """Between proxies: part of the sender's view as (IP, age in rounds), and which configuration it has. Whoever
     gets one that is no reply sends one back with the same ``exchange``, which was drawn for it and names it alone.
@@ -171,6 +189,8 @@
     | Custodial
     | RegistrySync
     | RegistryAck
+    | RelayTo
+    | Relayed
     | Shuffle
     | Fetch
     | Gossip
--- a/tests/controlsim/actors.py
+++ b/tests/controlsim/actors.py
@@ -265,11 +265,11 @@
 
 
 class Backend(Caller):
-    """One incarnation: it beats, says that it drains, leaves and ends."""
+    """One incarnation: it beats, says that it drains, leaves and ends; or it crashes without a word."""
 
-    def __init__(self, world: World, name: str, random: Random, lives_s: float) -> None:
+    def __init__(self, world: World, name: str, random: Random, lives_s: float, crashes: bool = False) -> None:
         super().__init__(world, name, random)
-        self._lives_s, self._number = lives_s, 0
+        self._lives_s, self._crashes, self._number = lives_s, crashes, 0
         self.preferred: str = ""  # a controller that it reports to for as long as that one answers
 
     def start(self) -> None:
@@ -281,6 +281,9 @@
         while self.loop.time() < end and not self.world.is_over:
             await self._beat("ready")
             await asyncio.sleep(self.world.beat_s)
+        if self._crashes:
+            self.world.liveness.crashed(self.name)
+            return
         for _ in range(4):
             answer = await self._beat("draining")
             if answer is not None:
--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -347,6 +347,7 @@
 
 
 PARTITIONS = ("one from the others", "each from all others", "one way", "one, and from most proxies")
+MEANWHILE = ("nothing", "restart of the one", "restart of another", "freeze of another", "restart of a proxy")
 
 
 def _heard(seed: int) -> World:
@@ -354,6 +355,8 @@
     world.add_operators(1)
     world.operators[0].pause_s = (0.2, 1.2)
     _backends(world, 6, LONG_S, LONG_S + 2.0)
+    world.add_backend(6, 1.0, world.random.uniform(5.0, 12.0), crashes=True)
+    world.add_backend(7, 1.0, world.random.uniform(5.0, 12.0))
     world.scheduler.at(world.random.uniform(4.5, 6.0), lambda: _partition(world))
     return world
 
@@ -363,7 +366,7 @@
     _count(world, f"partition: {kind}")
     ips, seconds = list(world.machines), random.uniform(17.0, 21.0)
     victim = random.choice(ips)
-    for backend in random.sample(world.backends, 4):
+    for backend in random.sample(world.backends, 5):
         backend.preferred = random.choice(ips) if kind == "each from all others" else victim
     for ip in ips if kind == "each from all others" else [victim]:
         pairs = [(ip, other) for other in ips if other != ip]
@@ -373,10 +376,33 @@
             far = random.sample([proxy.ip for proxy in world.proxies], len(world.proxies) - 1)
             pairs += [pair for proxy in far for pair in ((ip, proxy), (proxy, ip))]
         world.cut(world.machines[ip], pairs, seconds, kind)
+    other = random.choice([one for one in ips if one != victim])
+    world.scheduler.after(random.uniform(1.0, 7.0), lambda: _meanwhile(world, victim, other))
+
+
+def _meanwhile(world: World, victim: str, other: str) -> None:
+    """One more fault while controllers are cut off from each other."""
+    random, kind = world.random, MEANWHILE[world.seed // len(PARTITIONS) % len(MEANWHILE)]
+    _count(world, f"in a partition: {kind}")
+    if kind == "freeze of another":
+        world.freeze(world.machines[other], random.uniform(1.0, 5.0))
+    elif kind == "restart of a proxy":
+        _restart_proxy(world, random.choice(world.proxies))
+    elif kind != "nothing":
+        machine = world.machines[victim if kind == "restart of the one" else other]
+        world.stop(machine, has_power=random.random() < 0.5)
+        world.scheduler.after(random.uniform(0.1, 2.0), lambda: world.start(machine))
 
 
 SCENARIOS: dict[str, Scenario] = {
-    "heard": Scenario(_heard, tuple(f"partition: {kind}" for kind in PARTITIONS)),
+    "heard": Scenario(
+        _heard,
+        (
+            *(f"partition: {kind}" for kind in PARTITIONS),
+            *(f"in a partition: {kind}" for kind in MEANWHILE[:3]),
+            "crashed backends looked for at a proxy",
+        ),
+    ),
     "cut": Scenario(
         _cut,
         (
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -240,9 +240,9 @@
             self.operators.append(operator)
             self.scheduler.at(0.5, operator.start)
 
-    def add_backend(self, number: int, at: float, lives_s: float) -> None:
-        """A backend that comes at a time and lives for so long."""
-        backend = BackendActor(self, f"i-{number}", Random(f"{self.seed} backend {number}"), lives_s)
+    def add_backend(self, number: int, at: float, lives_s: float, crashes: bool = False) -> None:
+        """A backend that comes at a time, lives for so long, and then leaves or crashes."""
+        backend = BackendActor(self, f"i-{number}", Random(f"{self.seed} backend {number}"), lives_s, crashes)
         self.backends.append(backend)
         self.scheduler.at(at, backend.start)
 
@@ -419,6 +419,15 @@
             return False
         return one is other or not (self.network.is_cut(one.ip, other.ip) or self.network.is_cut(other.ip, one.ip))
 
+    @property
+    def contactless(self) -> set[str]:
+        """Controllers that are without a majority."""
+        return set(self._lost)
+
+    def present(self) -> list[Machine]:
+        """The machines that were not taken away."""
+        return [machine for machine in self.machines.values() if not machine.is_removed]
+
     def lost_contact_s(self, ip: str) -> float:
         """For how long a controller has been without a majority."""
         return self.scheduler.now - self._lost.get(ip, self.scheduler.now)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -13,7 +13,7 @@
 from cranebank.membership.fleet import FleetLinks
 from cranebank.programs import edge
 from cranebank.programs.settings import Bounds, NodeSettings
-from cranebank.transport.links import Link, listen
+from cranebank.transport.links import REDIAL_S, Link, listen
 from cranebank.transport.messages import (
     Backend,
     ConfigAck,
@@ -23,6 +23,9 @@
     Pulse,
     Push,
     PushAck,
+    RegistrySync,
+    Relayed,
+    RelayTo,
     Welcome,
 )
 
@@ -106,6 +109,39 @@
     uvloop.run(scene())
 
 
+async def relaying() -> None:
+    """Two controllers and one that is down; one has news for both others."""
+    port, owner = free_port(), Controllers()
+    servers = [await listen(owner, ip, port) for ip in CONTROLLERS[:2]]
+    links = FleetLinks(Plane(), lambda: Hello("p", "proxy", PROXY, "z", 1), PROXY, port)
+    links.name(CONTROLLERS)
+    sync = RegistrySync((Backend("i", "s", "10.0.0.9:80", "z", "", 1, "ready", 4),), (("i", 4, 100),))
+    try:
+        await until(owner, Hello, 2)
+        await asyncio.sleep(2 * REDIAL_S[0])  # both dialers hold their links
+        first, second = (end for end, _ in owner.of(Hello))
+        for destination in (CONTROLLERS[2], "127.0.12.77", local_ip(second)):
+            first.send(RelayTo(destination, sync))
+        await until(owner, Relayed, 1)
+        await until(owner, Pulse, 4)
+        assert owner.of(Relayed) == [(second, Relayed(local_ip(first), sync))]
+        assert links.relayed == 1
+    finally:
+        links.stop()
+        for server in servers:
+            server.close()
+
+
+def local_ip(link: Link) -> str:
+    """The controller's address at its end of a link."""
+    assert link._transport is not None
+    return str(link._transport.get_extra_info("sockname")[0])
+
+
+def test_a_proxy_passes_registry_news_on_from_one_controller_to_another_and_drops_what_it_cannot() -> None:
+    uvloop.run(relaying())
+
+
 async def confirming() -> None:
     """A controller's heartbeats, one after another; which of them confirm the revision that is in force."""
     plane = Plane()
--- a/tests/test_lost_but_heard.py
+++ b/tests/test_lost_but_heard.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+import pytest
 from controlsim.scenarios import play
+from controlsim.world import World
+from loguru import logger
 from test_registry import BEAT_S, beat
 
 from cranebank.control.registry import Registry
 from cranebank.dataplane.candidates import Candidates
+from cranebank.programs.controller import Controller
 
 BACKENDS = {f"i-{number}": f"10.0.0.{number}:80" for number in range(1, 5)}
 CUT_S = 20.0
@@ -63,3 +70,84 @@
     """Whole controllers and links in simulated time; a cut of 17 to 21 s, each seed another form of it."""
     broken = {seed: played.breaches for seed in SEEDS if (played := play("heard", seed)).breaches}
     assert broken == {}
+
+
+A, B, C = IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+A_FROM_OTHERS = ((A, B), (B, A), (A, C), (C, A))
+ALL_FROM_ALL = (*A_FROM_OTHERS, (B, C), (C, B))
+CUT_AT = 9.0
+RELAYED_S = 2.5  # until a link is known to be cut, and the next news has gone round
+LOST_S = 3.5 + 1 + 0.5  # beats of 1 s, and a look each half second
+
+
+@contextmanager
+def partitioned(pairs: Iterable[tuple[str, str]]) -> Iterator[World]:
+    """Three controllers that have run for a while, and cuts. All backends beat at A: one from the beginning, one that
+    begins after the cut, and one that crashes at 15 s."""
+    logger.disable("cranebank")
+    world = World(3, proxies=2, faults_s=60.0)
+    try:
+        world.add_backend(1, 1.0, 60.0)
+        world.add_backend(2, CUT_AT + 0.5, 60.0)
+        world.add_backend(3, 1.0, 14.0, crashes=True)
+        for backend in world.backends:
+            backend.preferred = A
+        world.scheduler.run_until(CUT_AT)
+        for ip in IPS:
+            world.cut(world.machines[ip], [pair for pair in pairs if pair[0] == ip], 50.0, "as the test says")
+        yield world
+    finally:
+        world.close()
+        logger.enable("cranebank")
+
+
+def controller(world: World, ip: str) -> Controller:
+    """A controller that runs."""
+    found = world.machines[ip].controller
+    assert found is not None
+    return found
+
+
+def phase_at(world: World, ip: str, backend: str) -> str | None:
+    """What a controller's registry holds of a backend."""
+    record = controller(world, ip).registry.records.get(backend)
+    return record.phase if record is not None else None
+
+
+@pytest.mark.parametrize("pairs", [A_FROM_OTHERS, ALL_FROM_ALL])
+def test_what_one_side_of_a_partition_hears_is_known_on_the_other_side(pairs: tuple[tuple[str, str], ...]) -> None:
+    """By way of proxies: heartbeats, a backend that began after the cut, and that one has ceased to beat."""
+    with partitioned(pairs) as world:
+        while world.scheduler.now < 35.0:
+            world.scheduler.run_until(world.scheduler.now + 0.5)
+            now = world.scheduler.now
+            assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready"] * 3
+            if now > CUT_AT + 0.5 + RELAYED_S:
+                assert [phase_at(world, ip, "i-2") for ip in IPS] == ["ready"] * 3
+            if now < 15.0 or now > 15.0 + LOST_S + RELAYED_S:
+                assert [phase_at(world, ip, "i-3") for ip in IPS] == [("ready" if now < 15.0 else "lost")] * 3
+
+
+def test_a_drain_that_one_side_of_a_partition_takes_is_known_on_the_other_side_at_once() -> None:
+    with partitioned(A_FROM_OTHERS) as world:
+        world.scheduler.run_until(CUT_AT + RELAYED_S)
+        here, loop = controller(world, A), world.machines[A].loop
+        assert loop is not None
+        drain = beat(1000, "draining", here.registry.records["i-1"].address)
+        loop.call_soon(here.registry.heartbeat, here.now(), "i-1", drain)
+        loop.call_soon(here.publish_registry)
+        world.scheduler.run_until(CUT_AT + RELAYED_S + 0.1)
+        assert [phase_at(world, ip, "i-1") for ip in IPS] == ["draining"] * 3
+
+
+def test_a_loss_is_lifted_as_soon_as_there_is_a_way_round_the_partition() -> None:
+    """Without proxies B must think the backend lost. Once some are there, A's news of heartbeats contradicts it."""
+    with partitioned(A_FROM_OTHERS) as world:
+        for proxy in world.proxies:
+            proxy.kill()
+        world.scheduler.run_until(20.0)
+        assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready", "lost", "lost"]
+        for proxy in world.proxies:
+            proxy.start()
+        world.scheduler.run_until(20.0 + RELAYED_S)
+        assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready"] * 3
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -177,6 +177,25 @@
     assert phases(here) == phases(there) == {"i": "ready"}
 
 
+def test_the_records_of_lost_and_unknown_backends_that_another_controller_hears_are_asked_for() -> None:
+    here, there = Registry(0, BEAT_S), Registry(0, BEAT_S)
+    here.heartbeat(10, "i", beat(1))
+    there.merge(10, here.changes())
+    there.heartbeat(15, "i", beat(2))
+    there.heartbeat(15, "j", beat(1, address="10.0.0.8:80"))
+    assert [record.phase for record in here.expire(10.1 + LOST_S)] == ["lost"]
+    assert here.heard(15.5, [("i", 1, 100)]) == ()
+    asks = here.heard(16.5, there.pop_heard(16.5))
+    assert asks == ("i", "j")
+    assert here.wrong_losses == 1  # the heartbeat came before the loss: it was wrong from the beginning
+    here.merge(16.7, there.records_of((*asks, "unknown")))
+    assert phases(here) == phases(there) == {"i": "ready", "j": "ready"}
+    here.expire(16.7 + LOST_S + 1)
+    there.heartbeat(30, "i", beat(3))
+    assert here.heard(30, there.pop_heard(30)) == ("i",)
+    assert here.wrong_losses == 1  # it fell silent and came back: the loss was right
+
+
 def test_an_address_taken_by_another() -> None:
     """A new incarnation at an address ends the claim of the one that was there."""
     registry = Registry(0, BEAT_S)
