Links: a dialer sleeps while its link stands; a link that is closed always tells its end

The end of a link wakes it now; bounds as before. Since a dialer waits for that end, Link.close brings it about itself: uvloop closes some connections without connection_lost (docs/incidents/dial-given-up.md), and nobody may wait for what never comes; a test shows it.

--- a/cranebank/transport/links.py
+++ b/cranebank/transport/links.py
@@ -50,6 +50,7 @@
         self.peer, self.up = "", False
         self.heard = 0.0  # steady clock, seconds
         self._timer: asyncio.TimerHandle | None = None
+        self.ended = asyncio.Event()  # set once the connection is over, also one that was over before it was up
         self.pulse: Callable[[], Pulse] = Pulse  # makes the heartbeats
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -93,6 +94,7 @@
             self.up = False
             self._transport = None
             self._owner.link_down(self)
+        self.ended.set()
 
     def send(self, message: Message) -> bool:
         """Whether it was taken; a link that is over takes nothing."""
@@ -116,10 +118,12 @@
         self.connection_lost(None)
 
     def close(self) -> None:
-        """End it now."""
+        """End it now. Whoever waits for its end hears of it in the next turn, also where the event loop has closed the
+        connection already and told nobody."""
         self.up = False
         if self._transport is not None:
             self._transport.abort()
+            asyncio.get_running_loop().call_soon(self.connection_lost, None)
 
     def _beat(self) -> None:
         loop = asyncio.get_running_loop()
@@ -131,12 +135,19 @@
 
 
 class Dialer:
-    """Keeps one held connection to an address, dialling again for as long as it is wanted."""
+    """Keeps one held connection to an address, dialling again for as long as it is wanted.
+
+    It sleeps while its link stands: the end of the link wakes it, and one timer brings the next attempt. After a link
+    that was lost this is the first pause of ``REDIAL_S``; a link that did not even last that long is paid for with the
+    rest of it, so that a peer that accepts and closes at once is not dialled without end. After attempts that came to
+    nothing the pauses double, up to the longest.
+    """
 
     def __init__(self, owner: Owner, local_ip: str, ip: str, port: int) -> None:
         self._owner, self._local, self.ip, self._port = owner, local_ip, ip, port
-        self._task = asyncio.get_running_loop().create_task(self._run())
         self.link: Link | None = None
+        self._loop = asyncio.get_running_loop()
+        self._task = self._loop.create_task(self._run())
 
     def stop(self) -> None:
         """End the connection, and dial no more."""
@@ -145,20 +156,32 @@
             self.link.close()
 
     async def _run(self) -> None:
-        pause = REDIAL_S[0]
+        shortest, longest = REDIAL_S
+        pause = shortest
         while True:
-            try:
-                link = await dial(self._owner, self._local, self.ip, self._port)
-            except OSError:  # TimeoutError is one
+            link = await self._dial()
+            if link is None:
                 await asyncio.sleep(pause)
-                pause = min(2 * pause, REDIAL_S[1])
+                pause = min(2 * pause, longest)
                 continue
-            pause = REDIAL_S[0]
-            self.link = link
-            while link.up:
-                await asyncio.sleep(REDIAL_S[0])
-            self.link = None
-            await asyncio.sleep(pause)
+            pause = shortest
+            lasted = await self._hold(link)
+            await asyncio.sleep(pause + max(0.0, shortest - lasted))
+
+    async def _dial(self) -> Link | None:
+        """One attempt; None when it was refused or nothing answered in time."""
+        try:
+            return await dial(self._owner, self._local, self.ip, self._port)
+        except OSError:  # TimeoutError is one
+            return None
+
+    async def _hold(self, link: Link) -> float:
+        """Wait until the link is over; for how long it stood."""
+        begun = self._loop.time()
+        self.link = link
+        await link.ended.wait()
+        self.link = None
+        return self._loop.time() - begun
 
 
 async def dial(owner: Owner, local_ip: str, ip: str, port: int) -> Link:
--- a/tests/controlsim/network.py
+++ b/tests/controlsim/network.py
@@ -66,6 +66,8 @@
         """Hand the connection to its protocol."""
         self.protocol = protocol
         protocol.connection_made(self)
+        if self._inbox:  # came before the dialling process had got its connection
+            self.loop.call_soon(self.receive, [])
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         if name == "peername":
--- a/tests/test_link_faults.py
+++ b/tests/test_link_faults.py
@@ -270,3 +270,21 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run())
     assert len(owner.down) == len(set(owner.down))
+
+
+def test_a_link_that_the_loop_has_closed_in_silence_ends_when_it_is_closed() -> None:
+    """Neither the owner nor the dialer may wait for an end that the event loop never tells."""
+
+    class SilentTransport(asyncio.Transport):
+        def abort(self) -> None:
+            """Closed already; nobody is told."""
+
+    async def story() -> None:
+        owner = Owner()
+        link = Link(owner, True)
+        link._transport, link.up = SilentTransport(), True
+        link.close()
+        await asyncio.wait_for(link.ended.wait(), 1)
+        assert owner.down == [link]
+
+    asyncio.run(story())
