--- /dev/null
+++ b/tests/test_soak_faults.py
@@ -0,0 +1,315 @@
+"""Faults of soak runs on stand-ins for processes and backends: who is struck, what is cut, and that all of it heals."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from cranebank.fleetlab import backend_faults, process_faults
+from cranebank.fleetlab.backend_faults import BackendFaults
+from cranebank.fleetlab.fault_scene import FaultScene, NoVictimError
+from cranebank.fleetlab.network import LabNetwork
+from cranebank.fleetlab.network_faults import NetworkFaults
+from cranebank.fleetlab.process_faults import ProcessFaults
+from cranebank.fleetlab.records import DayRecord
+from cranebank.fleetlab.soak import BACKEND_FAULTS, PROCESS_FAULTS
+from cranebank.fleetlab.soak_plan import Fault, FaultKind
+
+
+def by_value(kind: FaultKind) -> str:
+    return kind.value
+
+
+NETWORK_FAULTS = sorted(set(FaultKind) - PROCESS_FAULTS - BACKEND_FAULTS, key=by_value)
+ANSWERS = {FaultKind.LOSE_OPERATOR_ANSWERS, FaultKind.LOSE_HEARTBEAT_ANSWERS}
+CUTS = [kind for kind in NETWORK_FAULTS if kind not in ANSWERS | {FaultKind.RESET_CONNECTIONS}]
+OF_PROCESSES: list[FaultKind] = sorted(PROCESS_FAULTS, key=by_value)
+OF_BACKENDS: list[FaultKind] = sorted(BACKEND_FAULTS, key=by_value)
+OF_ANSWERS: list[FaultKind] = sorted(ANSWERS, key=by_value)
+CHOICES = range(12)
+PRIMARY = "control-2"
+
+
+class StandIn:
+    """A process that does as it is told at once."""
+
+    def __init__(self, name: str, role: str, ip: str) -> None:
+        self.name, self.role, self.ip = name, role, ip
+        self.is_running = True
+        self.told: list[str] = []
+        self.process = None
+
+    async def kill(self) -> None:
+        self.is_running = False
+        self.told.append("kill")
+
+    async def stop(self, seconds: float) -> bool:
+        self.is_running = False
+        self.told.append("stop")
+        await asyncio.sleep(0)
+        return True
+
+    def send(self, number: signal.Signals) -> None:
+        self.told.append(number.name)
+
+    def clear_disk(self) -> None:
+        assert not self.is_running
+        self.told.append("clear")
+
+
+class StandInFleet:
+    def __init__(self) -> None:
+        self.controllers = {f"control-{n}": StandIn(f"control-{n}", "control", f"10.0.0.{n}") for n in (1, 2, 3)}
+        self.proxies = {f"edge-{n}": StandIn(f"edge-{n}", "edge", f"10.0.1.{n}") for n in (1, 2, 3)}
+        self.listed_controllers = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
+
+    @property
+    def processes(self) -> list[StandIn]:
+        return [*self.controllers.values(), *self.proxies.values()]
+
+    async def start(self, process: StandIn) -> None:
+        assert not process.is_running, "started twice"
+        process.is_running = True
+        process.told.append("start")
+
+    def add_controller(self) -> StandIn:
+        made = self.controllers["control-4"] = StandIn("control-4", "control", "10.0.0.4")
+        made.is_running = False
+        return made
+
+    def remove_controller(self, name: str) -> None:
+        del self.controllers[name]
+
+    def list_controllers(self) -> None:
+        self.listed_controllers = [f"{one.ip}:1" for one in self.controllers.values()]
+
+
+class StandInBackend:
+    def __init__(self, number: int, service: str, stage: str) -> None:
+        self.instance, self.service, self.address = f"i-{number}", service, f"10.0.2.{number}:8080"
+        self.model = SimpleNamespace(stage=stage)
+        self.phase, self.faults, self.ended = "ready", set[str](), asyncio.Event()
+        self.beat_address = "10.0.0.1:1"
+
+    def fault(self, name: str, on: bool = True) -> None:
+        if name == "crash":
+            self.ended.set()
+        (self.faults.add if on else self.faults.discard)(name)
+
+    def drain(self) -> None:
+        self.phase = "draining"
+        self.ended.set()
+
+    def beat_at(self, address: str) -> None:
+        self.beat_address = address
+
+
+class Stage:
+    """A scene on stand-ins."""
+
+    def __init__(self, folder: Path) -> None:
+        self.fleet = StandInFleet()
+        self.record = DayRecord()
+        self.network = LabNetwork(folder / "network.json")
+        stages = [("g1", "prefill"), ("g1", "prefill"), ("g1", "decode"), ("g1", "decode"), ("g2", "prefill")]
+        stages += [("g2", "decode"), ("g2", "decode")]
+        self.backends = [StandInBackend(number, *place) for number, place in enumerate(stages, 1)]
+        platform = SimpleNamespace(proxies={name: SimpleNamespace(life=1) for name in self.fleet.proxies})
+        self.platform = platform
+        self.scene = FaultScene(
+            cast(Any, self.fleet),
+            self.network,
+            cast(Any, platform),
+            cast(Any, self.backends),
+            self.record,
+            cast(Any, self.add_backend),
+            self.primary,
+            lambda text: None,
+        )
+        self.callers = [SimpleNamespace(share_lost=0.0) for _ in range(2)]
+        self.process_faults = ProcessFaults(self.scene)
+        self.network_faults = NetworkFaults(self.scene, cast(Any, self.callers[:1]), cast(Any, self.callers[1:]))
+        self.backend_faults = BackendFaults(self.scene)
+
+    async def primary(self) -> str:
+        return PRIMARY
+
+    async def add_backend(self, service: str, stage: str) -> StandInBackend:
+        self.backends.append(StandInBackend(len(self.backends) + 1, service, stage))
+        return self.backends[-1]
+
+    def told(self) -> dict[str, list[str]]:
+        return {process.name: process.told for process in self.fleet.processes if process.told}
+
+
+def play(folder: Path, story: Callable[[Stage], Awaitable[None]]) -> Stage:
+    async def run() -> Stage:
+        stage = Stage(folder)
+        async with asyncio.timeout(10):
+            await story(stage)
+        return stage
+
+    return asyncio.run(run())
+
+
+@pytest.fixture(autouse=True)
+def _no_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("RESTART_S", "TURN_S", "LIST_LAG_S", "CATCH_UP_S"):
+        monkeypatch.setattr(process_faults, name, 0.0)
+    monkeypatch.setattr(backend_faults, "BORN_AHEAD_S", 0.0)
+
+
+def fault(kind: FaultKind, choice: int = 1, seconds: float = 0.0) -> Fault:
+    return Fault(0.0, kind, seconds, choice)
+
+
+@pytest.mark.parametrize("kind", OF_PROCESSES)
+def test_a_fault_of_processes_is_noted_and_all_run_again(tmp_path: Path, kind: FaultKind) -> None:
+    stage = play(tmp_path, lambda stage: stage.process_faults.inject(fault(kind)))
+    assert all(process.is_running for process in stage.fleet.processes)
+    assert len(stage.fleet.controllers) == len(stage.fleet.proxies) == 3
+    assert not stage.scene.held
+    (noted,) = stage.record.faults
+    assert noted.kind == kind.value
+    assert noted.begin <= noted.end < float("inf")
+    assert stage.record.troubles
+    assert all(trouble.end < float("inf") for trouble in stage.record.troubles)
+    for name, proxy in stage.fleet.proxies.items():
+        assert stage.platform.proxies[name].life == 1 + proxy.told.count("start")
+
+
+@pytest.mark.parametrize(
+    ("kind", "least", "most"),
+    [
+        (FaultKind.KILL_PRIMARY, {PRIMARY}, {PRIMARY}),
+        (FaultKind.KILL_CONTROLLER, set(), {"control-1", "control-3"}),
+        (FaultKind.KILL_PROXIES, {"edge-1", "edge-2", "edge-3"}, {"edge-1", "edge-2", "edge-3"}),
+    ],
+)
+@pytest.mark.parametrize("choice", range(5))
+def test_who_is_struck(tmp_path: Path, kind: FaultKind, least: set[str], most: set[str], choice: int) -> None:
+    struck = set(play(tmp_path, lambda stage: stage.process_faults.inject(fault(kind, choice))).told())
+    assert struck
+    assert least <= struck <= most
+
+
+def test_a_wiped_disk_is_cleared_while_the_process_is_down(tmp_path: Path) -> None:
+    stage = play(tmp_path, lambda stage: stage.process_faults.inject(fault(FaultKind.WIPE_CONTROLLER)))
+    assert list(stage.told().values()) == [["kill", "clear", "start"]]
+
+
+def test_a_replaced_controller_is_listed_at_its_new_address(tmp_path: Path) -> None:
+    stage = play(tmp_path, lambda stage: stage.process_faults.inject(fault(FaultKind.REPLACE_CONTROLLER)))
+    assert "control-4" in stage.fleet.controllers
+    assert "10.0.0.4:1" in stage.fleet.listed_controllers
+    assert len(stage.fleet.listed_controllers) == 3
+
+
+def test_two_faults_do_not_strike_one_process(tmp_path: Path) -> None:
+    async def story(stage: Stage) -> None:
+        first = asyncio.ensure_future(stage.process_faults.inject(fault(FaultKind.KILL_PRIMARY, seconds=0.1)))
+        await asyncio.sleep(0.01)
+        with pytest.raises(NoVictimError):
+            await stage.process_faults.inject(fault(FaultKind.PAUSE_PRIMARY))
+        await first
+
+    assert play(tmp_path, story).told() == {PRIMARY: ["kill", "start"]}
+
+
+@pytest.mark.parametrize("kind", [FaultKind.KILL_CONTROLLER, FaultKind.STOP_CONTROLLER, FaultKind.ROLL_CONTROLLERS])
+def test_what_is_down_by_another_fault_is_left_to_it_when_everything_is_killed(tmp_path: Path, kind: FaultKind) -> None:
+    """Each process is started once for each time that it ended: the stand-in fails where one is started twice."""
+
+    async def story(stage: Stage) -> None:
+        first = asyncio.ensure_future(stage.process_faults.inject(fault(kind, seconds=0.1)))
+        await asyncio.sleep(0.01)
+        await stage.process_faults.inject(fault(FaultKind.KILL_EVERYTHING, seconds=0.02))
+        await first
+
+    stage = play(tmp_path, story)
+    assert all(process.is_running for process in stage.fleet.processes)
+
+
+def test_a_paused_process_that_is_killed_is_started_again(tmp_path: Path) -> None:
+    async def story(stage: Stage) -> None:
+        first = asyncio.ensure_future(stage.process_faults.inject(fault(FaultKind.PAUSE_PRIMARY, seconds=0.1)))
+        await asyncio.sleep(0.01)
+        await stage.process_faults.inject(fault(FaultKind.KILL_EVERYTHING, seconds=0.02))
+        await first
+
+    assert play(tmp_path, story).told()[PRIMARY] == ["SIGSTOP", "kill", "start", "SIGCONT"]
+
+
+@pytest.mark.parametrize("kind", CUTS)
+@pytest.mark.parametrize("choice", CHOICES)
+def test_a_cut_heals_and_leaves_some_backends_alone(tmp_path: Path, kind: FaultKind, choice: int) -> None:
+    cuts: list[tuple[str, str]] = []
+
+    async def story(stage: Stage) -> None:
+        noted = stage.network.cut
+
+        def cut(paths: Any) -> None:
+            cuts.extend(paths)
+            noted(paths)
+
+        stage.network.cut = cut  # type: ignore[method-assign]
+        await stage.network_faults.inject(fault(kind, choice))
+
+    stage = play(tmp_path, story)
+    assert cuts
+    assert all(source != target for source, target in cuts)
+    assert not any(stage.network.is_cut(*path) for path in cuts)
+    backends = {one.address.rpartition(":")[0] for one in stage.backends}
+    assert not backends <= {ip for path in cuts for ip in path}
+    assert all(trouble.end < float("inf") for trouble in stage.record.troubles)
+    between = [path for path in cuts if all(ip.startswith("10.0.0.") for ip in path)]
+    assert bool(between) == any(trouble.machine == "core" for trouble in stage.record.troubles)
+
+
+def test_one_direction_is_cut_for_a_deaf_and_a_mute_controller(tmp_path: Path) -> None:
+    async def story(stage: Stage) -> None:
+        for kind in (FaultKind.DEAF_CONTROLLER, FaultKind.MUTE_CONTROLLER):
+            paths = stage.network_faults._paths(kind, Random(3))
+            ends = {path.target if kind is FaultKind.DEAF_CONTROLLER else path.source for path in paths}
+            assert len(ends) == 1
+            assert len(paths) == 2
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("kind", OF_ANSWERS)
+def test_answers_are_lost_for_the_time_of_the_fault_only(tmp_path: Path, kind: FaultKind) -> None:
+    async def story(stage: Stage) -> None:
+        losing = asyncio.ensure_future(stage.network_faults.inject(fault(kind, seconds=0.05)))
+        await asyncio.sleep(0.01)
+        assert [caller.share_lost > 0 for caller in stage.callers].count(True) == 1
+        await losing
+        assert not any(caller.share_lost for caller in stage.callers)
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("kind", OF_BACKENDS)
+@pytest.mark.parametrize("choice", range(5))
+def test_after_a_fault_of_backends_each_service_can_still_be_served(
+    tmp_path: Path, kind: FaultKind, choice: int
+) -> None:
+    stage = play(tmp_path, lambda stage: stage.backend_faults.inject(fault(kind, choice)))
+    assert [noted.kind for noted in stage.record.faults] == [kind.value]
+    left = {(one.service, one.model.stage) for one in stage.backends if not one.ended.is_set()}
+    assert {service for service, _ in left} == {"g1", "g2"}
+    gone = {("g1", "prefill"), ("g1", "decode"), ("g2", "prefill"), ("g2", "decode")} - left
+    assert len(gone) == (kind in {FaultKind.DECODE_STAGE_LEAVES, FaultKind.PREFILL_STAGE_LEAVES})
+    assert not any(one.faults - {"crash"} for one in stage.backends)
+
+
+def test_all_heartbeats_go_to_one_controller(tmp_path: Path) -> None:
+    stage = play(tmp_path, lambda stage: stage.backend_faults.inject(fault(FaultKind.HEARTBEATS_TO_ONE, 5)))
+    assert len({one.beat_address for one in stage.backends}) == 1
