Invariants that the code goes on from are counted with the others; tests fail where any is violated

The stage balancer and the candidates kept counters of their own, which neither the metrics told nor the soak saw: invariants.note counts, and logs the first three. tests/conftest.py gives each test counts of its own and fails it where any invariant was violated, unless it is marked to bring that about (five tests are).

--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -36,6 +36,7 @@
     Unreported,
 )
 from cranebank.control.stage_policy import ServiceStages, needed_stage
+from cranebank.invariants import note
 from cranebank.transport.messages import Backend
 
 CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
@@ -167,7 +168,7 @@
         """Count and log a broken invariant."""
         if not holds:
             self.violations[what] += 1
-            logger.error("stage balancer: violated: {}", what)
+            note(what, "stage balancer")
         return holds
 
     # Looking.
--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -6,6 +6,7 @@
 
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.suspects import Place, Suspects, is_last_resort
+from cranebank.invariants import note
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend
 
@@ -28,7 +29,6 @@
         self._suspects = Suspects()
         self._holders: dict[str, str] = {}  # address: id of who was last known to serve there
         self.version = 0  # rises whenever the ready ones or the suspects of a service and stage change
-        self.empty_though_known = 0  # violations of the invariant of ``ready``
         self._away: set[str] = set()  # those that failed lately
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
@@ -125,7 +125,7 @@
         """Whom to send to; the list is not to be changed. Those that failed us lately stand back, unless all did.
 
         Invariant: it is empty only where no backend of the service and stage is ready, nor lost and not backed off,
-        ``without`` left out. Violations are counted in ``empty_though_known``.
+        ``without`` left out.
         """
         place = (service, stage)
         listed = self._ready.get(place, [])
@@ -143,10 +143,11 @@
         return listed
 
     def _check_empty(self, now: float, place: Place, without: Set[str]) -> None:
-        self.empty_though_known += any(
+        if any(
             _place(seen.backend) == place and seen.backend.id not in without and self._may_be_tried(now, seen)
             for seen in self.seen.values()
-        )
+        ):
+            note("nobody is passed over where a backend may be tried", f"{place}")
 
     @staticmethod
     def _may_be_tried(now: float, seen: Seen) -> bool:
--- a/cranebank/fleetlab/campaign.py
+++ b/cranebank/fleetlab/campaign.py
@@ -17,6 +17,7 @@
 
 KEPT_OF_PASSED = frozenset({"plan.json", "verdict.json"})
 LOG = "run.log"
+SLOWEST = 5  # runs that the report names
 
 
 class CampaignReport(msgspec.Struct):
@@ -112,6 +113,10 @@
         f"overlaps: {sum(pairs.values())} of {len(pairs)} pairs of kinds, "
         f"three at once {report.overlaps['three at once']} times"
     )
+    slowest = sorted(report.verdicts, key=lambda verdict: -verdict.longest_outage_s)[:SLOWEST]
+    yield "longest times without service: " + ", ".join(
+        f"{verdict.longest_outage_s:.1f} s (seed {verdict.seed})" for verdict in slowest
+    )
     if report.missing:
         yield "NEVER HAPPENED: " + ", ".join(report.missing)
     for verdict in report.failed:
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -165,7 +165,7 @@
     """What could have served at a time, by what the laboratory itself did: it knows nothing of what processes think.
 
     ``backends`` counts the decode backends of each service that are well, can be reached by all proxies that run and
-    reach a controller themselves."""
+    reach a controller themselves. Where a service has had none for a while but prefill ones, it is 1."""
 
     at: float
     proxies: int  # that run and have had time to come up
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import pytest
 from known_red import pytest_collection_modifyitems  # noqa: F401  (a hook of pytest's)
 
+from cranebank import invariants
 from cranebank.decisions.balance import Balancer
 from cranebank.decisions.interface import (
     Action,
@@ -112,3 +114,13 @@
 def drive() -> Callable[..., Driver]:
     """Make a driver over settings that differ from the usual as stated."""
     return lambda seed=7, **changes: Driver(make_settings(**changes), seed)
+
+
+@pytest.fixture(autouse=True)
+def no_invariant_is_violated(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Each test has counts of its own and fails where an invariant was violated, unless it is marked to do so."""
+    counts: Counter[str] = Counter()
+    monkeypatch.setattr(invariants, "_counts", counts)
+    yield
+    if request.node.get_closest_marker("violates_invariants") is None:
+        assert not counts, f"invariants were violated: {dict(counts)}"
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -207,6 +207,7 @@
 )
 
 
+@pytest.mark.violates_invariants
 @pytest.mark.parametrize(("plant", "point", "rules"), PLANTS, ids=lambda value: getattr(value, "__name__", None))
 def test_a_planted_fault_is_found(plant: Plant, point: str, rules: set[str], monkeypatch: pytest.MonkeyPatch) -> None:
     plant(monkeypatch)
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -512,6 +512,7 @@
     assert any(isinstance(one, ev.Send) and isinstance(one.message, ev.Refused) for one in actions)
 
 
+@pytest.mark.violates_invariants
 def test_a_broken_invariant_has_a_type() -> None:
     group = ready()
     node = group.nodes[group.primary]
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -363,6 +363,7 @@
 # Invariants, on a balancer whose guards are taken out.
 
 
+@pytest.mark.violates_invariants
 def test_a_stage_that_gets_no_order_in_time_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(StageBalancer, "_begin", lambda *_: None)
     bench = Bench(backend("i-1", "prefill"))
@@ -370,6 +371,7 @@
     assert bench.balancer.violations["a stage that is needed gets an order in time"]
 
 
+@pytest.mark.violates_invariants
 def test_an_order_without_a_lease_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(StageBalancer, "_may_order", lambda *_: True)
     bench = Bench(backend("i-1", "prefill"))
@@ -378,6 +380,7 @@
     assert bench.balancer.violations["orders are sent under the lease only"] == 1
 
 
+@pytest.mark.violates_invariants
 def test_a_fence_that_falls_is_counted() -> None:
     bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
     first = bench.transmit()
