--- a/cranebank/fleetlab/campaign.py
+++ b/cranebank/fleetlab/campaign.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from cranebank.fleetlab.soak import SoakVerdict, play
+from cranebank.fleetlab.soak import play
 from cranebank.fleetlab.soak_plan import FaultKind, SoakPlan
+from cranebank.fleetlab.soak_verdict import SoakVerdict
 
 KEPT_OF_PASSED = frozenset({"plan.json", "verdict.json"})
 LOG = "run.log"
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -77,8 +77,12 @@
         """How this run starts the programs."""
         return Programs()
 
-    def _caller(self, kind: str, address: str = "") -> Caller | None:
-        """Who calls control for an operator or a backend; none: over a network that loses nothing."""
+    def _operator_caller(self) -> Caller | None:
+        """Who makes the operator's calls; none: over a network that loses nothing."""
+        return None
+
+    def _backend_caller(self, address: str) -> Caller | None:
+        """Who makes the calls of the backend at this address."""
         return None
 
     async def _play(self) -> None:
@@ -108,7 +112,7 @@
             Random(self._seed + 1),
             self._say,
             self.record.readings,
-            self._caller("operator"),
+            self._operator_caller(),
         )
 
     async def _start(self) -> None:
@@ -170,7 +174,7 @@
             self.record.drains,
             self._handles,
             self.record.orders,
-            self._caller("backend", self._fleet.backend_address(number)),
+            self._backend_caller(self._fleet.backend_address(number)),
         )
         await backend.start()
         self._backends.append(backend)
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -193,5 +193,6 @@
     readings: list[Reading] = []
     orders: list[OrderSeen] = []
     faults: list[InjectedFault] = []
+    skipped: list[str] = []  # kinds of faults that found nobody to strike
     health: list[Health] = []
     violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/cranebank/fleetlab/soak.py
+++ b/cranebank/fleetlab/soak.py
@@ -6,10 +6,10 @@
 import itertools
 import re
 import signal
-from collections import Counter
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
+from typing import Protocol
 
 import msgspec
 
@@ -18,15 +18,14 @@
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.fault_scene import FaultScene, NoVictimError, is_well
 from cranebank.fleetlab.fleet import METRICS, Process, Programs
-from cranebank.fleetlab.judge import judge, served, share
 from cranebank.fleetlab.lab_run import LabRun
 from cranebank.fleetlab.launcher import VARIABLE as NETWORK_VARIABLE
-from cranebank.fleetlab.liveness import judge_liveness, longest_outage
 from cranebank.fleetlab.network import LabNetwork
 from cranebank.fleetlab.network_faults import NetworkFaults
 from cranebank.fleetlab.process_faults import CATCH_UP_S, ProcessFaults
 from cranebank.fleetlab.records import Health
-from cranebank.fleetlab.soak_plan import Fault, FaultKind, SoakPlan, overlaps
+from cranebank.fleetlab.soak_plan import TRAITS, Fault, FaultGroup, SoakPlan
+from cranebank.fleetlab.soak_verdict import SoakVerdict, verdict_of
 from cranebank.transport.http_client import ask_once
 
 PAUSE_S = (0.2, 1.2)  # of the operator, between changes
@@ -39,58 +38,17 @@
 READ_BACK_S = 12.0
 METRICS_S = 1.0
 OPERATOR = "5"  # last part of the operator's address
-PROCESS_FAULTS = frozenset(
-    {
-        FaultKind.KILL_PRIMARY,
-        FaultKind.KILL_CONTROLLER,
-        FaultKind.KILL_MOST_CONTROLLERS,
-        FaultKind.KILL_EVERYTHING,
-        FaultKind.STOP_CONTROLLER,
-        FaultKind.ROLL_CONTROLLERS,
-        FaultKind.PAUSE_PRIMARY,
-        FaultKind.PAUSE_CONTROLLER,
-        FaultKind.WIPE_CONTROLLER,
-        FaultKind.REPLACE_CONTROLLER,
-        FaultKind.KILL_PROXY,
-        FaultKind.KILL_PROXIES,
-        FaultKind.PAUSE_PROXY,
-        FaultKind.ROLL_PROXIES,
-    }
-)
-BACKEND_FAULTS = frozenset(
-    {
-        FaultKind.BACKEND_CRASH,
-        FaultKind.BACKEND_DARK,
-        FaultKind.BACKEND_SILENT,
-        FaultKind.BACKEND_CUTS_ANSWERS,
-        FaultKind.BACKEND_LATE_ANSWERS,
-        FaultKind.BACKEND_LEAVES,
-        FaultKind.RELEASE,
-        FaultKind.DECODE_STAGE_LEAVES,
-        FaultKind.PREFILL_STAGE_LEAVES,
-        FaultKind.HEARTBEATS_TO_ONE,
-    }
-)
 VIOLATION = re.compile(r'_invariant_violations_total\{invariant="(?P<name>[^"]*)"\} (?P<count>\d+)')
 BAD_LINE = re.compile(
     r" CRITICAL |unhandled: |Traceback \(most recent call last\)|InvariantBroken|invariant violated: "
 )
 
 
-class SoakVerdict(msgspec.Struct):
-    """What came of a run. ``failures`` is empty where all was well."""
+class Injector(Protocol):
+    """Who brings the faults of a group about."""
 
-    seed: int
-    failures: list[str]
-    faults: dict[str, int]  # by kind, those that found a victim
-    overlaps: dict[str, int]  # pairs of kinds
-    skipped: dict[str, int]  # by kind, those that found no victim
-    requests: int
-    served: float  # share of the requests
-    windows: int  # that liveness was judged by
-    longest_outage_s: float
-    acknowledged: int  # changes of the configuration
-    remarks: list[str] = []
+    async def inject(self, fault: Fault) -> None:
+        """Inject one fault, and return when it has healed. Raises NoVictimError."""
 
 
 class Soak(LabRun):
@@ -99,21 +57,26 @@
     def __init__(self, plan: SoakPlan, progress: Callable[[str], None], folder: Path | None) -> None:
         super().__init__(plan.seed, plan.beat_ms, plan.shape, progress, folder)
         self.plan = plan
-        self.skipped: Counter[str] = Counter()
         self._probes: list[asyncio.Task[None]] = []
         self._unstaffed_since: dict[str, float] = {}
-        self._callers: dict[str, list[Caller]] = {"operator": [], "backend": []}
+        self._operators: list[Caller] = []
+        self._heartbeats: list[Caller] = []  # the backends, as callers of control
 
     def _programs(self, folder: Path) -> Programs:
         self._network = LabNetwork(folder / "network.json")
         variables = {NETWORK_VARIABLE: str(self._network.file), "CRANEBANK_METRICS": "1"}
         return Programs("cranebank.fleetlab.launcher", variables)
 
-    def _caller(self, kind: str, address: str = "") -> Caller:
-        ip = address.rpartition(":")[0] or f"{self._fleet.net}.{OPERATOR}"
-        caller = Caller(ip, self._network, Random(f"{self._seed} {ip}"))
-        self._callers[kind].append(caller)
-        return caller
+    def _operator_caller(self) -> Caller:
+        self._operators.append(self._caller(f"{self._fleet.net}.{OPERATOR}"))
+        return self._operators[-1]
+
+    def _backend_caller(self, address: str) -> Caller:
+        self._heartbeats.append(self._caller(address.rpartition(":")[0]))
+        return self._heartbeats[-1]
+
+    def _caller(self, ip: str) -> Caller:
+        return Caller(ip, self._network, Random(f"{self._seed} {ip}"))
 
     async def _play(self) -> None:
         self._scene = FaultScene(
@@ -126,9 +89,11 @@
             self._primary,
             self._say,
         )
-        self._process_faults = ProcessFaults(self._scene)
-        self._network_faults = NetworkFaults(self._scene, self._callers["operator"], self._callers["backend"])
-        self._backend_faults = BackendFaults(self._scene)
+        self._injectors: dict[FaultGroup, Injector] = {
+            FaultGroup.PROCESSES: ProcessFaults(self._scene),
+            FaultGroup.NETWORK: NetworkFaults(self._scene, self._operators, self._heartbeats),
+            FaultGroup.BACKENDS: BackendFaults(self._scene),
+        }
         enough = asyncio.Event()
         load = self._spawn(self._clients.load_until(self.plan.rate, enough))
         watches = [self._spawn(work) for work in (self._change_on(), self._read_on(), self._watch_health())]
@@ -156,14 +121,9 @@
 
     async def _inject(self, fault: Fault) -> None:
         try:
-            if fault.kind in PROCESS_FAULTS:
-                await self._process_faults.inject(fault)
-            elif fault.kind in BACKEND_FAULTS:
-                await self._backend_faults.inject(fault)
-            else:
-                await self._network_faults.inject(fault)
+            await self._injectors[TRAITS[fault.kind].group].inject(fault)
         except NoVictimError:
-            self.skipped[fault.kind.value] += 1
+            self.record.skipped.append(fault.kind.value)
             self._say(f"{fault.kind.value}: nobody to strike")
 
     # What goes on all the while.
@@ -261,40 +221,13 @@
         return found
 
 
-def verdict_of(soak: Soak, log_lines: Iterable[str]) -> SoakVerdict:
-    """Judge a run that has ended."""
-    record, plan = soak.record, soak.plan
-    rules = judge(record)
-    findings, windows = judge_liveness(record, plan.settle_s, plan.shape.tolerance)
-    failures = [f"{breach.rule} x{breach.count}: {'; '.join(breach.examples)}" for breach in rules.breaches]
-    failures += [f"{finding.rule}: {finding.text}" for finding in findings]
-    failures += [f"PROCESS: {name} ended by itself, {code}" for name, code in record.exits]
-    failures += [f"INVARIANT: {violation}" for violation in record.violations]
-    failures += [f"LOG: {line}" for line in log_lines]
-    failures += [f"STRAY: {stray}" for stray in record.stray]
-    intervals = [(fault.kind, fault.begin, fault.end) for fault in record.faults]
-    return SoakVerdict(
-        plan.seed,
-        failures,
-        dict(Counter(fault.kind for fault in record.faults)),
-        overlaps(intervals),
-        dict(soak.skipped),
-        len({sent.request for sent in record.tries if not sent.is_probe}),
-        share(record, served),
-        windows,
-        longest_outage(record),
-        sum(change.acked is not None for change in record.changes),
-        rules.remarks,
-    )
-
-
 def play(plan: SoakPlan, folder: Path, progress: Callable[[str], None] = lambda text: None) -> SoakVerdict:
     """Play a plan. The folder holds its plan, record and verdict afterwards, and what the processes left."""
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
     soak = Soak(plan, progress, folder)
     asyncio.run(soak.play())
-    verdict = verdict_of(soak, soak.bad_log_lines())
+    verdict = verdict_of(plan, soak.record, soak.bad_log_lines())
     (folder / "record.json").write_bytes(msgspec.json.encode(soak.record))
     (folder / "verdict.json").write_bytes(msgspec.json.format(msgspec.json.encode(verdict)))
     return verdict
--- a/cranebank/fleetlab/soak_plan.py
+++ b/cranebank/fleetlab/soak_plan.py
@@ -62,9 +62,18 @@
     HEARTBEATS_TO_ONE = "heartbeats-to-one"
 
 
+class FaultGroup(Enum):
+    """What a fault strikes, and so who injects it."""
+
+    PROCESSES = "processes"
+    NETWORK = "network"
+    BACKENDS = "backends"
+
+
 class Traits(msgspec.Struct, frozen=True):
-    """How long a fault lasts (seconds, at least and at most), and what it may only be drawn with."""
+    """What a fault strikes, how long it lasts (seconds, at least and at most), and what it may only be drawn with."""
 
+    group: FaultGroup
     shortest: float
     longest: float
     loses_disk: bool = False
@@ -72,47 +81,52 @@
 
 
 TRAITS: dict[FaultKind, Traits] = {
-    FaultKind.KILL_PRIMARY: Traits(0.3, 5.0),
-    FaultKind.KILL_CONTROLLER: Traits(0.3, 5.0),
-    FaultKind.KILL_MOST_CONTROLLERS: Traits(0.3, 3.0),
-    FaultKind.KILL_EVERYTHING: Traits(0.3, 1.0),
-    FaultKind.STOP_CONTROLLER: Traits(0.5, 5.0),
-    FaultKind.ROLL_CONTROLLERS: Traits(4.0, 8.0),
-    FaultKind.PAUSE_PRIMARY: Traits(0.5, 6.0),
-    FaultKind.PAUSE_CONTROLLER: Traits(0.5, 6.0),
-    FaultKind.WIPE_CONTROLLER: Traits(0.3, 3.0, loses_disk=True),
-    FaultKind.REPLACE_CONTROLLER: Traits(0.5, 3.0, loses_disk=True),
-    FaultKind.KILL_PROXY: Traits(0.3, 4.0),
-    FaultKind.KILL_PROXIES: Traits(0.3, 1.0),
-    FaultKind.PAUSE_PROXY: Traits(0.5, 5.0),
-    FaultKind.ROLL_PROXIES: Traits(6.0, 10.0),
-    FaultKind.CUT_CONTROLLER_FROM_CONTROLLERS: Traits(3.0, 18.0),
-    FaultKind.CUT_CONTROLLER_FROM_ALL: Traits(3.0, 18.0),
-    FaultKind.DEAF_CONTROLLER: Traits(3.0, 18.0),
-    FaultKind.MUTE_CONTROLLER: Traits(3.0, 18.0),
-    FaultKind.CUT_PAIR_OF_CONTROLLERS: Traits(3.0, 18.0),
-    FaultKind.CUT_HALVES: Traits(3.0, 8.0),
-    FaultKind.CUT_CONTROLLER_FROM_PROXIES: Traits(3.0, 18.0),
-    FaultKind.CUT_PROXY_FROM_CONTROLLERS: Traits(3.0, 20.0),
-    FaultKind.CUT_PROXY_FROM_BACKENDS: Traits(3.0, 8.0),
-    FaultKind.CUT_BACKEND_FROM_CONTROL: Traits(3.0, 10.0),
-    FaultKind.CUT_BACKENDS_FROM_SOME_CONTROLLERS: Traits(3.0, 18.0),
-    FaultKind.RESET_CONNECTIONS: Traits(1.0, 5.0),
-    FaultKind.LOSE_OPERATOR_ANSWERS: Traits(2.0, 8.0),
-    FaultKind.LOSE_HEARTBEAT_ANSWERS: Traits(2.0, 8.0),
-    FaultKind.BACKEND_CRASH: Traits(0.5, 3.0),
-    FaultKind.BACKEND_DARK: Traits(1.0, 5.0),
-    FaultKind.BACKEND_SILENT: Traits(0.5, 2.0),
-    FaultKind.BACKEND_CUTS_ANSWERS: Traits(0.5, 2.0),
-    FaultKind.BACKEND_LATE_ANSWERS: Traits(0.5, 3.0),
-    FaultKind.BACKEND_LEAVES: Traits(3.0, 4.0),
-    FaultKind.RELEASE: Traits(6.0, 10.0),
-    FaultKind.DECODE_STAGE_LEAVES: Traits(4.0, 8.0, is_final=True),
-    FaultKind.PREFILL_STAGE_LEAVES: Traits(4.0, 8.0, is_final=True),
-    FaultKind.HEARTBEATS_TO_ONE: Traits(5.0, 14.0),
+    FaultKind.KILL_PRIMARY: Traits(FaultGroup.PROCESSES, 0.3, 5.0),
+    FaultKind.KILL_CONTROLLER: Traits(FaultGroup.PROCESSES, 0.3, 5.0),
+    FaultKind.KILL_MOST_CONTROLLERS: Traits(FaultGroup.PROCESSES, 0.3, 3.0),
+    FaultKind.KILL_EVERYTHING: Traits(FaultGroup.PROCESSES, 0.3, 1.0),
+    FaultKind.STOP_CONTROLLER: Traits(FaultGroup.PROCESSES, 0.5, 5.0),
+    FaultKind.ROLL_CONTROLLERS: Traits(FaultGroup.PROCESSES, 4.0, 8.0),
+    FaultKind.PAUSE_PRIMARY: Traits(FaultGroup.PROCESSES, 0.5, 6.0),
+    FaultKind.PAUSE_CONTROLLER: Traits(FaultGroup.PROCESSES, 0.5, 6.0),
+    FaultKind.WIPE_CONTROLLER: Traits(FaultGroup.PROCESSES, 0.3, 3.0, loses_disk=True),
+    FaultKind.REPLACE_CONTROLLER: Traits(FaultGroup.PROCESSES, 0.5, 3.0, loses_disk=True),
+    FaultKind.KILL_PROXY: Traits(FaultGroup.PROCESSES, 0.3, 4.0),
+    FaultKind.KILL_PROXIES: Traits(FaultGroup.PROCESSES, 0.3, 1.0),
+    FaultKind.PAUSE_PROXY: Traits(FaultGroup.PROCESSES, 0.5, 5.0),
+    FaultKind.ROLL_PROXIES: Traits(FaultGroup.PROCESSES, 6.0, 10.0),
+    FaultKind.CUT_CONTROLLER_FROM_CONTROLLERS: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.CUT_CONTROLLER_FROM_ALL: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.DEAF_CONTROLLER: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.MUTE_CONTROLLER: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.CUT_PAIR_OF_CONTROLLERS: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.CUT_HALVES: Traits(FaultGroup.NETWORK, 3.0, 8.0),
+    FaultKind.CUT_CONTROLLER_FROM_PROXIES: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.CUT_PROXY_FROM_CONTROLLERS: Traits(FaultGroup.NETWORK, 3.0, 20.0),
+    FaultKind.CUT_PROXY_FROM_BACKENDS: Traits(FaultGroup.NETWORK, 3.0, 8.0),
+    FaultKind.CUT_BACKEND_FROM_CONTROL: Traits(FaultGroup.NETWORK, 3.0, 10.0),
+    FaultKind.CUT_BACKENDS_FROM_SOME_CONTROLLERS: Traits(FaultGroup.NETWORK, 3.0, 18.0),
+    FaultKind.RESET_CONNECTIONS: Traits(FaultGroup.NETWORK, 1.0, 5.0),
+    FaultKind.LOSE_OPERATOR_ANSWERS: Traits(FaultGroup.NETWORK, 2.0, 8.0),
+    FaultKind.LOSE_HEARTBEAT_ANSWERS: Traits(FaultGroup.NETWORK, 2.0, 8.0),
+    FaultKind.BACKEND_CRASH: Traits(FaultGroup.BACKENDS, 0.5, 3.0),
+    FaultKind.BACKEND_DARK: Traits(FaultGroup.BACKENDS, 1.0, 5.0),
+    FaultKind.BACKEND_SILENT: Traits(FaultGroup.BACKENDS, 0.5, 2.0),
+    FaultKind.BACKEND_CUTS_ANSWERS: Traits(FaultGroup.BACKENDS, 0.5, 2.0),
+    FaultKind.BACKEND_LATE_ANSWERS: Traits(FaultGroup.BACKENDS, 0.5, 3.0),
+    FaultKind.BACKEND_LEAVES: Traits(FaultGroup.BACKENDS, 3.0, 4.0),
+    FaultKind.RELEASE: Traits(FaultGroup.BACKENDS, 6.0, 10.0),
+    FaultKind.DECODE_STAGE_LEAVES: Traits(FaultGroup.BACKENDS, 4.0, 8.0, is_final=True),
+    FaultKind.PREFILL_STAGE_LEAVES: Traits(FaultGroup.BACKENDS, 4.0, 8.0, is_final=True),
+    FaultKind.HEARTBEATS_TO_ONE: Traits(FaultGroup.BACKENDS, 5.0, 14.0),
 }
 
 
+def kinds_of(group: FaultGroup) -> tuple[FaultKind, ...]:
+    """The kinds of faults of a group."""
+    return tuple(kind for kind, traits in TRAITS.items() if traits.group is group)
+
+
 class Fault(msgspec.Struct, frozen=True):
     """One fault: when it begins within its episode, and for how long. ``choice`` decides on victims and variants."""
 
--- /dev/null
+++ b/cranebank/fleetlab/soak_verdict.py
@@ -0,0 +1,55 @@
+"""What came of a soak run, by its plan, its record and the logs. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from cranebank.fleetlab.judge import judge, served, share
+from cranebank.fleetlab.liveness import judge_liveness, longest_outage
+from cranebank.fleetlab.records import DayRecord
+from cranebank.fleetlab.soak_plan import SoakPlan, overlaps
+
+
+class SoakVerdict(msgspec.Struct):
+    """What came of a run. ``failures`` is empty where all was well."""
+
+    seed: int
+    failures: list[str]
+    faults: dict[str, int]  # by kind, those that found a victim
+    overlaps: dict[str, int]  # pairs of kinds
+    skipped: dict[str, int]  # by kind, those that found no victim
+    requests: int
+    served: float  # share of the requests
+    windows: int  # that liveness was judged by
+    longest_outage_s: float
+    acknowledged: int  # changes of the configuration
+    remarks: list[str] = []
+
+
+def verdict_of(plan: SoakPlan, record: DayRecord, log_lines: Iterable[str]) -> SoakVerdict:
+    """Judge a run that has ended."""
+    rules = judge(record)
+    findings, windows = judge_liveness(record, plan.settle_s, plan.shape.tolerance)
+    failures = [f"{breach.rule} x{breach.count}: {'; '.join(breach.examples)}" for breach in rules.breaches]
+    failures += [f"{finding.rule}: {finding.text}" for finding in findings]
+    failures += [f"PROCESS: {name} ended by itself, {code}" for name, code in record.exits]
+    failures += [f"INVARIANT: {violation}" for violation in record.violations]
+    failures += [f"LOG: {line}" for line in log_lines]
+    failures += [f"STRAY: {stray}" for stray in record.stray]
+    intervals = [(fault.kind, fault.begin, fault.end) for fault in record.faults]
+    return SoakVerdict(
+        plan.seed,
+        failures,
+        dict(Counter(fault.kind for fault in record.faults)),
+        overlaps(intervals),
+        dict(Counter(record.skipped)),
+        len({sent.request for sent in record.tries if not sent.is_probe}),
+        share(record, served),
+        windows,
+        longest_outage(record),
+        sum(change.acked is not None for change in record.changes),
+        rules.remarks,
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,8 +12,9 @@
 from cranebank.cli.main import cli
 from cranebank.fleetlab import campaign
 from cranebank.fleetlab.records import DayRecord
-from cranebank.fleetlab.soak import SoakVerdict, play
+from cranebank.fleetlab.soak import play
 from cranebank.fleetlab.soak_plan import SHORT, FaultKind, SoakPlan, draw
+from cranebank.fleetlab.soak_verdict import SoakVerdict
 
 CI_SEED = 3  # a controller cut off from the others, resets, a proxy killed: three at once
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -19,20 +19,11 @@
 from cranebank.fleetlab.network_faults import NetworkFaults
 from cranebank.fleetlab.process_faults import ProcessFaults
 from cranebank.fleetlab.records import DayRecord
-from cranebank.fleetlab.soak import BACKEND_FAULTS, PROCESS_FAULTS
-from cranebank.fleetlab.soak_plan import Fault, FaultKind
+from cranebank.fleetlab.soak_plan import Fault, FaultGroup, FaultKind, kinds_of
 
-
-def by_value(kind: FaultKind) -> str:
-    return kind.value
-
-
-NETWORK_FAULTS = sorted(set(FaultKind) - PROCESS_FAULTS - BACKEND_FAULTS, key=by_value)
-ANSWERS = {FaultKind.LOSE_OPERATOR_ANSWERS, FaultKind.LOSE_HEARTBEAT_ANSWERS}
-CUTS = [kind for kind in NETWORK_FAULTS if kind not in ANSWERS | {FaultKind.RESET_CONNECTIONS}]
-OF_PROCESSES: list[FaultKind] = sorted(PROCESS_FAULTS, key=by_value)
-OF_BACKENDS: list[FaultKind] = sorted(BACKEND_FAULTS, key=by_value)
-OF_ANSWERS: list[FaultKind] = sorted(ANSWERS, key=by_value)
+ANSWERS = (FaultKind.LOSE_OPERATOR_ANSWERS, FaultKind.LOSE_HEARTBEAT_ANSWERS)
+OF_PROCESSES, OF_BACKENDS = kinds_of(FaultGroup.PROCESSES), kinds_of(FaultGroup.BACKENDS)
+CUTS = [kind for kind in kinds_of(FaultGroup.NETWORK) if kind not in {*ANSWERS, FaultKind.RESET_CONNECTIONS}]
 CHOICES = range(12)
 PRIMARY = "control-2"
 
@@ -284,7 +275,7 @@
     play(tmp_path, story)
 
 
-@pytest.mark.parametrize("kind", OF_ANSWERS)
+@pytest.mark.parametrize("kind", ANSWERS)
 def test_answers_are_lost_for_the_time_of_the_fault_only(tmp_path: Path, kind: FaultKind) -> None:
     async def story(stage: Stage) -> None:
         losing = asyncio.ensure_future(stage.network_faults.inject(fault(kind, seconds=0.05)))
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -7,15 +7,16 @@
 import msgspec
 import pytest
 
-from cranebank.fleetlab.soak import BACKEND_FAULTS, PROCESS_FAULTS
 from cranebank.fleetlab.soak_plan import (
     AT_ONCE,
     TRAITS,
     Fault,
+    FaultGroup,
     FaultKind,
     PlanOptions,
     SoakPlan,
     draw,
+    kinds_of,
     overlaps,
 )
 
@@ -72,7 +73,7 @@
 
 def test_every_kind_has_traits_and_one_who_injects_it() -> None:
     assert set(TRAITS) == set(FaultKind)
-    assert not PROCESS_FAULTS & BACKEND_FAULTS
+    assert sum(len(kinds_of(group)) for group in FaultGroup) == len(FaultKind)
 
 
 def test_overlaps_are_counted_by_pairs_and_threes() -> None:
