Registry: what a heartbeat changed goes out ahead of the news that it was heard

On one connection messages keep their order, so the change is now always first. Ruled out: raising no call_seq by what was heard (a loss elsewhere is contradicted by it). Left: by way of proxies messages may be lost or overtake each other. 35 tests of the registry, the relay and the service pass.

--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -172,6 +172,7 @@
         self._looked_at = now
         if now - self._synced_at >= SYNC_S:
             self._synced_at = now
+            self.publish()  # what a heartbeat changed goes out ahead of its number: behind it, it would be old news
             sync = RegistrySync((), self.registry.pop_heard(now))
             if sync.heard:
                 self._links.broadcast(sync)
