Tests: three faults of the stage balancer

Fail now, measured: (1) a service that was without ready backends for a while is ordered at once when the first newcomer beats, since what it needed before was kept (and is kept for ever: 50 entries after 50 renames); (2) a backend that answers each order with 503 and reports it as not taken is ordered again for ever, though another could be ordered; (3) an answer or report whose wait ends after a stall counts as a broken invariant (UNKNOWN to UNKNOWN).

--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -15,7 +15,6 @@
 from cranebank.programs.local_state import LocalState, NoDisk
 from cranebank.programs.registry_service import BATCH_S, SYNC_S, RegistryService
 from cranebank.programs.settings import NodeSettings
-from cranebank.transport.links import Link
 from cranebank.transport.messages import RegistrySync
 
 HERE, THERE = IPS = ("10.0.0.1", "10.0.0.2")
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -360,6 +360,59 @@
     assert isinstance(connect, Connect) and connect.backend.id == "i-2"
 
 
+def test_a_service_that_was_without_backends_for_a_while_confirms_anew_what_it_needs() -> None:
+    """All of them are replaced: the first heartbeat of a newcomer says nothing yet of the others."""
+    bench = Bench(backend("i-1", "prefill"))
+    bench.silent = {"i-1"}
+    bench.pass_time(WAIT_S + 1.0)
+    bench.put(backend("i-1", "prefill", "gone", 2))
+    bench.pass_time(UNATTENDED_S + 1.0)
+    bench.put(backend("i-2", "prefill"))
+    assert bench.pass_time(CONFIRM_S - LOOK_S) == []
+    assert bench.connect()
+    bench.check()
+
+
+def test_nothing_is_kept_of_services_that_are_dropped_or_renamed() -> None:
+    bench = Bench()
+    for number in range(50):
+        name = f"s{number}"
+        bench.services = {name: Service(name, SWITCH_S)}
+        bench.records = {"i-1": Backend("i-1", name, "10.0.0.1:80", "a", "prefill", 8, "ready", number)}
+        bench.silent = {"i-1"}
+        bench.pass_time(1.0)
+    assert len(bench.balancer.needed) <= 1
+
+
+def test_another_backend_is_ordered_where_one_never_takes_its_order() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"))
+    first = bench.connect()
+    (transmit,) = bench.tell(Connected(first.number, PRIMARY))
+    assert isinstance(transmit, Transmit)
+    bench.tell(Answered(transmit.number, 503))
+    bench.pass_time(REPORT_AFTER_S)
+    bench.tell(Reported(transmit.number, "prefill", False, 0))
+    assert bench.state() is None
+    assert bench.connect().backend.id != first.backend.id
+    bench.check()
+
+
+@pytest.mark.parametrize("late", [Unanswered, Unreported])
+def test_what_comes_late_after_a_stand_still_breaks_no_invariant(late: type[Unanswered] | type[Unreported]) -> None:
+    """The process stood still while it waited for an answer: the look comes first, then the end of the wait."""
+    bench = Bench(backend("i-1", "prefill"))
+    number = bench.transmit().number
+    if late is Unreported:
+        bench.tell(Unanswered(number))
+        bench.pass_time(REPORT_AFTER_S)
+    bench.now += SWITCH_S + FINISH_S + 1.0
+    bench.look()
+    assert bench.state() is OrderState.UNKNOWN
+    bench.tell(late(number))
+    assert bench.state() is OrderState.UNKNOWN
+    bench.check()
+
+
 # Invariants, on a balancer whose guards are taken out.
 
 
