Stage balancer: old needs are forgotten, orders go round, late ends of waits change nothing

Who left orders untaken is ordered after the others, counted by backend for as long as the registry knows it. 52 tests of test_stage_balancer.py pass.

--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -11,7 +11,7 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from enum import Enum
 
 import msgspec
@@ -112,6 +112,7 @@
         self._numbers = itertools.count(1)
         self._orders: dict[int, BackendOrder] = {}
         self._expected: dict[str, int] = {}  # orders taken by a backend, as it reported
+        self._not_taken: Counter[str] = Counter()  # orders that a backend did not take, as it reported
         self._unfit_until: dict[str, float] = {}
         self._needed: dict[str, tuple[Stage, float]] = {}  # by service: which stage, and since when
         self._unattended_since: dict[str, float] = {}
@@ -128,6 +129,11 @@
         """The orders that are not over."""
         return tuple(self._orders.values())
 
+    @property
+    def needed(self) -> Mapping[str, tuple[Stage, float]]:
+        """By service: which stage needs another backend, and since when."""
+        return self._needed
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at a time of the steady clock; return what is to be done, in order."""
         self._actions = []
@@ -148,12 +154,11 @@
             case Answered(_, status):
                 self._answered(now, order, status)
             case Unanswered():
-                self.counts["unanswered"] += 1
-                self._change(now, order, OrderState.UNKNOWN)
+                self._unclear(now, order, OrderState.SENT)
             case Reported():
                 self._reported(now, order, event)
             case Unreported():
-                self._change(now, order, OrderState.UNKNOWN)
+                self._unclear(now, order, OrderState.REPORTING)
 
     def _change(self, now: float, order: BackendOrder, state: OrderState) -> None:
         """The one function that changes an order's state."""
@@ -185,7 +190,9 @@
             self._needed.clear()
             self._unattended_since.clear()
             return
-        for name, stages in _by_service(look).items():
+        by_service = _by_service(look)
+        self._forget_services(by_service.keys())
+        for name, stages in by_service.items():
             self._staff(now, look.services[name], stages, look.heard_at)
 
     def _follow_authority(self, now: float, authority: Authority) -> None:
@@ -223,8 +230,15 @@
     def _forget(self, now: float, records: Mapping[str, Backend]) -> None:
         """Nothing is kept of backends that the registry has forgotten."""
         self._expected = {name: taken for name, taken in self._expected.items() if name in records}
+        self._not_taken = Counter({name: times for name, times in self._not_taken.items() if name in records})
         self._unfit_until = {name: until for name, until in self._unfit_until.items() if until > now}
 
+    def _forget_services(self, present: Set[str]) -> None:
+        """What a service without backends or routes needed before is old when it is there again."""
+        for name in self._needed.keys() - present:
+            del self._needed[name]
+            self._unattended_since.pop(name, None)
+
     # Deciding.
 
     def _staff(self, now: float, service: Service, stages: ServiceStages, heard_at: Mapping[str, float]) -> None:
@@ -256,7 +270,8 @@
         self._require(now - since <= UNATTENDED_S, "a stage that is needed gets an order in time")
 
     def _candidate(self, now: float, backends: Iterable[Backend], heard_at: Mapping[str, float]) -> Backend | None:
-        """Who is to change its stage: heard lately, not passed over, warm, of the zone that has the most of them."""
+        """Who is to change its stage: heard lately and not passed over; rather one that left no order untaken, is warm,
+        and is of the zone that has the most of them."""
         heard_since = now - HEARD_BEATS * self._settings.beat_s - HEARD_MARGIN_S
         ordered = {order.backend.id for order in self.orders}
         fit = [
@@ -267,7 +282,11 @@
             and one.id not in self._unfit_until
         ]
         zones = Counter(one.zone for one in fit)
-        return min(fit, key=lambda one: (one.cold_left_ms, -zones[one.zone], one.id), default=None)
+
+        def cost(one: Backend) -> tuple[int, int, int, str]:
+            return self._not_taken[one.id], one.cold_left_ms, -zones[one.zone], one.id
+
+        return min(fit, key=cost, default=None)
 
     def _begin(self, now: float, service: Service, backend: Backend, stage: Stage) -> None:
         order = BackendOrder(next(self._numbers), now, backend, stage, service.switch_s)
@@ -315,6 +334,12 @@
         else:  # a conflict, or an answer that says nothing of the order: the backend's report tells
             self._change(now, order, OrderState.UNKNOWN)
 
+    def _unclear(self, now: float, order: BackendOrder, awaited_in: OrderState) -> None:
+        """Nothing came of what an order waited for. After a stall its time may be over already: no news then."""
+        if order.state is awaited_in:
+            self.counts[f"unclear when {awaited_in.value}"] += 1
+            self._change(now, order, OrderState.UNKNOWN)
+
     def _reported(self, now: float, order: BackendOrder, report: Reported) -> None:
         if order.state is not OrderState.REPORTING:
             return
@@ -322,6 +347,7 @@
         if report.is_busy or report.stage == order.stage:
             self._change(now, order, OrderState.SWITCHING)
         else:
+            self._not_taken[order.backend.id] += 1
             self._end(now, order, "not taken")
 
     def _pass_over(self, now: float, order: BackendOrder, seconds: float, why: str) -> None:
