Tests: poisonous heartbeats, a write that fails oddly, kept connections, the cost of one suspect

A heartbeat with call_seq 2^64, or a capacity or cold_left_ms of 1e300, makes a record that no message can carry (OverflowError): nothing is pushed any more, and a commit that meets it ends the process. Ports of 0, 65536, of superscript digits are taken and fail where they are dialled. A write that fails by another error than a StorageError leaves the consensus core waiting. RegistryRelay keeps each controller's last link for ever.

--- a/tests/test_consensus_driver.py
+++ b/tests/test_consensus_driver.py
@@ -101,3 +101,22 @@
         assert not driver.in_contact(0.0)
 
     asyncio.run(run())
+
+
+def test_a_core_whose_write_ended_in_no_way_that_it_knows_is_fed_no_more() -> None:
+    """It would wait for the result of that write for ever."""
+
+    class Broken(Storage):
+        async def put(self, values: Mapping[str, bytes]) -> None:
+            raise RuntimeError("the writer has ended")
+
+    async def run() -> None:
+        core = Core()
+        driver = driver_of(core, Broken(), Links(None))
+        driver.feed(ev.Tick())
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert driver.broken.is_set()
+        assert core.fed == [ev.Tick()]
+
+    asyncio.run(run())
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,7 +13,8 @@
 
 from cranebank.control import registry as registry_module
 from cranebank.control.registry import REJOIN_S, TOMBSTONE_S, BadHeartbeat, Registry
-from cranebank.transport.messages import Backend
+from cranebank.transport.frames import Decoder, encode
+from cranebank.transport.messages import Backend, Push
 
 BEAT_S = 1.2
 LOST_S = 3.5 * BEAT_S + 1
@@ -97,6 +98,15 @@
         (json.dumps({"target": "s"}).encode(), "body"),
         (beat(capacity="many"), "body"),
         (b"\xff", "body"),
+        (beat(models=0).replace(b'"models": 0', b'"models": ' + b"[" * 30_000 + b"]" * 30_000), "body"),
+        (beat(call_seq=2**63), "body"),
+        (beat(call_seq=-1), "body"),
+        (beat(capacity=1e300), "body"),
+        (beat(cold_left_ms=1e300), "body"),
+        (beat(address="10.0.0.9:0"), "address"),
+        (beat(address="10.0.0.9:65536"), "address"),
+        (beat(address="10.0.0.9:\u00b2"), "address"),
+        (beat(address="10.0.0.9:" + "9" * 5_000), "address"),
     ],
 )
 def test_bad_heartbeats(sent: bytes, key: str) -> None:
@@ -108,6 +118,13 @@
     assert not registry.records
 
 
+def test_the_largest_figures_of_a_heartbeat_can_be_told_to_others() -> None:
+    """One record that can't be encoded would keep all others from being told."""
+    sent = beat(registry_module.LARGEST_COUNT, capacity=float(2**40), cold_left_ms=float(2**40))
+    record = Registry(0, BEAT_S).heartbeat(1, "i", sent)
+    assert Decoder().feed(encode(Push(1, (record,)))) == [Push(1, (record,))]
+
+
 def test_a_backend_of_a_plain_deployment() -> None:
     """Stage and models are left out where prompts aren't split from answers."""
     sent = json.dumps({"target": "s", "address": "1.2.3.4:5", "phase": "ready", "call_seq": 1, "new": 1}).encode()
--- a/tests/test_registry_relay.py
+++ b/tests/test_registry_relay.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cranebank.control.delivery import Delivery
-from cranebank.programs.registry_relay import HEARD_S, RELAYS, RegistryRelay
+from cranebank.programs.registry_relay import HEARD_S, RELAYS, REMEMBERED_S, RegistryRelay
 from cranebank.transport.frames import Decoder
 from cranebank.transport.links import Link
 from cranebank.transport.messages import Backend, Message, RegistrySync, RelayTo
@@ -81,3 +81,12 @@
 def test_without_proxies_nothing_is_sent() -> None:
     relay = RegistryRelay(Delivery("here", Random(1), lambda _now, _revision: True), Random(2))
     relay.send(OTHER, SYNC)
+
+
+def test_connections_that_are_over_are_not_kept() -> None:
+    """Controllers are replaced at other addresses: nothing is kept of those that are heard no more."""
+    scene = Scene()
+    for number in range(50):
+        scene.relay.received(float(number), f"10.0.2.{number}", scene.proxies[0])
+    assert scene.relay.is_heard(49.0, "10.0.2.49")
+    assert scene.relay.remembered <= REMEMBERED_S + 1
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from cranebank.dataplane.candidates import Candidates
-from cranebank.dataplane.suspects import ANSWERED_S, SUSPECT_S
+from cranebank.dataplane.seen import Seen
+from cranebank.dataplane.suspects import ANSWERED_S, SUSPECT_S, Suspects
 from cranebank.transport.messages import Backend
 
 LOST_AT = 100.0
@@ -117,6 +118,29 @@
     assert candidates.ready(LOST_AT + 2.0, "svc", "decode") is not first
 
 
+def test_a_few_suspects_among_many_ready_ones_cost_no_look_at_each() -> None:
+    """A fleet of thousands has lost somebody within the last minute nearly always."""
+    looks = 0
+
+    class Counted(Seen):
+        @property
+        def away_until(self) -> float:  # type: ignore[override]
+            nonlocal looks
+            looks += 1
+            return 0.0
+
+        @away_until.setter
+        def away_until(self, value: float) -> None:
+            pass
+
+    suspects, lost = Suspects(), Seen(backend(9999, "lost"))
+    lost.lost_at = LOST_AT
+    suspects.add(("svc", "decode"), lost)
+    ready = [Counted(backend(number)) for number in range(1000)]
+    assert suspects.merged(LOST_AT, ("svc", "decode"), ready) == ready
+    assert looks < 10
+
+
 @given(st.integers(0, 10**6))
 def test_whatever_is_told_and_seen_nobody_who_may_be_tried_is_left_out_and_no_end_is_taken_back(seed: int) -> None:
     random = Random(seed)
