Registry: a heartbeat's figures are ones that messages can carry, its port one that can be dialled

Mends: one heartbeat with call_seq 2^64 or a figure of 1e300 made all pushes fail, and ended the controller at the next commit. What nests too deeply is refused with 400 too, not answered with 500.

--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,6 +18,9 @@
 LIVING = frozenset({"ready", "draining"})  # phases of backends that beat
 TOMBSTONE_S = 60.0  # how long ends and losses are remembered
 TOMBSTONES_MOST = 20_000
+LARGEST_COUNT = 2**63 - 1  # of a heartbeat's whole numbers: all of them go out in messages, which hold no larger ones
+LARGEST_FIGURE = 2.0**40
+LARGEST_PORT = 65_535
 REJOIN_S = 2.5  # after a time without most other controllers: until their news of who was heard has come again
 
 
@@ -35,11 +38,11 @@
     target: str
     address: str
     phase: str
-    call_seq: int
+    call_seq: Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
     zone: str = ""
     stage: str = ""
-    capacity: float = 1
-    cold_left_ms: float = 0
+    capacity: Annotated[float, msgspec.Meta(le=LARGEST_FIGURE)] = 1
+    cold_left_ms: Annotated[float, msgspec.Meta(le=LARGEST_FIGURE)] = 0
     models: list[Any] = []
 
 
@@ -50,12 +53,12 @@
     """The record that a heartbeat tells. Raises BadHeartbeat."""
     try:
         beat = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadHeartbeat("body", str(error)) from None
     if beat.phase not in {"ready", "draining"}:
         raise BadHeartbeat("phase", "ready or draining")
     host, _, port = beat.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not _is_port(port):
         raise BadHeartbeat("address", "IP:PORT")
     models = tuple(str(model.get("name", "")) if isinstance(model, dict) else str(model) for model in beat.models)
     return Backend(
@@ -72,6 +75,11 @@
     )
 
 
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(LARGEST_PORT))
+    return is_number and 0 < int(text) <= LARGEST_PORT
+
+
 class Registry:
     """All records, who was heard when, and what is news for others. Times are a steady clock's seconds."""
 
