--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -83,8 +83,12 @@
             for action in actions:
                 self._do(action)
         except Exception as error:  # those behind it are not done: the core would wait for their results for ever
-            logger.opt(exception=True).critical("consensus: what the core asked for failed: {!r}", error)
-            self.broken.set()
+            self._give_up(error)
+
+    def _give_up(self, error: Exception) -> None:
+        """What the core asked for can't be done: the process ends and comes back from its disk."""
+        logger.opt(exception=error).critical("consensus: what the core asked for failed: {!r}", error)
+        self.broken.set()
 
     def receive(self, link: Link, body: bytes) -> None:
         """A message from another controller's core."""
@@ -143,4 +147,7 @@
             logger.warning("disk: {}", error)
             self.feed(events.DiskTrouble(token))
             return
+        except Exception as error:  # the core would wait for the write's result for ever
+            self._give_up(error)
+            return
         self.feed(events.Persisted(token))
