--- a/cranebank/programs/registry_relay.py
+++ b/cranebank/programs/registry_relay.py
@@ -19,6 +19,7 @@
 
 RELAYS = 3  # proxies that each message goes by
 HEARD_S = 2.5  # a controller counts as heard for so long: two messages may be lost
+REMEMBERED_S = 20.0  # by which proxy a controller was heard last
 
 
 class _Arrival(NamedTuple):
@@ -36,6 +37,12 @@
     def received(self, now: float, source: str, link: Link) -> None:
         """Something came from a controller by way of the proxy on this link."""
         self._arrivals[source] = _Arrival(now, link)
+        self._arrivals = {ip: one for ip, one in self._arrivals.items() if now - one.at <= REMEMBERED_S}
+
+    @property
+    def remembered(self) -> int:
+        """Controllers of which it is known by which proxy they were heard."""
+        return len(self._arrivals)
 
     def is_heard(self, now: float, ip: str) -> bool:
         """Whether something came from this controller lately."""
