--- a/cranebank/dataplane/suspects.py
+++ b/cranebank/dataplane/suspects.py
@@ -60,8 +60,7 @@
 
     def _like_ready(self, now: float, place: Place, ready: list[Seen]) -> list[Seen]:
         unfailed = [seen for seen in self._by_place.get(place, {}).values() if not seen.has_failed]
-        well = sum(seen.away_until <= now for seen in ready)
-        if well < FAIL_OPEN_SHARE * (well + len(unfailed)):
+        if not _are_enough(now, ready, len(unfailed)):
             return unfailed
         return [seen for seen in unfailed if now - seen.answered_at <= ANSWERED_S]
 
@@ -72,6 +71,17 @@
             self.remove(place, backend)
 
 
+def _are_enough(now: float, ready: list[Seen], suspects: int) -> bool:
+    """Whether so many are ready and not backed off that so many suspects are left out. It looks at no more of the ready
+    ones than it must: there may be thousands."""
+    well = 0
+    for seen in ready:
+        if well >= FAIL_OPEN_SHARE * (well + suspects):
+            return True
+        well += seen.away_until <= now
+    return well >= FAIL_OPEN_SHARE * (well + suspects)
+
+
 def is_last_resort(now: float, seen: Seen) -> bool:
     """Whether a suspect may be tried where there is no other."""
     return not seen.is_replaced and now - seen.lost_at <= SUSPECT_S and seen.away_until <= now
--- a/tests/mutants_control.py
+++ b/tests/mutants_control.py
@@ -186,8 +186,51 @@
         "actions that failed are passed over",
         "programs/consensus_driver.py",
         """{!r}", error)
-            self.broken.set()""",
+        self.broken.set()""",
         """{!r}", error)""",
         "test_consensus_driver.py",
     ),
+    Mutant(
+        Point.OTHER,
+        "a write that failed in an unknown way leaves the core waiting",
+        "programs/consensus_driver.py",
+        """for the write's result for ever
+            self._give_up(error)
+""",
+        """for the write's result for ever
+""",
+        "test_consensus_driver.py",
+    ),
+    Mutant(
+        Point.OTHER,
+        "a backend that takes no order is ordered for ever",
+        "control/stage_balancer.py",
+        "self._not_taken[order.backend.id] += 1",
+        "pass",
+        "test_stage_balancer.py",
+    ),
+    Mutant(
+        Point.OTHER,
+        "what a service needed before it was gone is kept",
+        "control/stage_balancer.py",
+        "self._forget_services(by_service.keys())",
+        "pass",
+        "test_stage_balancer.py",
+    ),
+    Mutant(
+        Point.OTHER,
+        "a wait that ends late counts again",
+        "control/stage_balancer.py",
+        "if order.state is awaited_in:",
+        "if True:",
+        "test_stage_balancer.py",
+    ),
+    Mutant(
+        Point.OTHER,
+        "a heartbeat may have a number that no message carries",
+        "control/registry.py",
+        "msgspec.Meta(ge=0, le=LARGEST_COUNT)",
+        "msgspec.Meta(ge=0)",
+        "test_registry.py",
+    ),
 )
--- a/tests/mutants_liveness.py
+++ b/tests/mutants_liveness.py
@@ -5,11 +5,27 @@
 from mutant import Mutant, Point
 
 LIVENESS_MUTANTS = (
+    Mutant(
+        Point.LIVENESS,
+        "that a heartbeat was heard is told ahead of what it changed",
+        "programs/registry_service.py",
+        "self.publish()  # what a heartbeat changed",
+        "pass  # what a heartbeat changed",
+        "test_registry_service.py",
+    ),
+    Mutant(
+        Point.LIVENESS,
+        "one suspect makes each choice look at all ready backends",
+        "dataplane/suspects.py",
+        "if well >= FAIL_OPEN_SHARE * (well + suspects):",
+        "if False:",
+        "test_suspects.py",
+    ),
     Mutant(
         Point.LIVENESS,
         "lost backends are not used where most are lost",
         "dataplane/suspects.py",
-        "if well < FAIL_OPEN_SHARE * (well + len(unfailed)):",
+        "if not _are_enough(now, ready, len(unfailed)):",
         "if False:",
         "test_suspects.py",
     ),
@@ -25,8 +41,8 @@
         Point.LIVENESS,
         "ready backends that fail keep suspects out",
         "dataplane/suspects.py",
-        "sum(seen.away_until <= now for seen in ready)",
-        "len(ready)",
+        "well += seen.away_until <= now",
+        "well += 1",
         "test_suspects.py",
     ),
     Mutant(
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -124,7 +124,7 @@
 
     class Counted(Seen):
         @property
-        def away_until(self) -> float:  # type: ignore[override]
+        def away_until(self) -> float:
             nonlocal looks
             looks += 1
             return 0.0
@@ -136,7 +136,7 @@
     suspects, lost = Suspects(), Seen(backend(9999, "lost"))
     lost.lost_at = LOST_AT
     suspects.add(("svc", "decode"), lost)
-    ready = [Counted(backend(number)) for number in range(1000)]
+    ready: list[Seen] = [Counted(backend(number)) for number in range(1000)]
     assert suspects.merged(LOST_AT, ("svc", "decode"), ready) == ready
     assert looks < 10
 
