Tests: a backend's report or address that can't be read is told to the stage balancer

Fail now: text that is no UTF-8, JSON that nests too deeply, a number of orders that no JSON writer takes, an address that is none. The task ends with an error, and the order waits for switch_s + 10 s.

--- /dev/null
+++ b/tests/test_stage_duty.py
@@ -0,0 +1,85 @@
+"""The asyncio end of the stage balancer: whatever a backend answers, the balancer is told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import pytest
+
+from cranebank.control.consensus import ConsensusCore
+from cranebank.control.registry import Registry
+from cranebank.control.stage_events import Action, AskReport, Connect, Event, NotConnected, Reported, Unreported
+from cranebank.programs import stage_duty
+from cranebank.programs.settings import NodeSettings
+from cranebank.programs.stage_duty import StageDuty
+from cranebank.transport.http_client import Answer
+from cranebank.transport.messages import Backend
+
+BACKEND = Backend("i-1", "s", "10.0.0.9:80", "z", "prefill", 8, "ready", 1)
+
+
+class Connection:
+    """Answers every request in the same way."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def ask(self, request: bytes, seconds: float) -> Answer:
+        return Answer(200, body=self._body, whole=True)
+
+    def close(self) -> None:
+        pass
+
+
+class RecordingBalancer:
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[Event] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.told.append(event)
+        return []
+
+
+async def told_after(action: Action) -> list[Event]:
+    """What the balancer is told once this action is done."""
+    duty = StageDuty(
+        NodeSettings("n", "10.0.0.1", "z", (7000, 7009), ()),
+        lambda: 0.0,
+        cast(ConsensusCore, None),
+        lambda: True,
+        Registry(0.0, 1.0),
+    )
+    balancer = RecordingBalancer()
+    duty.balancer = balancer  # type: ignore[assignment]
+    duty._do(action)
+    await asyncio.gather(*duty._tasks, return_exceptions=True)
+    return balancer.told
+
+
+@pytest.mark.parametrize(
+    ("body", "event"),
+    [
+        (b'{"stage": "decode", "busy": true, "call_seq": 2}', Reported(3, "decode", True, 2)),
+        (b"{", Unreported(3)),
+        (b'{"stage": "\xff"}', Unreported(3)),
+        (b'{"stage": "decode", "more": ' + b"[" * 30_000 + b"]" * 30_000 + b"}", Unreported(3)),
+        (b'{"stage": "decode", "call_seq": 1' + b"0" * 30 + b"}", Unreported(3)),
+    ],
+    ids=["good", "no JSON", "no UTF-8", "too deep", "a number that no order can bear"],
+)
+def test_any_report_is_told(body: bytes, event: Event, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def connect(address: str, seconds: float, most_bytes: int) -> Connection:
+        return Connection(body)
+
+    monkeypatch.setattr(stage_duty, "connect", connect)
+    assert asyncio.run(told_after(AskReport(3, BACKEND))) == [event]
+
+
+@pytest.mark.parametrize("address", ["..:80", "10.0.0.9:\u00b2", "nowhere"])
+def test_an_address_that_is_none_cannot_be_connected_to(address: str) -> None:
+    backend = Backend("i-1", "s", address, "z", "prefill", 8, "ready", 1)
+    assert asyncio.run(told_after(Connect(3, backend))) == [NotConnected(3)]
+    assert asyncio.run(told_after(AskReport(3, backend))) == [Unreported(3)]
