--- a/cranebank/programs/stage_duty.py
+++ b/cranebank/programs/stage_duty.py
@@ -8,13 +8,13 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from loguru import logger
 
 from cranebank.control.consensus import ConsensusCore
-from cranebank.control.registry import Registry
+from cranebank.control.registry import LARGEST_COUNT, Registry
 from cranebank.control.stage_balancer import BalancerSettings, StageBalancer
 from cranebank.control.stage_events import (
     Action,
@@ -96,7 +96,7 @@
 class _Report(msgspec.Struct):
     stage: str
     busy: bool = False
-    call_seq: int = 0
+    call_seq: Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)] = 0
 
 
 class StageDuty:
@@ -206,7 +206,7 @@
             return
         try:
             report = msgspec.json.decode(answer.body, type=_Report)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             logger.warning("report of {}: {}", backend.id, error)
             self._feed(Unreported(number))
             return
--- a/cranebank/transport/http_client.py
+++ b/cranebank/transport/http_client.py
@@ -149,14 +149,15 @@
     most_bytes: int = UNBOUNDED,
     local_ip: str = "",
 ) -> HttpLink | None:
-    """A connection, or none if it isn't up in time. ``local_ip``: what it comes from; else the system chooses."""
+    """A connection, or none if it isn't up in time or the address can't be read. ``local_ip``: what it comes from; else
+    the system chooses."""
     host, _, port = address.rpartition(":")
     link = HttpLink(stray, most_bytes)
     local = (local_ip, 0) if local_ip else None
     try:
         async with asyncio.timeout(seconds):
             await asyncio.get_running_loop().create_connection(lambda: link, host, int(port), local_addr=local)
-    except (OSError, TimeoutError):
+    except (OSError, ValueError):  # TimeoutError is an OSError; an address that can't be read is a ValueError
         return None
     return link
 
