--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranebank.control import stage_balancer
 from cranebank.control.stage_balancer import (
     CONFIRM_S,
     CONNECT_LIMIT_S,
@@ -32,6 +33,7 @@
     Unanswered,
     Unreported,
 )
+from cranebank.control.stage_policy import ServiceStages
 from cranebank.programs.settings import Bounds, NodeSettings
 from cranebank.programs.stage_duty import ANSWER_S, read_services, takeover_wait_s
 from cranebank.transport.messages import Backend
@@ -413,6 +415,23 @@
     bench.check()
 
 
+def test_a_look_makes_one_grouping_for_each_service_however_many_backends_there_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A primary looks four times a second, at thousands of backends in a large fleet."""
+    made = 0
+
+    def make() -> ServiceStages:
+        nonlocal made
+        made += 1
+        return ServiceStages()
+
+    monkeypatch.setattr(stage_balancer, "ServiceStages", make)
+    bench = Bench(*(backend(f"i-{number}", "decode") for number in range(100)))
+    bench.look()
+    assert made == 1
+
+
 # Invariants, on a balancer whose guards are taken out.
 
 
