--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -360,5 +360,8 @@
     found: dict[str, ServiceStages] = {}
     for record in look.records.values():
         if record.phase == "ready" and record.target in look.services:
-            found.setdefault(record.target, ServiceStages()).add(record)
+            stages = found.get(record.target)
+            if stages is None:
+                stages = found[record.target] = ServiceStages()
+            stages.add(record)
     return found
