--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -34,6 +34,7 @@
     Unreported,
 )
 from cranebank.control.stage_policy import ServiceStages
+from cranebank.invariants import violations
 from cranebank.programs.settings import Bounds, NodeSettings
 from cranebank.programs.stage_duty import ANSWER_S, read_services, takeover_wait_s
 from cranebank.transport.messages import Backend
@@ -459,6 +460,15 @@
     assert bench.balancer.violations["the fence never falls"] == 1
 
 
+def test_what_is_violated_is_told_by_the_metrics(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The soak asks for these counts alone."""
+    monkeypatch.setattr(StageBalancer, "_begin", lambda *_: None)
+    bench, name = Bench(backend("i-1", "prefill")), "a stage that is needed gets an order in time"
+    before = violations().get(name, 0)
+    bench.pass_time(WAIT_S + UNATTENDED_S + 1.0)
+    assert violations()[name] - before == bench.balancer.violations[name] > 0
+
+
 # The settings and the configuration.
 
 
