--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -36,6 +36,7 @@
     Unreported,
 )
 from cranebank.control.stage_policy import ServiceStages, needed_stage
+from cranebank.invariants import broken
 from cranebank.transport.messages import Backend
 
 CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
@@ -172,6 +173,7 @@
         """Count and log a broken invariant."""
         if not holds:
             self.violations[what] += 1
+            broken(what)  # counted; it is not raised, since an order may be under way
             logger.error("stage balancer: violated: {}", what)
         return holds
 
