Soak: a roll passes over processes that another fault has ended

The laboratory's fault, with a test that failed before; a process that is started though it runs is an error of the laboratory now.

--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -64,7 +64,9 @@
         self.started_at = 0.0
 
     async def start(self, is_first_start: bool) -> None:
-        """Write its settings and start it."""
+        """Write its settings and start it. Its former process must have ended."""
+        if self.is_running:
+            raise RuntimeError(f"{self.name} is started though it runs")
         self._file.write_text(yaml.safe_dump(self.settings | {"is_first_start": is_first_start}), encoding="utf-8")
         inherited = {key: os.environ[key] for key in INHERITED if key in os.environ}
         own = {"CRANEBANK_NODE_FILE": str(self._file), "PYTHONPATH": str(ROOT)}
--- a/cranebank/fleetlab/process_faults.py
+++ b/cranebank/fleetlab/process_faults.py
@@ -118,12 +118,14 @@
             await scene.restart(victim)
 
     async def _roll(self, fault: Fault, victims: Sequence[Process]) -> None:
-        """SIGTERM to one after another, each when the one before has come back."""
+        """SIGTERM to one after another, each when the one before has come back; those are passed over that are down."""
         if not victims:
             raise NoVictimError
         scene = self._scene
         with scene.injected(fault, _names(victims)), scene.holding(fault, victims):
             for victim in victims:
+                if not victim.is_running:
+                    continue
                 with scene.troubled(_machines([victim]), "SIGTERM", is_planned=True):
                     await scene.stop(victim)
                     await asyncio.sleep(RESTART_S)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -228,6 +228,24 @@
     assert all(process.is_running for process in stage.fleet.processes)
 
 
+def test_a_roll_passes_over_what_another_fault_has_ended(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Everything is killed while the roll waits between two of its processes."""
+    monkeypatch.setattr(process_faults, "TURN_S", 0.05)
+
+    async def story(stage: Stage) -> None:
+        roll = asyncio.ensure_future(stage.process_faults.inject(fault(FaultKind.ROLL_CONTROLLERS)))
+        await asyncio.sleep(0.02)
+        await stage.process_faults.inject(fault(FaultKind.KILL_EVERYTHING, seconds=0.1))
+        await roll
+
+    stage = play(tmp_path, story)
+    assert all(process.is_running for process in stage.fleet.processes)
+    assert {tuple(told) for name, told in stage.told().items() if name.startswith("control")} == {
+        ("stop", "start", "kill", "start"),
+        ("kill", "start"),
+    }
+
+
 def test_a_paused_process_that_is_killed_is_started_again(tmp_path: Path) -> None:
     async def story(stage: Stage) -> None:
         first = asyncio.ensure_future(stage.process_faults.inject(fault(FaultKind.PAUSE_PRIMARY, seconds=0.1)))
