--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -88,6 +88,9 @@
     def await_revision(self, revision: int) -> PendingAcks:
         """Acknowledgements of the linked proxies' having a revision in force."""
 
+    def is_isolated(self) -> bool:
+        """Whether neither another controller nor a proxy has been heard for a while: nobody hears what is taken."""
+
     def publish_registry(self, at_once: bool = True) -> None:
         """Tell all what is news in the registry; unless ``at_once``, together with what comes next."""
 
@@ -145,6 +148,8 @@
         if record.phase in ENDING:
             return await self._ending(record.id)
         self._plane.publish_registry(at_once=False)
+        if self._plane.is_isolated():  # the backend goes on to another controller, which is heard
+            return refusal(503, "isolated", headers=_RETRY)
         return _OK
 
     async def leave(self, request: Request) -> Response:
--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -123,12 +123,16 @@
         for record in records:
             self._apply(now, record)
 
-    def greet(self, now: float, records: Iterable[Backend]) -> list[Backend]:
-        """Records from a proxy that has just come. While this controller is young it learns from them; later it knows
-        better, and returns those that nobody vouches for, as lost: for that proxy alone."""
+    def greet(self, now: float, records: Iterable[Backend], hears_all: bool) -> list[Backend]:
+        """Records from a proxy that has just come. What is unknown here is learnt while this controller is young, or
+        doesn't hear all others (``hears_all`` is false): it is lost as usual if nobody hears it. Else this controller
+        knows better, and returns it as lost, for that proxy alone. What the proxy holds for lost is hearsay."""
         stray: list[Backend] = []
+        knows_all = hears_all and now >= self._young_until
         for record in records:
-            if record.id in self.records or record.phase in {"gone", "lost"} or now < self._young_until:
+            if record.phase == "lost":
+                continue
+            if record.id in self.records or record.phase == "gone" or not knows_all:
                 self._apply(now, record)
             else:
                 stray.append(msgspec.structs.replace(record, phase="gone" if record.phase == "draining" else "lost"))
--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -10,7 +10,7 @@
 from cranebank.transport.messages import Backend
 
 GONE_KEPT = 4096  # ended backends that are remembered, so that late news of them changes nothing
-LOST_KEPT = 1024  # backends whose heartbeats ceased that are remembered; the oldest are then forgotten
+LOST_KEPT = 8192  # backends whose heartbeats ceased that are remembered: all of a large fleet may be lost at once
 AWAY_S = (0.5, 8.0)  # a backend that failed us is left alone for so long, at first and at most
 
 
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -97,13 +97,16 @@
         return self._shared.chooser.choose(now, self._service, self._engine, self._prompt, self._route.goal_ms, without)
 
     def _maker(self, now: float) -> Seen | None:
-        """The planned maker, or another where it has left the ready list meanwhile."""
+        """The planned maker, or another where it may take nothing any more or has failed lately."""
         assert self._plan is not None
         maker = self._plan.maker
-        if self._shared.candidates.may_take(maker.backend.id) and maker.away_until <= now:
+        may_take = self._shared.candidates.may_take(maker.backend.id)
+        if may_take and maker.away_until <= now:
             return maker
         plan = self._choose(now, self.without | {maker.backend.id})
-        return plan.maker if plan is not None else None
+        if plan is not None:
+            return plan.maker
+        return maker if may_take else None
 
     def _read(self, now: float, reader: Seen, tokens: int) -> Call | None:
         """Send the request to a backend that reads its prompt only."""
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -204,12 +204,17 @@
                 for note in notes:
                     self._plane.noted(note)
                 if news:
-                    self._plane.learn(news)
+                    self._learn(news)
             case _:
                 self._count("damaged")
                 return
         self._count("heard")
 
+    def _learn(self, records: Iterable[Backend]) -> None:
+        """Take a neighbour's records. What it holds for lost may be heard by controllers of ours."""
+        known = self._plane.records()
+        self._plane.learn([record for record in records if record.phase != "lost" or record.id not in known])
+
     def _shown(self, now: float, ip: str, revision: int, digest: int) -> None:
         if revision and revision == self._plane.revision and digest != self.digest:
             self._count("digests_differ")
@@ -257,7 +262,7 @@
             case ConfigPush(_, document) if link.dialled:
                 self._plane.configure(document)
             case Push(_, backends) if link.dialled:
-                self._plane.learn(backends)
+                self._learn(backends)
                 self._fetched.set()
             case Pulse():
                 pass
--- a/cranebank/membership/outbox.py
+++ b/cranebank/membership/outbox.py
@@ -45,10 +45,11 @@
             self.left_out += 1
 
     def changes(self, records: Iterable[Backend], known: Mapping[str, Backend]) -> None:
-        """Records that came, before they are merged: whatever changes a phase is told on, once."""
+        """Records that came, before they are merged: whatever changes a phase is told on, once. A loss is not: it is
+        what a controller does not hear, and the neighbour's controllers may hear it."""
         for record in records:
             old = known.get(record.id)
-            if old is None or old.phase == record.phase or not newer(old, record):
+            if old is None or record.phase in {old.phase, "lost"} or not newer(old, record):
                 continue
             if len(_encoder.encode(record)) > NEWS_BYTES:
                 self.left_out += 1
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -204,6 +204,10 @@
         """Whether a majority of the controllers has confirmed in time that this backend drains or is gone."""
         return await self._registry_service.confirm_ending(backend_id, seconds)
 
+    def is_isolated(self) -> bool:
+        """Whether neither another controller nor a proxy has been heard for a while."""
+        return self._registry_service.is_isolated
+
     def publish_registry(self, at_once: bool = True) -> None:
         """Tell proxies and controllers what is news in the registry; unless ``at_once``, with what comes next."""
         self._registry_service.publish(at_once)
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -124,7 +124,7 @@
             settings.zone,
             self._life,
             self.proxy.revision,
-            self._plane.known(),
+            tuple(record for record in self._plane.known() if record.phase != "lost"),
         )
 
     async def run(self) -> int:
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -136,6 +136,14 @@
             int(edge.links.unconfirmed_s),
         ),
         gauge("links_up", "Links to controllers that stand.", edge.links.up),
+        counter(
+            "relayed", "Messages passed on between controllers that are cut off from each other.", edge.links.relayed
+        ),
+        counter(
+            "backends_overlooked",
+            "Choices that found no backend though one was ready or suspect; an invariant, 0.",
+            proxy.shared.candidates.empty_though_known,
+        ),
     ]
 
 
@@ -170,6 +178,12 @@
             label="phase",
             values={phase: phases[phase] for phase in PHASES},
         ),
+        Metric(
+            f"{prefix}wrong_losses_total",
+            "counter",
+            "Heartbeats that another controller had heard before their backend was held for lost here.",
+            controller.registry.wrong_losses,
+        ),
         Metric(
             f"{prefix}writes_total",
             "counter",
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -31,6 +31,7 @@
 BATCH_S = 0.05  # changes that come within this time of the last push go out together
 SYNC_S = 1.0  # between tellings to other controllers of who was heard
 MAJORITY_S = 0.45  # for a majority's acknowledgements: a caller without them has time left to go on to another
+ISOLATED_S = 1.0  # without any other controller or proxy for so long, nobody hears what this one takes
 STOOD_S = 1.5  # without a look at the registry for so long, this process stood still: it hears first
 
 
@@ -59,7 +60,7 @@
         self._endings: dict[str, PendingAcks] = {}
         self._published_at = began - BATCH_S
         self._synced_at = 0.0
-        self._looked_at = began
+        self._looked_at = self._heard_by_others_at = began
 
     def publish(self, at_once: bool = True) -> None:
         """Tell proxies and controllers what is news in the registry. What need not go at once waits for the next tick
@@ -116,7 +117,8 @@
     def greet(self, records: Iterable[Backend]) -> tuple[Backend, ...]:
         """What a proxy that has just come knows; returns what it is to be told: all records, and which of its own
         nobody vouches for."""
-        stray = self.registry.greet(self._now(), records)
+        now = self._now()
+        stray = self.registry.greet(now, records, all(self._hears(now, ip) for ip in self._member_ips()))
         self.publish()
         return (*self.registry.everything(), *stray)
 
@@ -164,6 +166,8 @@
 
     def tick(self, now: float) -> None:
         """Expire the silent, and tell other controllers who was heard here."""
+        if self._is_heard_by_others(now):
+            self._heard_by_others_at = now
         self.registry.expire(now, in_touch=self._hears_most(now) and now - self._looked_at < STOOD_S)
         self._looked_at = now
         if now - self._synced_at >= SYNC_S:
@@ -174,6 +178,15 @@
             self._relay_to_unreached(sync)  # also where nobody was heard: it shows that this controller runs
         self._endings = {key: acks for key, acks in self._endings.items() if not acks.done}
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether nobody hears of heartbeats that this controller takes, though there are others that should."""
+        return self._now() - self._heard_by_others_at > ISOLATED_S
+
+    def _is_heard_by_others(self, now: float) -> bool:
+        others = self._member_ips() - {self._ip}
+        return not others or bool(self._delivery.proxies) or any(self._hears(now, ip) for ip in others)
+
     def _member_ips(self) -> set[str]:
         return {ip_of(member) for member in self._consensus.status(self._now()).members}
 
--- a/tests/controlsim/actors.py
+++ b/tests/controlsim/actors.py
@@ -107,10 +107,10 @@
         self.loop = world.process(name, world.next_caller_ip())
         self.impatience = 0.0  # share of the calls whose answer is lost on its way
 
-    def pick(self) -> str:
+    def pick(self, without: str = "") -> str:
         """A controller of the list."""
         listed = [ip for ip in self.world.listed() if self._reaches(ip)] or self.world.listed()
-        return self.random.choice(listed)
+        return self.random.choice([ip for ip in listed if ip != without] or listed)
 
     async def ask(
         self, method: str, path: str, body: bytes = b"", base: int | None = None, ip: str = ""
@@ -314,7 +314,7 @@
         path = f"/api/Servers.Heartbeat/{self.name}"
         answer = await self.ask("POST", path, body, ip=self.preferred)
         if self.preferred and (answer is None or answer.status != 200):
-            answer = await self.ask("POST", path, body)
+            answer = await self.ask("POST", path, body, ip=self.pick(without=self.preferred))
         if answer is None or answer.status != 200:
             return None
         if phase == "ready":
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -138,6 +138,16 @@
     assert read.backend.id not in {seen.backend.id for seen in ready}
 
 
+def test_the_only_maker_makes_though_a_call_of_another_request_has_just_failed_there() -> None:
+    story = Story(makers=1, tries=1, resumable=False, goal_ms=600.0)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 200, {}))
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1"}'))
+    story.shared.candidates.failed(story.now, "d0")
+    (make,) = calls(story.do(LegEnd(read.leg)))
+    assert make.backend.id == "d0"
+
+
 def test_a_prompt_that_nobody_takes_is_freed_when_the_client_leaves() -> None:
     story = Story(tries=1, resumable=False, goal_ms=600.0, makers=1)
     (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -106,6 +106,7 @@
     outbox, old = Outbox(), _backend("b", "ready", 5)
     outbox.changes([_backend("b", "ready", 6), _backend("new", "ready", 1)], {"b": old})
     outbox.changes([_backend("b", "lost", 4)], {"b": old})
+    outbox.changes([_backend("b", "lost", 9)], {"b": old})  # what a controller does not hear is no news for others
     assert not any(gossip.news for gossip in play(outbox, 20, []))
     draining = _backend("b", "draining", 6)
     outbox.changes([draining], {"b": old})
--- a/tests/test_lost_but_heard.py
+++ b/tests/test_lost_but_heard.py
@@ -75,6 +75,8 @@
 A, B, C = IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 A_FROM_OTHERS = ((A, B), (B, A), (A, C), (C, A))
 ALL_FROM_ALL = (*A_FROM_OTHERS, (B, C), (C, B))
+PROXIES = ("10.0.1.1", "10.0.1.2")
+A_FROM_ALL = (*A_FROM_OTHERS, *((A, ip) for ip in PROXIES), *((ip, A) for ip in PROXIES))
 CUT_AT = 9.0
 RELAYED_S = 2.5  # until a link is known to be cut, and the next news has gone round
 LOST_S = 3.5 + 1 + 0.5  # beats of 1 s, and a look each half second
@@ -93,14 +95,22 @@
         for backend in world.backends:
             backend.preferred = A
         world.scheduler.run_until(CUT_AT)
-        for ip in IPS:
-            world.cut(world.machines[ip], [pair for pair in pairs if pair[0] == ip], 50.0, "as the test says")
+        for pair in pairs:
+            world.network.cut(*pair)
+        for machine in world.machines.values():
+            machine.troubles += 1
+            world.changed(machine)
         yield world
     finally:
         world.close()
         logger.enable("cranebank")
 
 
+def looks(end: float) -> list[float]:
+    """Times to look at, each half second from the cut on."""
+    return [CUT_AT + 0.5 * number for number in range(1, int(2 * (end - CUT_AT)) + 1)]
+
+
 def controller(world: World, ip: str) -> Controller:
     """A controller that runs."""
     found = world.machines[ip].controller
@@ -114,18 +124,32 @@
     return record.phase if record is not None else None
 
 
+def phases_at_proxies(world: World, backend: str) -> list[str]:
+    """What the proxies hold of a backend."""
+    return [proxy.life.plane.records[backend].phase for proxy in world.proxies if proxy.life is not None]
+
+
 @pytest.mark.parametrize("pairs", [A_FROM_OTHERS, ALL_FROM_ALL])
 def test_what_one_side_of_a_partition_hears_is_known_on_the_other_side(pairs: tuple[tuple[str, str], ...]) -> None:
     """By way of proxies: heartbeats, a backend that began after the cut, and that one has ceased to beat."""
     with partitioned(pairs) as world:
-        while world.scheduler.now < 35.0:
-            world.scheduler.run_until(world.scheduler.now + 0.5)
-            now = world.scheduler.now
+        for now in looks(35.0):
+            world.scheduler.run_until(now)
             assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready"] * 3
             if now > CUT_AT + 0.5 + RELAYED_S:
                 assert [phase_at(world, ip, "i-2") for ip in IPS] == ["ready"] * 3
             if now < 15.0 or now > 15.0 + LOST_S + RELAYED_S:
                 assert [phase_at(world, ip, "i-3") for ip in IPS] == [("ready" if now < 15.0 else "lost")] * 3
+        assert world.judge.breaches == []
+
+
+def test_a_controller_that_nobody_hears_sends_backends_on_to_others() -> None:
+    """It is cut off from all proxies too: a heartbeat that it acknowledged would be heard by nobody."""
+    with partitioned(A_FROM_ALL) as world:
+        for now in looks(35.0):
+            world.scheduler.run_until(now)
+            assert [phase_at(world, ip, "i-1") for ip in (B, C)] == ["ready"] * 2
+        assert world.judge.breaches == []
 
 
 def test_a_drain_that_one_side_of_a_partition_takes_is_known_on_the_other_side_at_once() -> None:
@@ -141,13 +165,16 @@
 
 
 def test_a_loss_is_lifted_as_soon_as_there_is_a_way_round_the_partition() -> None:
-    """Without proxies B must think the backend lost. Once some are there, A's news of heartbeats contradicts it."""
-    with partitioned(A_FROM_OTHERS) as world:
-        for proxy in world.proxies:
-            proxy.kill()
+    """While proxies reach A alone, B must think the backend lost; then A's news of heartbeats contradicts it."""
+    proxies_from_others = [pair for ip in PROXIES for other in (B, C) for pair in ((ip, other), (other, ip))]
+    with partitioned((*A_FROM_OTHERS, *proxies_from_others)) as world:
         world.scheduler.run_until(20.0)
         assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready", "lost", "lost"]
-        for proxy in world.proxies:
-            proxy.start()
-        world.scheduler.run_until(20.0 + RELAYED_S)
-        assert [phase_at(world, ip, "i-1") for ip in IPS] == ["ready"] * 3
+        for pair in proxies_from_others:
+            world.network.heal(*pair)
+        for tenth in range(int(10 * RELAYED_S)):
+            world.scheduler.run_until(20.0 + tenth / 10)
+            assert phases_at_proxies(world, "i-2") == ["ready"] * 2, "B and C learn of it, and don't call it lost"
+        assert (
+            [phase_at(world, ip, "i-1") for ip in IPS] == [*phases_at_proxies(world, "i-1"), "ready"] == ["ready"] * 3
+        )
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -72,8 +72,8 @@
                 await self.changed.wait()
 
 
-def _backend(phase: str = "ready", call_seq: int = 1) -> Backend:
-    return Backend("i-1", "service", "10.1.0.1:80", "z", "decode", 8, phase, call_seq)
+def _backend(phase: str = "ready", call_seq: int = 1, name: str = "i-1") -> Backend:
+    return Backend(name, "service", "10.1.0.1:80", "z", "decode", 8, phase, call_seq)
 
 
 def _port() -> int:
@@ -123,9 +123,12 @@
 def test_who_is_behind_fetches_configuration_and_backends() -> None:
     async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
         b.configure(b"4 routes")
-        b.learn([_backend("lost", 9)])
+        b.learn([_backend("ready", 9), _backend("lost", 3, "i-2"), _backend("lost", 3, "i-3")])
+        a.learn([_backend("ready", 2, "i-3")])
         await a.until(lambda: a.revision == 4 and a.candidates.records["i-1"].call_seq == 9)
         assert a.document == b"4 routes"
+        phases = {name: record.phase for name, record in a.candidates.records.items()}
+        assert phases == {"i-1": "ready", "i-2": "lost", "i-3": "ready"}, "what it holds for lost is no news of ours"
         assert second.counters.get("fetched", 0) == 0
 
     play(story)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -206,21 +206,42 @@
     assert phases(registry)["old"] == "lost"
 
 
+PROXY_RECORDS = [
+    Backend("a", "s", "1.1.1.1:1", "z", "", 1, "ready", 3),
+    Backend("b", "s", "1.1.1.1:2", "z", "", 1, "gone", 3),
+    Backend("c", "s", "1.1.1.1:3", "z", "", 1, "lost", 3),
+]
+
+
 def test_rebuilt_from_proxies_while_young() -> None:
     """A controller that has just begun learns from proxies; later it corrects what nobody vouches for."""
-    records = [
-        Backend("a", "s", "1.1.1.1:1", "z", "", 1, "ready", 3),
-        Backend("b", "s", "1.1.1.1:2", "z", "", 1, "gone", 3),
-    ]
     registry = Registry(0, BEAT_S)
-    assert registry.greet(1, records) == []
+    assert registry.greet(1, PROXY_RECORDS, hears_all=True) == []
     assert phases(registry) == {"a": "ready", "b": "gone"}
     old = Registry(0, BEAT_S)
-    stray = old.greet(QUIET_S + 1, records)
+    stray = old.greet(QUIET_S + 1, PROXY_RECORDS, hears_all=True)
     assert [(record.id, record.phase) for record in stray] == [("a", "lost")]
     assert phases(old) == {"b": "gone"}
 
 
+def test_who_does_not_hear_all_controllers_learns_from_proxies_and_expires_what_nobody_hears() -> None:
+    """Another controller may hear what is unknown here."""
+    registry = Registry(0, BEAT_S)
+    now = QUIET_S + 1
+    assert registry.greet(now, PROXY_RECORDS, hears_all=False) == []
+    assert phases(registry) == {"a": "ready", "b": "gone"}
+    assert registry.expire(now + LOST_S - 0.1) == []
+    assert [record.id for record in registry.expire(now + LOST_S + 0.1)] == ["a"]
+
+
+def test_that_a_proxy_holds_a_backend_for_lost_changes_nothing() -> None:
+    """It is hearsay: a controller goes by the heartbeats that it hears."""
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(1, "c", beat(3, address="1.1.1.1:3"))
+    assert registry.greet(2, PROXY_RECORDS, hears_all=True) == []
+    assert phases(registry)["c"] == "ready"
+
+
 def test_ends_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
     """Ends are kept for a minute, and a bounded number of them."""
     registry = Registry(0, BEAT_S)
