--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -142,6 +142,9 @@
             int(edge.links.unconfirmed_s),
         ),
         gauge("links_up", "Links to controllers that stand.", edge.links.up),
+        counter(
+            "relayed", "Messages passed on between controllers that are cut off from each other.", edge.links.relayed
+        ),
         _invariant_violations(prefix),
     ]
 
@@ -178,6 +181,12 @@
             values={phase: phases[phase] for phase in PHASES},
         ),
         _ready_by_stage(prefix, controller.registry.everything()),
+        Metric(
+            f"{prefix}wrong_losses_total",
+            "counter",
+            "Heartbeats that another controller had heard before their backend was held for lost here.",
+            controller.registry.wrong_losses,
+        ),
         Metric(
             f"{prefix}writes_total",
             "counter",
