--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import pytest
 from known_red import pytest_collection_modifyitems  # noqa: F401  (a hook of pytest's)
 
+from cranebank import invariants
 from cranebank.decisions.balance import Balancer
 from cranebank.decisions.interface import (
     Action,
@@ -27,6 +29,12 @@
 )
 
 
+@pytest.fixture(autouse=True)
+def _own_violations(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each test has counts of violated invariants of its own: those of others don't come in, and these don't go out."""
+    monkeypatch.setattr(invariants, "_counts", Counter())
+
+
 def make_settings(**changes: Any) -> Settings:
     """Return settings of a small imaginary site."""
     values: dict[str, Any] = {
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 import pytest
 
 from cranebank import invariants
@@ -11,12 +9,6 @@
 from cranebank.programs import metrics
 
 
-@pytest.fixture(autouse=True)
-def _no_violations(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Counts of other tests don't come in here, and these don't go out."""
-    monkeypatch.setattr(invariants, "_counts", Counter())
-
-
 def test_a_violation_is_counted_by_name() -> None:
     with pytest.raises(InvariantBroken, match="loads are not below zero: i-1"):
         raise broken("loads are not below zero", "i-1")
