--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -178,6 +178,18 @@
     assert phases(here) == {"i": "lost"}
 
 
+def test_a_change_that_was_lost_on_its_way_is_made_up_for() -> None:
+    """By way of proxies messages may be lost. That a later heartbeat was heard is no news of what it said."""
+    here, there = Registry(0, BEAT_S), Registry(0, BEAT_S)
+    here.heartbeat(10, "i", beat(1, stage="prefill"))
+    there.merge(10, here.changes())
+    here.heartbeat(11, "i", beat(2, stage="decode"))
+    assert len(here.changes()) == 1  # lost
+    there.heard(11, here.pop_heard(11))
+    there.merge(12, here.everything())  # a connection stands again
+    assert there.records["i"] == here.records["i"]
+
+
 def test_who_tells_old_news_is_told_better() -> None:
     """A controller that missed beats calls a backend lost; one that heard them tells everybody again."""
     here, there = Registry(0, BEAT_S), Registry(0, BEAT_S)
