--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -90,6 +90,9 @@
         self._in_touch = True
         self.records: dict[str, Backend] = {}
         self._heard: dict[str, float] = {}  # by any controller
+        self._heard_seq: dict[
+            str, int
+        ] = {}  # call_seq of heartbeats that others heard; what they said isn't known here
         self._own: dict[str, float] = {}  # by this one, since it last told the others
         self._ended: dict[str, float] = {}  # when gone or lost, in order
         self._at: dict[str, str] = {}  # address: id of who was last said to have it
@@ -123,7 +126,7 @@
         for record in records:
             old = self.records.get(record.id)
             if not self._apply(now, record) and old is not None and old.phase != record.phase:
-                self._news[old.id] = old
+                self._news[old.id] = self._as_heard(old)
 
     def restore(self, now: float, records: Iterable[Backend]) -> None:
         """What this controller knew in its life before, from its disk. Whoever was heard since knows better; who does
@@ -157,9 +160,9 @@
             elif old.phase == "lost" and call_seq > old.call_seq:
                 asks.append(backend_id)
                 self.wrong_losses += at <= self._ended[backend_id]
-            elif old.phase in LIVING and call_seq >= old.call_seq:
+            elif old.phase in LIVING and call_seq >= self._as_heard(old).call_seq:
                 self._heard[backend_id] = max(self._heard.get(backend_id, 0.0), at)
-                self.records[backend_id] = msgspec.structs.replace(old, call_seq=call_seq)
+                self._heard_seq[backend_id] = call_seq
         return tuple(asks)
 
     def records_of(self, ids: Iterable[str]) -> tuple[Backend, ...]:
@@ -223,12 +226,17 @@
         if old is None or old.phase not in LIVING:
             return False
         phase = "gone" if old.phase == "draining" else "lost"  # a drain is never taken back
-        return self._apply(now, msgspec.structs.replace(old, phase=phase))
+        return self._apply(now, msgspec.structs.replace(self._as_heard(old), phase=phase))
+
+    def _as_heard(self, record: Backend) -> Backend:
+        """The record with the number of the newest heartbeat, whoever heard it: it contradicts a loss of before."""
+        call_seq = self._heard_seq.get(record.id, record.call_seq)
+        return msgspec.structs.replace(record, call_seq=call_seq) if call_seq > record.call_seq else record
 
     def _apply(self, now: float, record: Backend) -> bool:
         """The one function that changes a record."""
         old = self.records.get(record.id)
-        if not newer(old, record):
+        if not newer(self._as_heard(old) if old is not None and record.phase == "lost" else old, record):
             return False
         if old is not None and not record.address:  # an end told by a controller that knew the id alone
             record = msgspec.structs.replace(old, phase=record.phase)
@@ -239,6 +247,7 @@
             self._news[record.id] = record
         if record.phase in {"gone", "lost"}:
             self._heard.pop(record.id, None)
+            self._heard_seq.pop(record.id, None)
             self._own.pop(record.id, None)
             if old is None or old.phase != record.phase:
                 self._ended.pop(record.id, None)
