Stage orders follow load: a backend is moved to the stage that is too busy

Cause: the share of a service's backends in each stage changes by losses and releases, and only an empty decode stage was made up for; with one of four left to prefill, long prompts waited 2.3 s, their clients left, and 50,000 tokens a second were read for next to nothing. Ruled out: lists that differ between proxies; cold memory alone (docs/incidents/cold-readers.md). Change: proxies tell controllers with their heartbeats what they ask of each stage, in erlangs; the primary moves a backend where a stage is too busy and would clearly be less so with it, decode counted with one to spare. Proxies send nothing to a backend that is ordered (HoldOff). The pace of prefill is learnt from readings that found their backend idle: with waiting in it, it counted queues twice. Metrics of readings and loads.

--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -142,6 +142,10 @@
                 needs[peer.slot] = self._push(link, peer, records)
         return self._await(self._backend_acks, needs)
 
+    def tell_proxies(self, message: Message) -> None:
+        """Send to every proxy that is linked; nothing is acknowledged."""
+        self._out += [(link, message) for link, peer in self.peers.items() if peer.slot >= 0]
+
     def acknowledged(self, link: Hashable, number: int) -> None:
         """All pushes on this link up to ``number`` bind there."""
         peer = self.peers.get(link)
--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -35,11 +35,12 @@
     Unanswered,
     Unreported,
 )
-from cranebank.control.stage_policy import ServiceStages, needed_stage
+from cranebank.control.stage_policy import Need, ServiceStages, needed_stage
 from cranebank.invariants import note
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, StageLoad
 
 CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
+CONFIRM_LOAD_S = 1.5  # the same where a stage is only too busy: one that is released is replaced within a heartbeat
 CONNECT_LIMIT_S = 1.0  # an order whose connection took longer is abandoned: it was decided on by what was known then
 REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
 FINISH_S = 10.0  # for what runs at a backend to reach its end before the switch begins
@@ -115,7 +116,7 @@
         self._expected: dict[str, int] = {}  # orders taken by a backend, as it reported
         self._not_taken: Counter[str] = Counter()  # orders that a backend did not take, as it reported
         self._unfit_until: dict[str, float] = {}
-        self._needed: dict[str, tuple[Stage, float]] = {}  # by service: which stage, and since when
+        self._needed: dict[str, tuple[Need, float]] = {}  # by service: what it needs, and since when
         self._unattended_since: dict[str, float] = {}
         self._term: int | None = None
         self._orders_from = float("inf")
@@ -131,10 +132,15 @@
         return tuple(self._orders.values())
 
     @property
-    def needed(self) -> Mapping[str, tuple[Stage, float]]:
-        """By service: which stage needs another backend, and since when."""
+    def needed(self) -> Mapping[str, tuple[Need, float]]:
+        """By service: what it needs, and since when."""
         return self._needed
 
+    def held(self, now: float) -> dict[str, float]:
+        """The backends that are about to change their stage and run nothing new, and for how much longer at most."""
+        ends = {order.backend.id: order.began_at + order.overdue_s for order in self.orders}
+        return {name: until - now for name, until in ends.items() if until > now}
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at a time of the steady clock; return what is to be done, in order."""
         self._actions = []
@@ -194,7 +200,7 @@
         by_service = _by_service(look)
         self._forget_services(by_service.keys())
         for name, stages in by_service.items():
-            self._staff(now, look.services[name], stages, look.heard_at)
+            self._staff(now, look.services[name], stages, look.loads.get(name), look.heard_at)
 
     def _follow_authority(self, now: float, authority: Authority) -> None:
         """A new term begins with a wait. In one and the same term no other controller has been primary."""
@@ -242,22 +248,30 @@
 
     # Deciding.
 
-    def _staff(self, now: float, service: Service, stages: ServiceStages, heard_at: Mapping[str, float]) -> None:
+    def _staff(
+        self,
+        now: float,
+        service: Service,
+        stages: ServiceStages,
+        load: StageLoad | None,
+        heard_at: Mapping[str, float],
+    ) -> None:
         """Order a backend where a stage needs one and has needed it for long enough."""
-        stage = needed_stage(stages)
-        if stage is None:
+        need = needed_stage(stages, load)
+        if need is None:
             self._needed.pop(service.name, None)
             self._unattended_since.pop(service.name, None)
             return
         known = self._needed.get(service.name)
-        if known is None or known[0] is not stage:
-            known = self._needed[service.name] = stage, now
+        if known is None or known[0] != need:
+            known = self._needed[service.name] = need, now
         candidate = None
         if now >= self._orders_from and not self._has_order(now, service.name):
-            candidate = self._candidate(now, stages.of(stage.other), heard_at)
-        self._check_attended(now, service.name, candidate is None)
-        if candidate is not None and now - known[1] >= CONFIRM_S:
-            self._begin(now, service, candidate, stage)
+            candidate = self._candidate(now, stages.of(need.stage.other), heard_at)
+        self._check_attended(now, service.name, candidate is None or not need.is_urgent)
+        if candidate is not None and now - known[1] >= (CONFIRM_S if need.is_urgent else CONFIRM_LOAD_S):
+            logger.info("service {}: {} backends by stage, load {}", service.name, stages.counts(), load)
+            self._begin(now, service, candidate, need.stage)
 
     def _has_order(self, now: float, service: str) -> bool:
         return any(order.backend.target == service and order.blocks(now) for order in self.orders)
--- a/cranebank/control/stage_events.py
+++ b/cranebank/control/stage_events.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Mapping
 from enum import StrEnum
+from types import MappingProxyType
 
 import msgspec
 
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, StageLoad
 
 
 class Stage(StrEnum):
@@ -54,6 +55,7 @@
 class Look(msgspec.Struct, frozen=True):
     """How things stand now: the services by name, the registry's records by the backend's id, and when the newest
     heartbeat of each was received by any controller. ``is_registry_current``: a backend that has no record isn't there.
+    ``loads``: what proxies ask of each service's stages, as far as it is known.
     """
 
     authority: Authority
@@ -61,6 +63,7 @@
     records: Mapping[str, Backend]
     heard_at: Mapping[str, float]
     is_registry_current: bool
+    loads: Mapping[str, StageLoad] = MappingProxyType({})
 
 
 class Connected(msgspec.Struct, frozen=True):
--- a/cranebank/control/stage_policy.py
+++ b/cranebank/control/stage_policy.py
@@ -1,11 +1,28 @@
-"""Which stage of a service needs another backend: pure functions over its ready backends."""
+"""Which stage of a service needs another backend: pure functions over its ready backends and their load.
+
+A stage is as busy as its load, in erlangs, divided by its backends. How busy it may be differs: prompts are read one
+after another, so calls wait long before a prefill backend is always busy; a decode backend runs its streams at once.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+
+import msgspec
 
 from cranebank.control.stage_events import Stage
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, StageLoad
+
+BUSY_MOST: Mapping[Stage, float] = {Stage.PREFILL: 0.5, Stage.DECODE: 0.7}
+"""Of the time, and of the places. With half of its time taken by readings of one length, a prefill backend lets each
+wait for half of its own length on average (M/D/1); at seven tenths it is more than the whole length. Streams of a
+decode backend don't wait; what is left of its places is for bursts, and for the loss of another one."""
+SPARE: Mapping[Stage, int] = {Stage.PREFILL: 0, Stage.DECODE: 1}
+"""Backends that are counted out, so that the loss of as many overloads nobody: without decode there is no service, and
+it takes some seconds to know of a loss and to make up for it. Prompts can be read by decode backends meanwhile."""
+GAIN = 0.8  # a move must bring the busier stage under so much of what it was: else it could be moved back at once
+LEFT_LEAST: Mapping[Stage, int] = {Stage.PREFILL: 1, Stage.DECODE: 2}
+"""Backends that a move for load leaves in a stage. Decode serves all requests: its last backend must not be lost."""
 
 _STAGES = {stage.value: stage for stage in Stage}
 
@@ -27,13 +44,48 @@
         """The backends of a stage."""
         return self._backends[stage]
 
+    def counts(self) -> dict[Stage, int]:
+        """How many backends each stage has."""
+        return {stage: len(backends) for stage, backends in self._backends.items()}
+
+
+class Need(msgspec.Struct, frozen=True):
+    """A stage needs a backend of the other one; ``is_urgent``: nothing can be served without it."""
+
+    stage: Stage
+    is_urgent: bool
 
-def needed_stage(stages: ServiceStages) -> Stage | None:
-    """The stage that a backend of the other one must take over, if any.
+
+def needed_stage(stages: ServiceStages, load: StageLoad | None = None) -> Need | None:
+    """What a service needs, if anything.
 
     Without a decode backend no request can be served, whoever else is there. Decode backends read prompts themselves,
-    so a service without a prefill backend is served.
+    so a service without a prefill backend is served. Else a backend is moved where a stage is too busy, and would be
+    clearly less so with it, the other one staying less busy than this one was. ``load`` is in erlangs; none: unknown.
     """
-    if stages.of(Stage.PREFILL) and not stages.of(Stage.DECODE):
-        return Stage.DECODE
-    return None
+    counts = stages.counts()
+    if counts[Stage.PREFILL] and not counts[Stage.DECODE]:
+        return Need(Stage.DECODE, True)
+    if load is None:
+        return None
+    busiest, excess = _busiest(counts, load)
+    other = busiest.other
+    if excess <= 1.0 or counts[other] <= LEFT_LEAST[other]:
+        return None
+    _, excess_after = _busiest(counts | {busiest: counts[busiest] + 1, other: counts[other] - 1}, load)
+    return Need(busiest, False) if excess_after <= GAIN * excess else None
+
+
+def _busiest(counts: Mapping[Stage, int], load: StageLoad) -> tuple[Stage, float]:
+    """The stage that is busiest for what it may be, and how many times that much it is."""
+    loads = {Stage.PREFILL: load.prefill, Stage.DECODE: load.decode}
+    excess = {stage: _excess(stage, counts[stage], erlangs) for stage, erlangs in loads.items()}
+    stage = max(excess, key=lambda one: excess[one])
+    return stage, excess[stage]
+
+
+def _excess(stage: Stage, count: int, erlangs: float) -> float:
+    if not count:
+        return float("inf") if erlangs else 0.0
+    relied_on = max(count - SPARE[stage], count / 2)
+    return erlangs / (relied_on * BUSY_MOST[stage])
--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -31,7 +31,7 @@
         self._holders: dict[str, str] = {}  # address: id of who was last known to serve there
         self.version = 0  # rises whenever the ready ones or the suspects of a service and stage change
         self._check_again_at = float("-inf")
-        self._away: set[str] = set()  # those that failed lately
+        self._away: set[str] = set()  # those that failed lately or are held off
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
 
@@ -65,7 +65,7 @@
             known.backend = record
         else:
             self._unlist(known)
-            known.backend = record
+            known.backend, known.held_until = record, 0.0
             self._list(known, now)
         self._lost.pop(record.id, None)
         if record.phase == "lost":
@@ -134,10 +134,10 @@
         if self._suspects:
             listed = self._suspects.merged(now, place, listed)
         if self._away:
-            self._away = {name for name in self._away if self.seen[name].away_until > now}
+            self._away = {name for name in self._away if self.seen[name].stands_back(now)}
         if without or self._away:
             listed = [seen for seen in listed if seen.backend.id not in without]
-            listed = [seen for seen in listed if seen.away_until <= now] or listed
+            listed = [seen for seen in listed if not seen.stands_back(now)] or listed
         if not listed:
             listed = [seen for seen in self._suspects.last_resort(now, place) if seen.backend.id not in without]
         if not listed:
@@ -187,4 +187,12 @@
         if seen is not None:
             seen.answered_at = now
             seen.away_until = seen.away_for = 0.0
-            self._away.discard(backend)
+            if seen.held_until <= now:
+                self._away.discard(backend)
+
+    def hold_off(self, now: float, backend: str, seconds: float) -> None:
+        """It is about to change its stage: others are asked for so long, or until its new stage is known."""
+        seen = self.seen.get(backend)
+        if seen is not None:
+            seen.held_until = now + seconds
+            self._away.add(backend)
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -7,7 +7,7 @@
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.exchange_events import Call
 from cranebank.dataplane.open_legs import Handle, Leg, OpenLegs
-from cranebank.dataplane.pair import Plan
+from cranebank.dataplane.pair import ALONE, Plan
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.seen import Seen
@@ -85,7 +85,11 @@
 
     def call_after_reading(self, now: float, reader: Leg, handle: str) -> Call | None:
         """The prompt was read: go on with the memory under this handle."""
-        self._shared.chooser.pace(self._service, "prefill").learn(reader.tokens, (now - reader.sent_at) * 1e3)
+        took_ms = (now - reader.sent_at) * 1e3
+        if reader.found_idle:  # else it waited for others as well, and the pace would grow with the queue
+            self._shared.chooser.pace(self._service, "prefill").learn(reader.tokens, took_ms)
+        self._shared.count("readings")
+        self._shared.count("reading_ms", round(took_ms))
         self.handle = Handle(reader.seen.backend, handle, now + self._engine.handle_ttl_s - HANDLE_MARGIN_S)
         maker = self._maker(now)
         return self._make(now, maker, 0) if maker is not None else None
@@ -104,7 +108,7 @@
         assert self._plan is not None
         maker = self._plan.maker
         may_take = self._shared.candidates.may_take(maker.backend.id)
-        if may_take and maker.away_until <= now:
+        if may_take and not maker.stands_back(now):
             return maker
         plan = self._choose(now, self.without | {maker.backend.id})
         if plan is not None:
@@ -163,7 +167,12 @@
         silent_s: float | None,
     ) -> tuple[Leg, Call]:
         leg = self._legs.open(now, seen, tokens, reads, silent_s)
-        self._shared.chooser.called(now, self._service, seen.backend.stage)
+        chooser = self._shared.chooser
+        chooser.called(now, self._service, seen.backend.stage)
+        if reads or tokens > ALONE:  # also what is read where tokens are made since nobody is there to read it
+            work_ms = chooser.pace(self._service, "prefill").token * tokens
+            self._shared.load.read(now, self._service, work_ms / 1e3)
+        self._shared.count(f"tokens_asked_{seen.backend.stage}", tokens)
         self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens)
         self._shared.count("reads" if reads else "makes")
         return leg, Call(leg.number, seen.backend, headers)
--- /dev/null
+++ b/cranebank/dataplane/offered_load.py
@@ -0,0 +1,67 @@
+"""What this proxy asks of each stage of a service, in erlangs: how many backends it alone would keep busy.
+
+Reading is counted when it is asked for, whatever becomes of it: what waits in vain at an overloaded stage is load as
+well. Making is the share of their places that this proxy's streams take, looked at whenever it is told. Neither depends
+on how many backends the stage has, so the primary can tell what another backend would change.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from math import exp
+
+from cranebank.dataplane.decayed_rate import DecayedRate
+from cranebank.dataplane.seen import Seen
+from cranebank.transport.messages import StageLoad
+
+AVERAGED_S = 4.0  # a few long prompts at once are no lasting load
+LOADS_MOST = 64  # services that are told of: those with the most load
+LEAST = 0.001  # erlangs; less is not told
+
+
+class OfferedLoad:
+    """Of one proxy, by service. Times are a steady clock's seconds; bounded by the services that are routed to."""
+
+    def __init__(self) -> None:
+        self._reading: dict[str, DecayedRate] = {}
+        self._making: dict[str, float] = {}
+        self._looked_at = 0.0
+
+    def read(self, now: float, service: str, seconds: float) -> None:
+        """A backend is asked for a reading that takes it so long, waiting left out."""
+        rate = self._reading.get(service)
+        if rate is None:
+            rate = self._reading[service] = DecayedRate(AVERAGED_S)
+        rate.add(now, seconds)
+
+    def tell(self, now: float, backends: Iterable[Seen]) -> tuple[StageLoad, ...]:
+        """The load of each service; ``backends`` are all that are known, with the calls that are out there."""
+        self._average_making(now, backends)
+        reading = {service: rate.at(now) for service, rate in self._reading.items()}
+        self._forget_idle(reading)
+        loads = [
+            StageLoad(service, round(reading.get(service, 0.0), 4), round(self._making.get(service, 0.0), 4))
+            for service in reading.keys() | self._making.keys()
+        ]
+        loads = [load for load in loads if max(load.prefill, load.decode) >= LEAST]
+        if len(loads) > LOADS_MOST:
+            loads = sorted(loads, key=lambda load: -max(load.prefill, load.decode))[:LOADS_MOST]
+        return tuple(loads)
+
+    def _average_making(self, now: float, backends: Iterable[Seen]) -> None:
+        present: dict[str, float] = {}
+        for seen in backends:
+            backend = seen.backend
+            if seen.calls and backend.stage == "decode":
+                present[backend.target] = present.get(backend.target, 0.0) + seen.calls / backend.capacity
+        kept = exp(-max(0.0, now - self._looked_at) / AVERAGED_S)
+        self._looked_at = now
+        services = present.keys() | self._making.keys()
+        self._making = {
+            service: kept * self._making.get(service, 0.0) + (1.0 - kept) * present.get(service, 0.0)
+            for service in services
+        }
+
+    def _forget_idle(self, reading: dict[str, float]) -> None:
+        self._reading = {name: rate for name, rate in self._reading.items() if reading[name] >= LEAST / 10}
+        self._making = {name: load for name, load in self._making.items() if load >= LEAST / 10}
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -24,6 +24,7 @@
     __slots__ = (
         "answering",
         "body",
+        "found_idle",
         "handle",
         "headers",
         "is_counted",
@@ -38,6 +39,7 @@
 
     def __init__(self, number: int, seen: Seen, tokens: int, reads: bool, now: float, silent_at: float | None) -> None:
         self.number, self.seen, self.tokens, self.reads = number, seen, tokens, reads
+        self.found_idle = not seen.calls and not seen.others_calls  # as far as this proxy and its neighbours know
         self.sent_at, self.silent_at = now, silent_at
         self.status = 0
         self.headers: dict[str, str] = {}
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -12,13 +12,13 @@
 
 from hashlib import blake2b
 from heapq import nlargest
-from math import exp
 from random import Random
 
 import msgspec
 
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.decayed_rate import DecayedRate
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine
 from cranebank.dataplane.seen import Seen
@@ -35,7 +35,11 @@
 
 
 class Pace(msgspec.Struct):
-    """What reading takes at one stage of one service, learnt from answers: a start and a time a token, in ms."""
+    """What reading takes at one stage of one service, learnt from answers: a start and a time a token, in ms.
+
+    Of a prefill backend only answers count that found it idle: a pace that holds waiting would count it twice where a
+    queue is estimated, and would make a stage look slower the more is asked of it.
+    """
 
     start: float
     token: float
@@ -75,22 +79,6 @@
     blend: float
 
 
-class Rate:
-    """Calls a second, averaged with exponential decay."""
-
-    def __init__(self) -> None:
-        self._value, self._at = 0.0, 0.0
-
-    def add(self, now: float) -> None:
-        """One call."""
-        self._value = self.at(now) + 1.0 / RATE_S
-        self._at = now
-
-    def at(self, now: float) -> float:
-        """Calls a second."""
-        return self._value * exp(-(now - self._at) / RATE_S)
-
-
 def _hash(key: str, backend: str) -> bytes:
     return blake2b(f"{key}/{backend}".encode(), digest_size=8).digest()
 
@@ -102,7 +90,7 @@
         self._candidates, self._cache, self._random = candidates, cache, random
         self.proxies = 1  # the told count
         self.told_at = 0.0  # when neighbours told their figures last
-        self._rates: dict[tuple[str, str], Rate] = {}
+        self._rates: dict[tuple[str, str], DecayedRate] = {}
         self._paces: dict[tuple[str, str], Pace] = {}
         self._homes: dict[str, tuple[list[Seen], int, dict[str, list[Seen]]]] = {}  # by service: list, version, homes
 
@@ -116,7 +104,7 @@
 
     def called(self, now: float, service: str, stage: str) -> None:
         """Any call counts in the rate behind b, also one that is refused, fails or is a repeat."""
-        self._rates.setdefault((service, stage), Rate()).add(now)
+        self._rates.setdefault((service, stage), DecayedRate(RATE_S)).add(now)
 
     def blend(self, now: float, service: str, stage: str, listed: list[Seen], drawn: tuple[Seen, Seen]) -> float:
         """Beta for two draws: falls as their figures age and as proxies become more."""
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -43,7 +43,7 @@
 from cranebank.dataplane.routes import ClientLimits, Engine, RouteTable
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, StageLoad
 
 NO_ENGINE = Engine()
 OWN_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
@@ -281,6 +281,15 @@
             self.shared.cache.forget(over)
         self._stages.observe(now, candidates.staffed(), candidates.records.values())
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """This backend is about to change its stage: nothing is sent there for so long."""
+        self.shared.candidates.hold_off(asyncio.get_running_loop().time(), backend, seconds)
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """What this proxy asks of the stages of each service."""
+        now = asyncio.get_running_loop().time()
+        return self.shared.load.tell(now, self.shared.candidates.seen.values())
+
     def noted(self, backend: str, part: str, tokens: int) -> None:
         """A neighbour had this backend read a prompt up to and with this shared part."""
         record = self.shared.candidates.records.get(backend)
--- a/cranebank/dataplane/seen.py
+++ b/cranebank/dataplane/seen.py
@@ -16,6 +16,7 @@
         "backend",
         "calls",
         "figured_at",
+        "held_until",
         "is_replaced",
         "lost_at",
         "others_calls",
@@ -33,6 +34,11 @@
         self.lost_at = 0.0  # when its heartbeats ceased, where they have
         self.is_replaced = False  # another backend was last known to serve at its address
         self.away_until = self.away_for = 0.0
+        self.held_until = 0.0  # it is about to change its stage: nothing is sent there before
+
+    def stands_back(self, now: float) -> bool:
+        """Whether others are asked first: it failed lately, or is about to change its stage."""
+        return max(self.away_until, self.held_until) > now
 
     @property
     def has_failed(self) -> bool:
--- a/cranebank/dataplane/shared.py
+++ b/cranebank/dataplane/shared.py
@@ -9,6 +9,7 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.offered_load import OfferedLoad
 from cranebank.dataplane.pair import PairChooser
 
 
@@ -20,8 +21,9 @@
     cache: CacheView
     budget: Callable[[str], Budget]
     counters: dict[str, int]
+    load: OfferedLoad = msgspec.field(default_factory=OfferedLoad)
     on_read: Callable[[str, str, int], None] | None = None  # backend, last long shared part, tokens up to it
 
-    def count(self, name: str) -> None:
-        """One more of something."""
-        self.counters[name] = self.counters.get(name, 0) + 1
+    def count(self, name: str, more: int = 1) -> None:
+        """One more of something, or so many."""
+        self.counters[name] = self.counters.get(name, 0) + more
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -14,6 +14,7 @@
     ConfigAck,
     ConfigPush,
     Hello,
+    HoldOff,
     Message,
     Pulse,
     Push,
@@ -21,6 +22,7 @@
     RegistrySync,
     Relayed,
     RelayTo,
+    StageLoad,
     Welcome,
 )
 
@@ -46,6 +48,12 @@
     def told_proxies(self, count: int) -> None:
         """The told number of proxies."""
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """This backend is about to change its stage: nothing is sent there for so long."""
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """What this proxy asks of the stages of each service."""
+
 
 class FleetLinks:
     """Links to controllers; one Dialer for each that is named by a seed or by another controller."""
@@ -110,7 +118,7 @@
 
     def link_up(self, link: Link) -> None:
         """A controller answers: say who we are and all that we know."""
-        link.pulse = lambda: Pulse(self._plane.revision)
+        link.pulse = lambda: Pulse(self._plane.revision, loads=self._plane.loads())
         link.send(self._hello())
 
     def link_message(self, link: Link, message: Message) -> None:
@@ -131,6 +139,8 @@
                 self.name(controllers)
             case Pulse(revision, is_current, epoch):
                 self._hear_controller(revision, is_current, epoch)
+            case HoldOff(backend, seconds):
+                self._plane.hold_off(backend, seconds)
             case RelayTo(destination, sync):
                 self._relay(link.peer, destination, sync)
             case _:
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -29,7 +29,7 @@
 from cranebank.programs.settings import NodeSettings, SettingsError
 from cranebank.programs.stage_duty import StageDuty
 from cranebank.transport.links import PULSE_S, Link, listen
-from cranebank.transport.messages import Backend, ConfigAck
+from cranebank.transport.messages import Backend, ConfigAck, Message
 
 TICK_S = 0.05
 REGISTRY_S = 0.5
@@ -79,7 +79,15 @@
             self._registry_service,
             self._publish,
         )
-        self.stage_duty = StageDuty(settings, self.now, self._consensus, self._driver.holds, self.registry)
+        self.stage_duty = StageDuty(
+            settings,
+            self.now,
+            self._consensus,
+            self._driver.holds,
+            self.registry,
+            self._protocol.loads.total,
+            self._tell_proxies,
+        )
         self._api = Server(OperatorApi(self).calls(), self.now)
         self._linked_at = now  # when another controller was last linked
         self._reloaded_at = now
@@ -220,6 +228,11 @@
         """What each log line tells of this controller."""
         return f"epoch={self._consensus.status(self.now()).epoch} configuration={self._delivery.revision}"
 
+    def stage_loads(self) -> dict[str, float]:
+        """What proxies ask of each stage of all services, in erlangs."""
+        loads = self._protocol.loads.total(self.now()).values()
+        return {"prefill": sum(load.prefill for load in loads), "decode": sum(load.decode for load in loads)}
+
     def overview(self) -> dict[str, Any]:
         """The state, for people."""
         status = self._consensus.status(self.now())
@@ -244,6 +257,11 @@
         self._publish(revision, document)
         send_deliveries(self._delivery)
 
+    def _tell_proxies(self, message: Message) -> None:
+        """Send to every proxy that is linked here."""
+        self._delivery.tell_proxies(message)
+        send_deliveries(self._delivery)
+
     def leadership_changed(self, is_primary: bool) -> None:
         """This controller acts as primary from now on, or does so no longer."""
         self._delivery.set_primary(self.now(), is_primary)
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -12,6 +12,7 @@
 from cranebank.control import events
 from cranebank.control.consensus import ConsensusCore
 from cranebank.control.delivery import Delivery
+from cranebank.control.load_table import LoadTable
 from cranebank.programs.consensus_driver import ConsensusDriver
 from cranebank.programs.controller_links import ControllerLinks, send_deliveries
 from cranebank.programs.registry_service import RegistryService
@@ -52,6 +53,7 @@
         self._life, self._now = life, now
         self._consensus, self._driver, self._links = consensus, driver, links
         self._delivery, self._registry, self._publish = delivery, registry, publish
+        self.loads = LoadTable()
 
     def link_up(self, link: Link) -> None:
         """A connection stands; whoever dialled says Hello."""
@@ -67,6 +69,7 @@
     def link_down(self, link: Link) -> None:
         """A connection is over."""
         self._delivery.leave(link)
+        self.loads.forget(link)
         if self._links.remove(link) and self._registry.link_lost(link.peer) is None:
             self._driver.feed(events.LinkDown(link.peer))
 
@@ -77,7 +80,10 @@
                 self._driver.receive(link, body)
             case PushAck(number):
                 self._delivery.acknowledged(link, number)
-            case Pulse(revision) | ConfigAck(revision):
+            case Pulse(revision):
+                self._delivery.observe_revision(link, revision)
+                self.loads.report(self._now(), link, message.loads)
+            case ConfigAck(revision):
                 self._delivery.observe_revision(link, revision)
             case RegistrySync():
                 self._registry.merge(link, message)
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -19,7 +19,7 @@
 from cranebank.membership.neighbours import Neighbours
 from cranebank.programs.ring import Ring
 from cranebank.programs.settings import NodeSettings, SettingsError, load
-from cranebank.transport.messages import Backend, Hello, Note
+from cranebank.transport.messages import Backend, Hello, Note, StageLoad
 
 if TYPE_CHECKING:
     from cranebank.programs.metrics import Exporter
@@ -87,6 +87,14 @@
         """All records."""
         return self._proxy.shared.candidates.known()
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """This backend is about to change its stage: nothing is sent there for so long."""
+        self._proxy.hold_off(backend, seconds)
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """What this proxy asks of the stages of each service."""
+        return self._proxy.loads()
+
     def told_proxies(self, count: int) -> None:
         """The told number of proxies."""
         self._proxy.shared.chooser.proxies = max(1, count)
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -64,6 +64,9 @@
     def writes(self) -> Mapping[str, int]:
         """Writes by the name of their result."""
 
+    def stage_loads(self) -> Mapping[str, float]:
+        """What proxies ask of each stage of all services, in erlangs."""
+
     def overview(self) -> Mapping[str, Any]:
         """What System.Status answers."""
 
@@ -132,6 +135,22 @@
             "Times that no backend was ready to run a request.",
             count("without_backend", 0),
         ),
+        counter("readings", "Prompts that a prefill backend has read.", count("readings", 0)),
+        counter("reading_milliseconds", "Time from asking for a reading to its answer.", count("reading_ms", 0)),
+        Metric(
+            f"{prefix}tokens_asked_total",
+            "counter",
+            "Tokens of prompts to be read, by the stage of the backend that was asked.",
+            label="stage",
+            values={stage: count(f"tokens_asked_{stage}", 0) for stage in STAGES},
+        ),
+        Metric(
+            f"{prefix}tokens_unread",
+            "gauge",
+            "Tokens that this proxy waits for to be read, by the stage of the backend.",
+            label="stage",
+            values=_unread(proxy),
+        ),
         counter("dialled", "Connections opened to backends.", count("dialled", 0)),
         gauge("open_requests", "Requests that are open.", proxy.open),
         _ready_by_stage(prefix, proxy.shared.candidates.records.values()),
@@ -187,6 +206,13 @@
             "Heartbeats that another controller had heard before their backend was held for lost here.",
             controller.registry.wrong_losses,
         ),
+        Metric(
+            f"{prefix}stage_load_millierlangs",
+            "gauge",
+            "What proxies linked here ask of backends, in thousandths of a backend's time or places, by stage.",
+            label="stage",
+            values={stage: round(1000 * erlangs) for stage, erlangs in controller.stage_loads().items()},
+        ),
         Metric(
             f"{prefix}writes_total",
             "counter",
@@ -208,6 +234,14 @@
     )
 
 
+def _unread(proxy: Proxy) -> dict[str, int]:
+    unread = dict.fromkeys(STAGES, 0)
+    for seen in proxy.shared.candidates.seen.values():
+        if seen.backend.stage in unread:
+            unread[seen.backend.stage] += seen.tokens
+    return unread
+
+
 def _ready_by_stage(prefix: str, records: Iterable[Backend]) -> Metric:
     stages = Counter(record.stage for record in records if record.phase == "ready")
     return Metric(
--- a/cranebank/programs/stage_duty.py
+++ b/cranebank/programs/stage_duty.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Annotated, Any
 
 import msgspec
@@ -35,7 +35,7 @@
 )
 from cranebank.programs.settings import NodeSettings
 from cranebank.transport.http_client import HttpLink, connect, request_bytes
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, HoldOff, StageLoad
 
 LOOK_S = 0.25
 CONNECT_S = 0.4
@@ -109,8 +109,13 @@
         consensus: ConsensusCore,
         holds_lease: Callable[[], bool],
         registry: Registry,
+        loads: Callable[[float], Mapping[str, StageLoad]] = lambda now: {},
+        hold_off: Callable[[HoldOff], None] = lambda message: None,
     ) -> None:
+        """``loads`` tells what proxies ask of each service's stages; ``hold_off`` sends a message to all proxies."""
         self._now, self._consensus, self._holds_lease, self._registry = now, consensus, holds_lease, registry
+        self._loads, self._hold_off = loads, hold_off
+        self._held: set[str] = set()  # backends that proxies were told to send nothing to
         self.balancer = StageBalancer(
             BalancerSettings(settings.node_name, takeover_wait_s(settings), settings.beat_ms / MS_PER_S)
         )
@@ -136,7 +141,8 @@
         if authority.holds_lease:
             self._read_configuration()
         registry = self._registry
-        self._feed(Look(authority, self._services, registry.records, registry.heard_at, registry.is_current(now)))
+        is_current, loads = registry.is_current(now), self._loads(now)
+        self._feed(Look(authority, self._services, registry.records, registry.heard_at, is_current, loads))
 
     def _authority(self) -> Authority:
         status = self._consensus.status(self._now())
@@ -149,9 +155,20 @@
             self._services = read_services(document)
 
     def _feed(self, event: Event) -> None:
-        for action in self.balancer.handle(self._now(), event):
+        actions = self.balancer.handle(self._now(), event)
+        self._tell_held()
+        for action in actions:
             self._do(action)
 
+    def _tell_held(self) -> None:
+        """Proxies send nothing to a backend from the decision to order it until its new stage is known."""
+        held = self.balancer.held(self._now())
+        for name in held.keys() - self._held:
+            self._hold_off(HoldOff(name, held[name]))
+        for name in self._held - held.keys():
+            self._hold_off(HoldOff(name, 0.0))
+        self._held = set(held)
+
     def _do(self, action: Action) -> None:
         match action:
             case Connect(number, backend):
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -4,7 +4,7 @@
 changed backends (Push, acknowledged by number) and configurations (ConfigPush, acknowledged by ConfigAck). Between
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
 RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
-proxies (RelayTo, which goes on as Relayed).
+proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
@@ -84,13 +84,31 @@
     revision: int
 
 
+class StageLoad(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What is asked of the stages of a service, in erlangs: so many backends are kept busy by it."""
+
+    service: str
+    prefill: float
+    decode: float
+
+
 class Pulse(msgspec.Struct, frozen=True, tag=7, array_like=True):
     """A heartbeat; ``revision`` of the configuration in force at the sender. From a controller also whether it
-    knows, by contact with a majority within a lease's length, that this is the newest one, and the newest epoch."""
+    knows, by contact with a majority within a lease's length, that this is the newest one, and the newest epoch. From
+    a proxy what it asks of backends, by service."""
 
     revision: int = 0
     is_current: bool = False
     epoch: int = 0
+    loads: tuple[StageLoad, ...] = ()
+
+
+class HoldOff(msgspec.Struct, frozen=True, tag=16, array_like=True):
+    """From the primary to proxies: this backend is about to change its stage and runs nothing new meanwhile. Nothing is
+    sent there for so long, or until its new stage is told; 0 takes it back."""
+
+    backend: str
+    seconds: float
 
 
 class Custodial(msgspec.Struct, frozen=True, tag=8, array_like=True):
@@ -194,4 +212,5 @@
     | Shuffle
     | Fetch
     | Gossip
+    | HoldOff
 )
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -16,7 +16,7 @@
 from cranebank.programs.local_state import KNOWN
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.transport.links import Link
-from cranebank.transport.messages import Backend, ConfigPush, Hello, Message
+from cranebank.transport.messages import Backend, ConfigPush, Hello, Message, StageLoad
 
 from .actors import CONTROL_PORT, Operator, Reader
 from .actors import Backend as BackendActor
@@ -91,6 +91,13 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """Not wanted."""
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """Nothing is asked of backends."""
+        return ()
+
 
 class RecordingLinks(FleetLinks):
     """A proxy's links, which tell the judge of each configuration before they take it."""
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -171,7 +171,7 @@
 
 
 def _orders_nobody(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(stage_balancer, "needed_stage", lambda stages: None)
+    patch.setattr(stage_balancer, "needed_stage", lambda stages, load: None)
 
 
 def _unanswered_orders_count_as_taken(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_flat_over_changes.py
+++ b/tests/test_flat_over_changes.py
@@ -34,7 +34,7 @@
 from cranebank.membership.fleet import FleetLinks
 from cranebank.programs.control import Controller
 from cranebank.storage.store import Disk, open_store
-from cranebank.transport.messages import Backend, Hello
+from cranebank.transport.messages import Backend, Hello, StageLoad
 
 CHANGES = 1000
 EARLY = range(100, 200)
@@ -92,6 +92,14 @@
         """The told number of proxies."""
         self._proxy.shared.chooser.proxies = max(1, count)
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """Nothing is sent to this backend for so long."""
+        self._proxy.hold_off(backend, seconds)
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """What is asked of backends."""
+        return self._proxy.loads()
+
 
 def lone_custody(now: float, random: Random) -> Custody:
     """The custody of a system with one controller."""
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -26,6 +26,7 @@
     RegistrySync,
     Relayed,
     RelayTo,
+    StageLoad,
     Welcome,
 )
 
@@ -52,6 +53,13 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def hold_off(self, backend: str, seconds: float) -> None:
+        """Not wanted."""
+
+    def loads(self) -> tuple[StageLoad, ...]:
+        """Nothing is asked of backends."""
+        return ()
+
 
 class Controllers:
     """The other end of all links."""
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -6,6 +6,7 @@
 
 from cranebank.control import stage_balancer
 from cranebank.control.stage_balancer import (
+    CONFIRM_LOAD_S,
     CONFIRM_S,
     CONNECT_LIMIT_S,
     FINISH_S,
@@ -37,7 +38,7 @@
 from cranebank.invariants import violations
 from cranebank.programs.settings import Bounds, NodeSettings
 from cranebank.programs.stage_duty import ANSWER_S, read_services, takeover_wait_s
-from cranebank.transport.messages import Backend
+from cranebank.transport.messages import Backend, StageLoad
 
 WAIT_S = 3.8
 LOOK_S = 0.25
@@ -61,6 +62,7 @@
         self.silent: set[str] = set()
         self.heard_at: dict[str, float] = {}
         self.services = {"s": Service("s", SWITCH_S)}
+        self.loads: dict[str, StageLoad] = {}
 
     def put(self, *backends: Backend) -> None:
         """Their heartbeats tell this from now on."""
@@ -68,7 +70,7 @@
 
     def look(self) -> list[Action]:
         self.heard_at |= {name: self.now for name in self.records if name not in self.silent}
-        look = Look(self.authority, self.services, self.records, self.heard_at, self.is_current)
+        look = Look(self.authority, self.services, self.records, self.heard_at, self.is_current, self.loads)
         return self.balancer.handle(self.now, look)
 
     def tell(self, event: Event) -> list[Action]:
@@ -487,3 +489,44 @@
     {"name": "b", "engine": {}}, {"name": "plain"}, {"name": "idle", "engine": {"switch_s": 2}}]}"""
     assert read_services(document) == {"a": Service("a", 0.5), "b": Service("b", 1.0)}
     assert read_services(b"") == read_services(b"{") == {}
+
+
+def test_a_busy_stage_gets_a_backend_only_after_its_load_has_lasted() -> None:
+    bench = Bench(backend("i-1", "prefill"), *(backend(f"i-{number}", "decode") for number in (2, 3, 4)))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.loads = {"s": StageLoad("s", 1.5, 0.6)}
+    assert bench.pass_time(CONFIRM_LOAD_S - LOOK_S) == []
+    bench.loads = {}
+    assert bench.pass_time(CONFIRM_LOAD_S) == []
+    bench.loads = {"s": StageLoad("s", 1.5, 0.6)}
+    (connect,) = bench.pass_time(CONFIRM_LOAD_S + LOOK_S)
+    assert isinstance(connect, Connect)
+    assert connect.backend.id == "i-2"
+    assert bench.balancer.held(bench.now) == {"i-2": pytest.approx(SWITCH_S + FINISH_S, abs=2 * LOOK_S)}
+    (transmit,) = bench.tell(Connected(connect.number, PRIMARY))
+    assert isinstance(transmit, Transmit)
+    assert transmit.order.stage == "prefill"
+    bench.tell(Answered(transmit.number, 202))
+    bench.put(backend("i-2", "prefill", call_seq=9))
+    assert bench.pass_time(3 * CONFIRM_LOAD_S) == []
+    assert bench.balancer.held(bench.now) == {}
+    bench.check()
+
+
+def test_a_load_that_nobody_can_be_ordered_for_is_no_violation() -> None:
+    bench = Bench(backend("i-1", "prefill"), *(backend(f"i-{number}", "decode") for number in (2, 3, 4)))
+    bench.silent = {"i-2", "i-3", "i-4"}
+    bench.loads = {"s": StageLoad("s", 1.5, 0.6)}
+    assert bench.pass_time(WAIT_S + 2 * UNATTENDED_S) == []
+    bench.check()
+
+
+def test_a_stage_that_becomes_empty_while_it_was_too_busy_is_urgent_at_once() -> None:
+    bench = Bench(backend("i-1", "prefill"), backend("i-2", "prefill"), backend("i-3", "decode"))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.loads = {"s": StageLoad("s", 0.1, 3.0)}
+    assert bench.pass_time(CONFIRM_LOAD_S / 2) == []
+    bench.put(backend("i-3", "decode", "draining", 2))
+    (connect,) = bench.pass_time(CONFIRM_S + LOOK_S)
+    assert isinstance(connect, Connect)
+    assert connect.backend.id == "i-1"
