Stage orders: a share of a large service at once, and no gain asked of a single backend

Change: the stage that gives a backend must stay clearly less busy than the other was; an eighth of a service may be under order at once, and counts for its new stage.

--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -48,6 +48,7 @@
 REFUSED_S = 30.0  # a backend that refused an order for good is passed over for so long
 HEARD_BEATS, HEARD_MARGIN_S = 2.0, 1.0  # only a backend heard within so many heartbeats, and this, is ordered
 STALL_S = 1.5  # after so long without a look, what was known before is old
+ORDERED_SHARE = 8  # one in so many of a service's ready backends may be under an order at once, and always one
 UNATTENDED_S = 5.0  # a stage that is needed is without an order no longer than this
 
 
@@ -197,7 +198,7 @@
             self._needed.clear()
             self._unattended_since.clear()
             return
-        by_service = _by_service(look)
+        by_service = self._by_service(now, look)
         self._forget_services(by_service.keys())
         for name, stages in by_service.items():
             self._staff(now, look.services[name], stages, look.loads.get(name), look.heard_at)
@@ -259,22 +260,44 @@
         """Order a backend where a stage needs one and has needed it for long enough."""
         need = needed_stage(stages, load)
         if need is None:
-            self._needed.pop(service.name, None)
             self._unattended_since.pop(service.name, None)
+            if not self._under_way(now, service.name):  # else it is needed still where that order comes to nothing
+                self._needed.pop(service.name, None)
             return
         known = self._needed.get(service.name)
         if known is None or known[0] != need:
             known = self._needed[service.name] = need, now
         candidate = None
-        if now >= self._orders_from and not self._has_order(now, service.name):
+        if now >= self._orders_from and self._may_have_another(now, service.name, stages):
             candidate = self._candidate(now, stages.of(need.stage.other), heard_at)
         self._check_attended(now, service.name, candidate is None or not need.is_urgent)
         if candidate is not None and now - known[1] >= (CONFIRM_S if need.is_urgent else CONFIRM_LOAD_S):
             logger.info("service {}: {} backends by stage, load {}", service.name, stages.counts(), load)
             self._begin(now, service, candidate, need.stage)
-
-    def _has_order(self, now: float, service: str) -> bool:
-        return any(order.backend.target == service and order.blocks(now) for order in self.orders)
+            self._check_share(now, service.name, stages)
+
+    def _may_have_another(self, now: float, service: str, stages: ServiceStages) -> bool:
+        return self._under_way(now, service) < _most_ordered(stages)
+
+    def _under_way(self, now: float, service: str) -> int:
+        return sum(order.backend.target == service and order.blocks(now) for order in self.orders)
+
+    def _check_share(self, now: float, service: str, stages: ServiceStages) -> None:
+        """No more than its share of a service is without a stage at a time."""
+        holds = self._under_way(now, service) <= _most_ordered(stages)
+        self._require(holds, "no more than a share of a service is ordered at once")
+
+    def _by_service(self, now: float, look: Look) -> dict[str, ServiceStages]:
+        """The ready backends of each service that is routed to; who is under an order counts for its new stage."""
+        expected = {order.backend.id: order.stage for order in self.orders if order.blocks(now)}
+        found: dict[str, ServiceStages] = {}
+        for record in look.records.values():
+            if record.phase == "ready" and record.target in look.services:
+                stages = found.get(record.target)
+                if stages is None:
+                    stages = found[record.target] = ServiceStages()
+                stages.add(record, expected.get(record.id))
+        return found
 
     def _check_attended(self, now: float, service: str, is_attended: bool) -> None:
         """A stage that is needed has an order, or there is nobody who could be ordered."""
@@ -330,10 +353,6 @@
         self._require(authority.holds_lease and now >= self._orders_from, "orders are sent under the lease only")
         self._require(authority.fence >= self._last_fence, "the fence never falls")
         self._require(all(one.backend.id != order.backend.id for one in others), "a backend has one order at a time")
-        self._require(
-            not any(one.backend.target == order.backend.target and one.blocks(now) for one in others),
-            "a service has one order at a time",
-        )
         self._last_fence = max(self._last_fence, authority.fence)
 
     # What became of an order.
@@ -370,13 +389,6 @@
         self._end(now, order, why)
 
 
-def _by_service(look: Look) -> dict[str, ServiceStages]:
-    """The ready backends of each service that is routed to."""
-    found: dict[str, ServiceStages] = {}
-    for record in look.records.values():
-        if record.phase == "ready" and record.target in look.services:
-            stages = found.get(record.target)
-            if stages is None:
-                stages = found[record.target] = ServiceStages()
-            stages.add(record)
-    return found
+def _most_ordered(stages: ServiceStages) -> int:
+    """How many backends of a service may be under an order at once."""
+    return max(1, sum(stages.counts().values()) // ORDERED_SHARE)
--- a/cranebank/control/stage_policy.py
+++ b/cranebank/control/stage_policy.py
@@ -20,7 +20,7 @@
 SPARE: Mapping[Stage, int] = {Stage.PREFILL: 0, Stage.DECODE: 1}
 """Backends that are counted out, so that the loss of as many overloads nobody: without decode there is no service, and
 it takes some seconds to know of a loss and to make up for it. Prompts can be read by decode backends meanwhile."""
-GAIN = 0.8  # a move must bring the busier stage under so much of what it was: else it could be moved back at once
+GAIN = 0.8  # the stage that gives a backend stays under so much of what the other one was: else it could be moved back
 LEFT_LEAST: Mapping[Stage, int] = {Stage.PREFILL: 1, Stage.DECODE: 2}
 """Backends that a move for load leaves in a stage. Decode serves all requests: its last backend must not be lost."""
 
@@ -35,10 +35,11 @@
     def __init__(self) -> None:
         self._backends: dict[Stage, list[Backend]] = {stage: [] for stage in Stage}
 
-    def add(self, backend: Backend) -> None:
-        """One that is ready; a backend of no known stage counts nowhere."""
-        if backend.stage in _STAGES:
-            self._backends[_STAGES[backend.stage]].append(backend)
+    def add(self, backend: Backend, expected: Stage | None = None) -> None:
+        """One that is ready; a backend of no known stage counts nowhere. ``expected``: what it was ordered to be."""
+        stage = expected or _STAGES.get(backend.stage)
+        if stage is not None:
+            self._backends[stage].append(backend)
 
     def of(self, stage: Stage) -> Sequence[Backend]:
         """The backends of a stage."""
@@ -60,31 +61,26 @@
     """What a service needs, if anything.
 
     Without a decode backend no request can be served, whoever else is there. Decode backends read prompts themselves,
-    so a service without a prefill backend is served. Else a backend is moved where a stage is too busy, and would be
-    clearly less so with it, the other one staying less busy than this one was. ``load`` is in erlangs; none: unknown.
+    so a service without a prefill backend is served. Else a backend is moved to a stage that is too busy where the one
+    that gives it stays clearly less busy than the other was. ``load`` is in erlangs; none: unknown.
     """
     counts = stages.counts()
     if counts[Stage.PREFILL] and not counts[Stage.DECODE]:
         return Need(Stage.DECODE, True)
     if load is None:
         return None
-    busiest, excess = _busiest(counts, load)
+    loads = {Stage.PREFILL: load.prefill, Stage.DECODE: load.decode}
+    excess = {stage: _excess(stage, counts[stage], loads[stage]) for stage in Stage}
+    busiest = max(Stage, key=lambda stage: excess[stage])
     other = busiest.other
-    if excess <= 1.0 or counts[other] <= LEFT_LEAST[other]:
+    if excess[busiest] <= 1.0 or counts[other] <= LEFT_LEAST[other]:
         return None
-    _, excess_after = _busiest(counts | {busiest: counts[busiest] + 1, other: counts[other] - 1}, load)
-    return Need(busiest, False) if excess_after <= GAIN * excess else None
-
-
-def _busiest(counts: Mapping[Stage, int], load: StageLoad) -> tuple[Stage, float]:
-    """The stage that is busiest for what it may be, and how many times that much it is."""
-    loads = {Stage.PREFILL: load.prefill, Stage.DECODE: load.decode}
-    excess = {stage: _excess(stage, counts[stage], erlangs) for stage, erlangs in loads.items()}
-    stage = max(excess, key=lambda one: excess[one])
-    return stage, excess[stage]
+    left_with = _excess(other, counts[other] - 1, loads[other])
+    return Need(busiest, False) if left_with <= GAIN * excess[busiest] else None
 
 
 def _excess(stage: Stage, count: int, erlangs: float) -> float:
+    """How many times as busy a stage is as it may be."""
     if not count:
         return float("inf") if erlangs else 0.0
     relied_on = max(count - SPARE[stage], count / 2)
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -10,6 +10,7 @@
     CONFIRM_S,
     CONNECT_LIMIT_S,
     FINISH_S,
+    ORDERED_SHARE,
     REFUSED_S,
     REPORT_AFTER_S,
     UNATTENDED_S,
@@ -530,3 +531,26 @@
     (connect,) = bench.pass_time(CONFIRM_S + LOOK_S)
     assert isinstance(connect, Connect)
     assert connect.backend.id == "i-1"
+
+
+def test_a_share_of_a_large_service_is_ordered_at_once_and_no_more_than_the_load_asks_for() -> None:
+    names = [backend(f"i-{number:02}", "prefill" if number < 8 else "decode") for number in range(34)]
+    bench = Bench(*names)
+    bench.loads = {"s": StageLoad("s", 20.0, 7.0)}
+    bench.pass_time(WAIT_S - LOOK_S)
+    begun = [action for action in bench.pass_time(CONNECT_LIMIT_S) if isinstance(action, Connect)]
+    assert len({connect.backend.id for connect in begun}) == len(begun) == 34 // ORDERED_SHARE
+    for connect in begun:
+        take(bench, connect)
+    bench.loads = {"s": StageLoad("s", 6.2, 7.0)}  # 12 prefill backends are too busy with it, and 13 are not
+    take(bench, bench.connect())
+    assert bench.pass_time(3 * CONFIRM_LOAD_S) == []
+    bench.check()
+
+
+def take(bench: Bench, connect: Connect) -> None:
+    """The backend takes its order, and its next heartbeat tells the new stage."""
+    (transmit,) = bench.tell(Connected(connect.number, PRIMARY))
+    assert isinstance(transmit, Transmit)
+    bench.tell(Answered(transmit.number, 202))
+    bench.put(backend(connect.backend.id, transmit.order.stage, call_seq=9))
--- a/tests/test_stage_policy.py
+++ b/tests/test_stage_policy.py
@@ -40,6 +40,11 @@
     assert needed_stage(stages(0, 3), load(0.5, 0.6)) == Need(Stage.PREFILL, False)
 
 
+def test_one_backend_of_many_is_moved_though_it_alone_changes_little() -> None:
+    assert needed_stage(stages(8, 26), load(20.0, 7.0)) == Need(Stage.PREFILL, False)
+    assert needed_stage(stages(15, 19), load(20.0, 7.0)) == Need(Stage.PREFILL, False)
+
+
 def test_decode_gets_a_backend_where_its_places_fill_and_prefill_has_room() -> None:
     assert needed_stage(stages(5, 2), load(0.6, 1.6)) == Need(Stage.DECODE, False)
 
