Stage moves: loads averaged over 10 s, decode gives only far under prefill's excess

Change: 10 s; decode gives while it stays under 0.4 of prefill's excess; seven tenths for both stages. And a reading behind a queue is late, not silent: its limit counts what is read before it.

--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -40,7 +40,7 @@
 from cranebank.transport.messages import Backend, StageLoad
 
 CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
-CONFIRM_LOAD_S = 1.5  # the same where a stage is only too busy: one that is released is replaced within a heartbeat
+CONFIRM_LOAD_S = 2.0  # the same where a stage is only too busy: one that is released is replaced within a heartbeat
 CONNECT_LIMIT_S = 1.0  # an order whose connection took longer is abandoned: it was decided on by what was known then
 REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
 FINISH_S = 10.0  # for what runs at a backend to reach its end before the switch begins
--- a/cranebank/control/stage_policy.py
+++ b/cranebank/control/stage_policy.py
@@ -1,7 +1,7 @@
 """Which stage of a service needs another backend: pure functions over its ready backends and their load.
 
-A stage is as busy as its load, in erlangs, divided by its backends. How busy it may be differs: prompts are read one
-after another, so calls wait long before a prefill backend is always busy; a decode backend runs its streams at once.
+A stage is as busy as its load, in erlangs, divided by its backends. The excess of a stage is how many times as busy it
+is as it may be.
 """
 
 from __future__ import annotations
@@ -13,14 +13,18 @@
 from cranebank.control.stage_events import Stage
 from cranebank.transport.messages import Backend, StageLoad
 
-BUSY_MOST: Mapping[Stage, float] = {Stage.PREFILL: 0.5, Stage.DECODE: 0.7}
-"""Of the time, and of the places. With half of its time taken by readings of one length, a prefill backend lets each
-wait for half of its own length on average (M/D/1); at seven tenths it is more than the whole length. Streams of a
-decode backend don't wait; what is left of its places is for bursts, and for the loss of another one."""
+BUSY_MOST = 0.7
+"""Of the time, and of the places. With seven tenths of its time taken by readings of one length, a prefill backend lets
+each wait for a little more than its own length on average (M/D/1), and from there on waits grow steeply. Streams of a
+decode backend don't wait; what is left of its places is for bursts.
+"""
 SPARE: Mapping[Stage, int] = {Stage.PREFILL: 0, Stage.DECODE: 1}
 """Backends that are counted out, so that the loss of as many overloads nobody: without decode there is no service, and
 it takes some seconds to know of a loss and to make up for it. Prompts can be read by decode backends meanwhile."""
-GAIN = 0.8  # the stage that gives a backend stays under so much of what the other one was: else it could be moved back
+GIVES_MOST: Mapping[Stage, float] = {Stage.PREFILL: 0.8, Stage.DECODE: 0.4}
+"""A stage gives a backend only where it stays under so much of the excess that the other one has. Under one, so that no
+move is taken back at the same load; far under one for decode, which all requests need: it has room for a burst of
+twice its load before it is as busy as prefill was."""
 LEFT_LEAST: Mapping[Stage, int] = {Stage.PREFILL: 1, Stage.DECODE: 2}
 """Backends that a move for load leaves in a stage. Decode serves all requests: its last backend must not be lost."""
 
@@ -76,12 +80,11 @@
     if excess[busiest] <= 1.0 or counts[other] <= LEFT_LEAST[other]:
         return None
     left_with = _excess(other, counts[other] - 1, loads[other])
-    return Need(busiest, False) if left_with <= GAIN * excess[busiest] else None
+    return Need(busiest, False) if left_with <= GIVES_MOST[other] * excess[busiest] else None
 
 
 def _excess(stage: Stage, count: int, erlangs: float) -> float:
-    """How many times as busy a stage is as it may be."""
     if not count:
         return float("inf") if erlangs else 0.0
     relied_on = max(count - SPARE[stage], count / 2)
-    return erlangs / (relied_on * BUSY_MOST[stage])
+    return erlangs / (relied_on * BUSY_MOST)
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -14,7 +14,7 @@
 from cranebank.dataplane.shared import Shared
 
 HANDLE_MARGIN_S = 0.5  # of a handle's life that is not relied on
-SILENT_READ = 4.0  # a reading is given up after so many times its estimate, and a start
+SILENT_READ = 4.0  # a reading is given up after so many times its estimate with what is read before it, and a start
 SILENT_START_S = 0.4
 SILENT_MAKE_S, SILENT_GOALS = 0.9, 3.0  # a second copy goes out after so long, or so many goals, without a head
 
@@ -120,7 +120,8 @@
         if self._attempts.readings and not self._may_repeat(now):
             return None
         is_counted = self._attempts.read()
-        estimate_s = self._shared.chooser.pace(self._service, "prefill").estimate(tokens) / 1e3
+        ahead = reader.tokens + reader.others_tokens  # a backend with much to read is late with it, and not silent
+        estimate_s = self._shared.chooser.pace(self._service, "prefill").estimate(ahead + tokens) / 1e3
         headers = (("X-Stage", "prefill"), self._priority())
         leg, call = self._send(now, reader, tokens, True, headers, SILENT_START_S + SILENT_READ * estimate_s)
         leg.is_counted = is_counted
--- a/cranebank/dataplane/offered_load.py
+++ b/cranebank/dataplane/offered_load.py
@@ -14,7 +14,9 @@
 from cranebank.dataplane.seen import Seen
 from cranebank.transport.messages import StageLoad
 
-AVERAGED_S = 4.0  # a few long prompts at once are no lasting load
+AVERAGED_S = (
+    10.0  # a burst, or a start with nothing kept, is no lasting load; a lost backend shows at once all the same
+)
 LOADS_MOST = 64  # services that are told of: those with the most load
 LEAST = 0.001  # erlangs; less is not told
 
