Loads of both stages are averaged from nothing on after a start

Found in lines of the primary's looks. Change: both averages begin with nothing. The loads are summed up by the primary only.

--- a/cranebank/dataplane/offered_load.py
+++ b/cranebank/dataplane/offered_load.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self._reading: dict[str, DecayedRate] = {}
         self._making: dict[str, float] = {}
-        self._looked_at = 0.0
+        self._looked_at: float | None = None
 
     def read(self, now: float, service: str, seconds: float) -> None:
         """A backend is asked for a reading that takes it so long, waiting left out."""
@@ -56,7 +56,8 @@
             backend = seen.backend
             if seen.calls and backend.stage == "decode":
                 present[backend.target] = present.get(backend.target, 0.0) + seen.calls / backend.capacity
-        kept = exp(-max(0.0, now - self._looked_at) / AVERAGED_S)
+        since = self._looked_at if self._looked_at is not None else now  # both loads are averaged from nothing on
+        kept = exp(-max(0.0, now - since) / AVERAGED_S)
         self._looked_at = now
         services = present.keys() | self._making.keys()
         self._making = {
--- a/cranebank/programs/stage_duty.py
+++ b/cranebank/programs/stage_duty.py
@@ -141,7 +141,8 @@
         if authority.holds_lease:
             self._read_configuration()
         registry = self._registry
-        is_current, loads = registry.is_current(now), self._loads(now)
+        is_current = registry.is_current(now)
+        loads = self._loads(now) if authority.holds_lease else {}
         self._feed(Look(authority, self._services, registry.records, registry.heard_at, is_current, loads))
 
     def _authority(self) -> Authority:
--- a/tests/test_stage_load.py
+++ b/tests/test_stage_load.py
@@ -45,6 +45,17 @@
     assert told.decode == pytest.approx(0.5, rel=0.05)
 
 
+def test_a_proxy_that_has_just_started_tells_neither_stage_more_load_than_the_other() -> None:
+    """All clients come back at once after a restart: what is open then is no average."""
+    load, seen = OfferedLoad(), Seen(backend())
+    seen.calls = 8
+    load.tell(1000.0, [seen])
+    load.read(1000.0, "s", 0.1)
+    (told,) = load.tell(1000.1, [seen])
+    assert told.decode == pytest.approx(0.1 / AVERAGED_S, rel=0.05)
+    assert told.prefill == pytest.approx(0.1 / AVERAGED_S, rel=0.05)
+
+
 def test_prefill_backends_hold_no_streams() -> None:
     seen = Seen(backend(stage="prefill"))
     seen.calls = 4
