Tests: the load turns between stages on the simulated control side

Orders were rare in schedules: only an empty decode stage made them. A scenario in which the load that proxies tell turns from one stage to the other, under kills, cuts, held-up orders and lost answers; both kinds of order must occur.

--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -8,6 +8,8 @@
 
 from loguru import logger
 
+from cranebank.transport.messages import StageLoad
+
 from .judge import CATCH_UP_S
 from .stages import SWITCH_S, StagedBackend
 from .world import Machine, Proxy, World
@@ -374,6 +376,37 @@
     return world
 
 
+# 7: the load turns from one stage to the other and back, under the same troubles.
+
+
+LOADS = (0.0, 0.1, 0.5, 2.0)  # erlangs that one proxy asks of a stage
+
+
+def _loads(seed: int) -> World:
+    world = World(seed, faults_s=STAGES_S)
+    random = world.random
+    world.add_operators(1)
+    world.operators[0].pause_s = (0.4, 1.2)
+    for number in range(random.randint(5, 9)):
+        stage = "decode" if number % 3 else "prefill"
+        end = random.uniform(6.0, LAST_LOSS_S) if random.random() < 0.2 else 10 * STAGES_S
+        backend = world.add_staged_backend(stage, random.uniform(0.5, 1.5), end, random.choice(ENDS))
+        backend.share_lost = random.choice([0.0, 0.0, 0.5])
+    world.on_backend_called = lambda backend, machine: _disturb_order(world, backend, machine)
+    _turn_load(world)
+    if seed % 2:
+        _kills(world, 5.0, (1.0, 5.0) if seed % 4 == 1 else (6.0, 14.0))
+    if seed % 4 == 2:
+        world.scheduler.at(random.uniform(8.0, 20.0), lambda: _cut_off(world))
+    return world
+
+
+def _turn_load(world: World) -> None:
+    random = world.random
+    world.loads_of_a_proxy = (StageLoad("s", random.choice(LOADS), random.choice(LOADS)),)
+    world.scheduler.after(random.uniform(2.0, 8.0), lambda: _turn_load(world))
+
+
 def _disturb_order(world: World, backend: StagedBackend, machine: Machine) -> None:
     """Something happens while an order is on its way, or has just been taken."""
     if world.scheduler.now > STAGES_S - LAST_S:
@@ -521,4 +554,17 @@
             *(f"struck: {kind}" for kind in STRIKES),
         ),
     ),
+    "loads": Scenario(
+        _loads,
+        (
+            "takeovers",
+            "orders to prefill",
+            "orders to decode",
+            "orders answered 202",
+            "answers to orders and reports lost",
+            "backends ordered by two holders",
+            "a holder struck after its order",
+            *(f"order: {kind}" for kind in ORDER_TROUBLES),
+        ),
+    ),
 }
--- a/tests/controlsim/stages.py
+++ b/tests/controlsim/stages.py
@@ -145,6 +145,7 @@
         owner, fence = order.owner or "", order.fence_no if order.fence_no is not None else -1
         judge.note(f"{owner} orders {backend} to {order.stage} with {fence}: {status}")
         judge.counts[f"orders answered {status}"] += 1
+        judge.counts[f"orders to {order.stage}"] += 1
         before = self._last.get(backend)
         self._last[backend] = now, owner, fence
         if before is None:
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -69,9 +69,11 @@
 class RecordingPlane:
     """Stands for a proxy's data plane: keeps the newest configuration and what it was told of backends."""
 
-    def __init__(self) -> None:
+    def __init__(self, tell_loads: Callable[[], tuple[StageLoad, ...]]) -> None:
         self.revision = 0
         self.records: dict[str, Backend] = {}
+        self.held: dict[str, float] = {}
+        self.loads = tell_loads
 
     def configure(self, document: bytes) -> bool:
         """Take a configuration, as the data plane does."""
@@ -92,11 +94,8 @@
         """Not wanted."""
 
     def hold_off(self, backend: str, seconds: float) -> None:
-        """Not wanted."""
-
-    def loads(self) -> tuple[StageLoad, ...]:
-        """Nothing is asked of backends."""
-        return ()
+        """Nothing is sent to this backend for so long; 0: it is again."""
+        self.held[backend] = seconds
 
 
 class RecordingLinks(FleetLinks):
@@ -118,7 +117,7 @@
     def __init__(self, proxy: Proxy, number: int, loop: ProcessLoop) -> None:
         self.proxy, self.number, self.loop = proxy, number, loop
         self.since = proxy.world.scheduler.now
-        self.plane = RecordingPlane()
+        self.plane = RecordingPlane(lambda: proxy.world.loads_of_a_proxy)
         self.links: RecordingLinks | None = None
 
     def __str__(self) -> str:
@@ -190,6 +189,7 @@
         self.switch_s = SWITCH_S[0]
         self.on_backend_called: Callable[[StagedBackend, Machine], None] | None = None
         self.stage_rules = StageRules(self.judge)
+        self.loads_of_a_proxy: tuple[StageLoad, ...] = ()
         self.is_over = self.is_closed = False  # no new changes; no more tries
         self.takeovers = 0
         self._takeovers_at: dict[Change, int] = {}
