--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -12,7 +12,6 @@
 import itertools
 from collections import Counter
 from collections.abc import Iterable, Mapping, Set
-from enum import Enum
 
 import msgspec
 from loguru import logger
@@ -35,6 +34,14 @@
     Unanswered,
     Unreported,
 )
+from cranebank.control.stage_order import (
+    ACCEPTED,
+    AWAITED,
+    NEXT_STATES,
+    REFUSED,
+    BackendOrder,
+    OrderState,
+)
 from cranebank.control.stage_policy import Need, ServiceStages, needed_stage
 from cranebank.invariants import note
 from cranebank.transport.messages import Backend, StageLoad
@@ -43,7 +50,6 @@
 CONFIRM_LOAD_S = 2.0  # the same where a stage is only too busy: one that is released is replaced within a heartbeat
 CONNECT_LIMIT_S = 1.0  # an order whose connection took longer is abandoned: it was decided on by what was known then
 REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
-FINISH_S = 10.0  # for what runs at a backend to reach its end before the switch begins
 UNFIT_S = 5.0  # a backend that could not be reached is passed over for so long
 REFUSED_S = 30.0  # a backend that refused an order for good is passed over for so long
 HEARD_BEATS, HEARD_MARGIN_S = 2.0, 1.0  # only a backend heard within so many heartbeats, and this, is ordered
@@ -52,32 +58,6 @@
 UNATTENDED_S = 5.0  # a stage that is needed is without an order no longer than this
 
 
-class OrderState(Enum):
-    """Of the order to one backend; a backend without one is idle."""
-
-    CONNECTING = "connecting"  # nothing was sent
-    SENT = "sent"  # no answer yet
-    UNKNOWN = "unknown"  # it may have been taken
-    REPORTING = "reporting"  # the backend is asked what became of it
-    SWITCHING = "switching"  # it was taken; the heartbeats show the old stage still
-    OVER = "over"
-
-
-NEXT_STATES: Mapping[OrderState, frozenset[OrderState]] = {
-    OrderState.CONNECTING: frozenset({OrderState.SENT, OrderState.OVER}),
-    OrderState.SENT: frozenset({OrderState.SWITCHING, OrderState.UNKNOWN, OrderState.OVER}),
-    OrderState.UNKNOWN: frozenset({OrderState.REPORTING, OrderState.OVER}),
-    OrderState.REPORTING: frozenset({OrderState.SWITCHING, OrderState.UNKNOWN, OrderState.OVER}),
-    OrderState.SWITCHING: frozenset({OrderState.UNKNOWN, OrderState.OVER}),
-    OrderState.OVER: frozenset(),
-}
-
-AWAITED = frozenset({OrderState.SENT, OrderState.REPORTING, OrderState.SWITCHING})
-ACCEPTED = frozenset({200, 202})  # it holds already, or is being done
-CONFLICT = 409  # another order is under way, or the number of orders taken differs
-REFUSED = frozenset({400, 404, 405, 412, 421})  # it was not taken, and would not be if it were sent again
-
-
 class BalancerSettings(msgspec.Struct, frozen=True):
     """``owner`` is this controller's name in its orders; ``takeover_wait_s`` how long after a takeover it sends none;
     ``beat_s`` the time between a backend's heartbeats."""
@@ -87,26 +67,6 @@
     beat_s: float
 
 
-class BackendOrder:
-    """The order to one backend, from the decision until the backend shows its new stage."""
-
-    __slots__ = ("backend", "began_at", "changed_at", "number", "stage", "state", "switch_s")
-
-    def __init__(self, number: int, now: float, backend: Backend, stage: Stage, switch_s: float) -> None:
-        self.number, self.backend, self.stage, self.switch_s = number, backend, stage, switch_s
-        self.state = OrderState.CONNECTING
-        self.began_at = self.changed_at = now
-
-    @property
-    def overdue_s(self) -> float:
-        """After so long a switch should be over."""
-        return self.switch_s + FINISH_S
-
-    def blocks(self, now: float) -> bool:
-        """Whether no other backend of the service is ordered meanwhile."""
-        return now - self.began_at < self.overdue_s
-
-
 class StageBalancer:
     """One controller's part. Tell it events with `handle`; do the actions that it returns in their order."""
 
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -23,8 +23,9 @@
 from cranebank.control.delivery import Delivery
 from cranebank.control.membership import GroupSize, View
 from cranebank.control.replication import RegistryReplication
-from cranebank.control.stage_balancer import BackendOrder, OrderState, StageBalancer
+from cranebank.control.stage_balancer import StageBalancer
 from cranebank.control.stage_events import Authority
+from cranebank.control.stage_order import BackendOrder, OrderState
 from cranebank.programs import stage_duty
 from cranebank.programs.consensus_driver import ConsensusDriver
 from cranebank.programs.stage_duty import StageDuty
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -9,14 +9,12 @@
     CONFIRM_LOAD_S,
     CONFIRM_S,
     CONNECT_LIMIT_S,
-    FINISH_S,
     ORDERED_SHARE,
     REFUSED_S,
     REPORT_AFTER_S,
     UNATTENDED_S,
     UNFIT_S,
     BalancerSettings,
-    OrderState,
     StageBalancer,
 )
 from cranebank.control.stage_events import (
@@ -35,6 +33,7 @@
     Unanswered,
     Unreported,
 )
+from cranebank.control.stage_order import FINISH_S, OrderState
 from cranebank.control.stage_policy import ServiceStages
 from cranebank.invariants import violations
 from cranebank.programs.settings import Bounds, NodeSettings
--- a/tests/test_stage_load.py
+++ b/tests/test_stage_load.py
@@ -12,8 +12,8 @@
 from cranebank.control.delivery import Delivery
 from cranebank.control.load_table import VALID_S, LoadTable
 from cranebank.control.registry import Registry
-from cranebank.control.stage_balancer import BackendOrder
 from cranebank.control.stage_events import Stage
+from cranebank.control.stage_order import BackendOrder
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.offered_load import AVERAGED_S, LOADS_MOST, OfferedLoad
 from cranebank.dataplane.seen import Seen
