Tests: planted faults of the moves by load, and what a request counts as load

The pace's idle readings, a request's load and the silence limit behind a queue have tests of the exchange.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,6 +25,7 @@
 from mutants_data_plane import DATA_PLANE_MUTANTS
 from mutants_liveness import LIVENESS_MUTANTS
 from mutants_replication import REPLICATION_MUTANTS
+from mutants_stages import STAGE_MUTANTS
 from mutants_storage import STORAGE_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -42,6 +43,7 @@
     *REPLICATION_MUTANTS,
     *STORAGE_MUTANTS,
     *DATA_PLANE_MUTANTS,
+    *STAGE_MUTANTS,
     *LIVENESS_MUTANTS,
 )
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,6 +12,7 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.dispatch import SILENT_READ, SILENT_START_S
 from cranebank.dataplane.events_stream import EventSplitter
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.dataplane.exchange import Exchange, State
@@ -35,6 +36,7 @@
     Wake,
     WakeAt,
 )
+from cranebank.dataplane.offered_load import AVERAGED_S
 from cranebank.dataplane.pair import PairChooser
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.shared import Shared
@@ -563,3 +565,48 @@
         reached["out of time"] += story.now >= begun + 2.0
     assert all(reached[f"{tries} tries, {tries} backends"] for tries in (1, 2, 3))
     assert reached["a further reading"] and reached["out of time"]
+
+
+def read_after(story: Story, seconds: float) -> None:
+    """A long prompt, whose reading takes so long."""
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    story.do(LegHead(read.leg, 200, {}), seconds)
+    story.do(LegData(read.leg, b'{"prompt_handle":"h1","tokens":17020,"revision":1}'))
+    story.do(LegEnd(read.leg))
+
+
+def test_the_pace_of_reading_is_learnt_from_backends_that_were_idle_only() -> None:
+    story = Story(readers=1, tries=1, resumable=False, goal_ms=600.0)
+    pace = story.shared.chooser.pace("svc", "prefill")
+    before = pace.estimate(17020)
+    reader = story.shared.candidates.seen["p0"]
+    for busy_with in ("calls", "others_calls"):
+        setattr(reader, busy_with, 3)
+        read_after(story, 2.0)
+        setattr(reader, busy_with, 0)
+    assert pace.estimate(17020) == before
+    read_after(story, 0.5)
+    assert before < pace.estimate(17020) <= 500.0
+
+
+def test_a_prompt_counts_as_load_whoever_is_asked_to_read_it_and_a_short_one_does_not() -> None:
+    for readers in (1, 0):
+        story = Story(readers=readers, tries=1, resumable=False)
+        story.begin("17020,17", "s:13300,o:3720")
+        (told,) = story.shared.load.tell(story.now, [])
+        assert told.prefill == pytest.approx(17020 * 0.02e-3 / AVERAGED_S, rel=0.01)
+    story = Story()
+    story.begin()
+    assert story.shared.load.tell(story.now, []) == ()
+
+
+def test_a_reading_behind_a_queue_is_late_and_not_silent() -> None:
+    idle, busy = Story(readers=1, tries=1), Story(readers=1, tries=1)
+    reader = busy.shared.candidates.seen["p0"]
+    reader.tokens = reader.others_tokens = 50_000
+    due = [
+        next(a.at for a in story.begin("17020,17", "s:13300,o:3720") if isinstance(a, WakeAt)) - story.now
+        for story in (idle, busy)
+    ]
+    assert due[0] == pytest.approx(SILENT_START_S + SILENT_READ * (20.0 + 0.02 * 17_020) / 1e3)
+    assert due[1] == 3.0  # the end of the request's time comes first
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -542,7 +542,9 @@
     for connect in begun:
         take(bench, connect)
     bench.loads = {"s": StageLoad("s", 8.8, 5.0)}  # 12 prefill backends are too busy with it, and 13 are not
-    take(bench, bench.connect())
+    connect = bench.connect()
+    assert bench.pass_time(2 * LOOK_S) == []  # who is under an order counts for its new stage
+    take(bench, connect)
     assert bench.pass_time(3 * CONFIRM_LOAD_S) == []
     bench.check()
 
--- a/tests/test_stage_policy.py
+++ b/tests/test_stage_policy.py
@@ -58,6 +58,7 @@
         pytest.param(1, 2, 3.0, 0.1, id="decode would have nobody to spare"),
         pytest.param(1, 3, 0.4, 9.0, id="the last prefill backend"),
         pytest.param(4, 3, 2.2, 1.3, id="decode could not bear a loss with one less"),
+        pytest.param(4, 3, 3.2, 0.6, id="decode has room only while all of it is there"),
     ],
 )
 def test_nothing_is_moved_where_it_would_not_help(
