An order for load never holds up one without which nothing is served; unsent readings are no load

Cause: an order under way counted against every need of its service, so in one of under 16 backends an empty decode stage could wait for an order to prefill to end, switch_s + 10 s at most. Urgent needs now wait only for orders to the same stage. And a reading that never left (a dial to a dead backend) counted as load each time it was planned anew; it is taken back. Both tests fail without their mend.

--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -228,24 +228,33 @@
         if known is None or known[0] != need:
             known = self._needed[service.name] = need, now
         candidate = None
-        if now >= self._orders_from and self._may_have_another(now, service.name, stages):
+        if now >= self._orders_from and self._may_have_another(now, service.name, stages, need):
             candidate = self._candidate(now, stages.of(need.stage.other), heard_at)
         self._check_attended(now, service.name, candidate is None or not need.is_urgent)
         if candidate is not None and now - known[1] >= (CONFIRM_S if need.is_urgent else CONFIRM_LOAD_S):
             logger.info("service {}: {} backends by stage, load {}", service.name, stages.counts(), load)
             self._begin(now, service, candidate, need.stage)
-            self._check_share(now, service.name, stages)
-
-    def _may_have_another(self, now: float, service: str, stages: ServiceStages) -> bool:
-        return self._under_way(now, service) < _most_ordered(stages)
-
-    def _under_way(self, now: float, service: str) -> int:
-        return sum(order.backend.target == service and order.blocks(now) for order in self.orders)
-
-    def _check_share(self, now: float, service: str, stages: ServiceStages) -> None:
-        """No more than its share of a service is without a stage at a time."""
-        holds = self._under_way(now, service) <= _most_ordered(stages)
-        self._require(holds, "no more than a share of a service is ordered at once")
+            self._check_share(now, service.name, stages, need)
+
+    def _may_have_another(self, now: float, service: str, stages: ServiceStages, need: Need) -> bool:
+        """No more than its share of a service changes at a time. What nothing is served without waits for no order to
+        the other stage."""
+        under_way = self._under_way(now, service)
+        if need.is_urgent:
+            return all(order.stage is not need.stage for order in under_way)
+        return len(under_way) < _most_ordered(stages)
+
+    def _under_way(self, now: float, service: str) -> list[BackendOrder]:
+        return [order for order in self.orders if order.backend.target == service and order.blocks(now)]
+
+    def _check_share(self, now: float, service: str, stages: ServiceStages, need: Need) -> None:
+        under_way = self._under_way(now, service)
+        if need.is_urgent:
+            to_stage = sum(order.stage is need.stage for order in under_way)
+            self._require(to_stage == 1, "an empty stage gets one order at a time")
+        else:
+            holds = len(under_way) <= _most_ordered(stages)
+            self._require(holds, "no more than a share of a service is ordered at once")
 
     def _by_service(self, now: float, look: Look) -> dict[str, ServiceStages]:
         """The ready backends of each service that is routed to; who is under an order counts for its new stage."""
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -94,6 +94,12 @@
         maker = self._maker(now)
         return self._make(now, maker, 0) if maker is not None else None
 
+    def unsent(self, now: float, leg: Leg) -> None:
+        """A call never left us: nobody was asked to read."""
+        self._shared.load.read(now, self._service, -leg.reading_s)
+        if not leg.reads:
+            self.handle = leg.handle  # nobody took it
+
     def can_go_on(self, now: float) -> bool:
         """Whether there is what another run needs besides a try: budget, and somebody to run it."""
         return self.budget.may(now, self._shared.chooser.proxies) and bool(
@@ -171,8 +177,8 @@
         chooser = self._shared.chooser
         chooser.called(now, self._service, seen.backend.stage)
         if reads or tokens > ALONE:  # also what is read where tokens are made since nobody is there to read it
-            work_ms = chooser.pace(self._service, "prefill").token * tokens
-            self._shared.load.read(now, self._service, work_ms / 1e3)
+            leg.reading_s = chooser.pace(self._service, "prefill").token * tokens / 1e3
+            self._shared.load.read(now, self._service, leg.reading_s)
         self._shared.count(f"tokens_asked_{seen.backend.stage}", tokens)
         self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens)
         self._shared.count("reads" if reads else "makes")
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -297,8 +297,7 @@
     def _unsent(self, now: float, leg: Leg) -> None:
         """A call never left us."""
         self._attempts.unsent(leg.reads, leg.is_counted)
-        if not leg.reads:
-            self._dispatch.handle = leg.handle  # nobody took it
+        self._dispatch.unsent(now, leg)
         if self._attempts.never_left:
             self._give_up(now)
         elif not self._legs:
--- a/cranebank/dataplane/offered_load.py
+++ b/cranebank/dataplane/offered_load.py
@@ -30,7 +30,9 @@
         self._looked_at: float | None = None
 
     def read(self, now: float, service: str, seconds: float) -> None:
-        """A backend is asked for a reading that takes it so long, waiting left out."""
+        """A backend is asked for a reading that takes it so long, waiting left out; below zero: it never was."""
+        if not seconds:
+            return
         rate = self._reading.get(service)
         if rate is None:
             rate = self._reading[service] = DecayedRate(AVERAGED_S)
@@ -39,7 +41,7 @@
     def tell(self, now: float, backends: Iterable[Seen]) -> tuple[StageLoad, ...]:
         """The load of each service; ``backends`` are all that are known, with the calls that are out there."""
         self._average_making(now, backends)
-        reading = {service: rate.at(now) for service, rate in self._reading.items()}
+        reading = {service: max(0.0, rate.at(now)) for service, rate in self._reading.items()}
         self._forget_idle(reading)
         loads = [
             StageLoad(service, round(reading.get(service, 0.0), 4), round(self._making.get(service, 0.0), 4))
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -29,6 +29,7 @@
         "headers",
         "is_counted",
         "number",
+        "reading_s",
         "reads",
         "seen",
         "sent_at",
@@ -41,6 +42,7 @@
         self.number, self.seen, self.tokens, self.reads = number, seen, tokens, reads
         self.found_idle = not seen.calls and not seen.others_calls  # as far as this proxy and its neighbours know
         self.sent_at, self.silent_at = now, silent_at
+        self.reading_s = 0.0  # that it counts for in the load of its service
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -610,3 +610,12 @@
     ]
     assert due[0] == pytest.approx(SILENT_START_S + SILENT_READ * (20.0 + 0.02 * 17_020) / 1e3)
     assert due[1] == 3.0  # the end of the request's time comes first
+
+
+def test_a_reading_that_never_left_is_no_load() -> None:
+    story = Story(tries=1, resumable=False, goal_ms=600.0)
+    (read,) = calls(story.begin("17020,17", "s:13300,o:3720"))
+    (once,) = story.shared.load.tell(story.now, [])
+    story.do(LegFailed(read.leg, SendEvidence.NEVER_CONNECTED))  # and another is asked
+    (told,) = story.shared.load.tell(story.now, [])
+    assert told.prefill == pytest.approx(once.prefill)
--- a/tests/test_stage_balancer.py
+++ b/tests/test_stage_balancer.py
@@ -555,3 +555,23 @@
     assert isinstance(transmit, Transmit)
     bench.tell(Answered(transmit.number, 202))
     bench.put(backend(connect.backend.id, transmit.order.stage, call_seq=9))
+
+
+def test_an_order_for_load_does_not_hold_up_one_without_which_nothing_is_served() -> None:
+    """Both other decode backends crash while a third one is on its way to prefill."""
+    bench = Bench(backend("i-1", "prefill"), *(backend(f"i-{number}", "decode") for number in (2, 3, 4)))
+    bench.pass_time(WAIT_S + 1.0)
+    bench.loads = {"s": StageLoad("s", 1.5, 0.6)}
+    first = bench.connect()
+    (transmit,) = bench.tell(Connected(first.number, PRIMARY))
+    bench.tell(Answered(transmit.number, 202))
+    assert bench.state() is OrderState.SWITCHING
+    bench.put(*(backend(one, "decode", "lost", 2) for one in ("i-3", "i-4")))
+    (connect,) = bench.pass_time(CONFIRM_S + LOOK_S)
+    assert isinstance(connect, Connect)
+    assert connect.backend.id == "i-1"
+    (transmit,) = bench.tell(Connected(connect.number, PRIMARY))
+    assert isinstance(transmit, Transmit)
+    assert transmit.order.stage == "decode"
+    assert bench.pass_time(1.0) == []  # one such order is enough
+    bench.check()
