--- a/tests/mutants_stages.py
+++ b/tests/mutants_stages.py
@@ -93,4 +93,20 @@
         "if True:",
         "test_exchange.py",
     ),
+    Mutant(
+        Point.LIVENESS,
+        "an order for load holds up one without which nothing is served",
+        "control/stage_balancer.py",
+        "return all(order.stage is not need.stage for order in under_way)",
+        "return not under_way",
+        "test_stage_balancer.py",
+    ),
+    Mutant(
+        Point.LIVENESS,
+        "a reading that never left counts as load",
+        "dataplane/dispatch.py",
+        "self._shared.load.read(now, self._service, -leg.reading_s)",
+        "pass",
+        "test_exchange.py",
+    ),
 )
