Services without engines are served: a plain choice beside the pair, one interface

Cause: a proxy looked for a decode backend for every request.

Ruled out: taking a missing stage for decode. Such a service would then be given pairs, prompts and moves, and a backend without a stage would be sent requests of a staged service, which it can't stream.

Change: BackendChoice is the interface between a request and the choice of its backends. StagedChoice (pair.py) draws pairs, PlainChoice draws one backend by the part of its places that is taken; both use BlendedDraw, the (1+beta) process, which was part of PairChooser. No Engine is made up for a service that has none. A service that lost its engine by a configuration is served by its decode backends until others without a stage come.

--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -160,6 +160,10 @@
         phase = seen.backend.phase
         return phase == "ready" or (phase == "lost" and is_last_resort(now, seen))
 
+    def has_any(self, service: str, stage: str) -> bool:
+        """Whether a backend of the service and stage is ready or a suspect, well or not."""
+        return (service, stage) in self._ready or self._suspects.has_any((service, stage))
+
     def count(self, service: str, stage: str) -> int:
         """How many are ready, well or not."""
         return len(self._ready.get((service, stage), ()))
--- /dev/null
+++ b/cranebank/dataplane/choices.py
@@ -0,0 +1,28 @@
+"""The choices of one proxy: what they share, and which one a service's requests are given."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cranebank.dataplane.blended_draw import BlendedDraw
+from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.choice import BackendChoice
+from cranebank.dataplane.pair import PairChooser, StagedChoice
+from cranebank.dataplane.plain_choice import PlainChoice
+from cranebank.dataplane.routes import Engine
+
+
+class Choices:
+    """Of one proxy, for all services."""
+
+    def __init__(self, candidates: Candidates, cache: CacheView, random: Random) -> None:
+        self._candidates = candidates
+        self.draws = BlendedDraw(random)
+        self.pairs = PairChooser(candidates, cache, self.draws)
+
+    def of(self, service: str, engine: Engine | None) -> BackendChoice:
+        """The choice for a service; ``engine``: what its configuration says of engines, if anything."""
+        if engine is None:
+            return PlainChoice(self._candidates, self.draws, service)
+        return StagedChoice(self.pairs, service, engine)
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -4,14 +4,16 @@
 
 from cranebank.dataplane.attempts import Attempts
 from cranebank.dataplane.budget import Budget
+from cranebank.dataplane.choice import Plan
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.exchange_events import Call
 from cranebank.dataplane.open_legs import Handle, Leg, OpenLegs
-from cranebank.dataplane.pair import ALONE, Plan
+from cranebank.dataplane.pair import ALONE
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.shared import Shared
+from cranebank.invariants import broken
 
 HANDLE_MARGIN_S = 0.5  # of a handle's life that is not relied on
 SILENT_READ = 4.0  # a reading is given up after so many times its estimate with what is read before it, and a start
@@ -29,6 +31,7 @@
     __slots__ = (
         "_answer",
         "_attempts",
+        "_choice",
         "_engine",
         "_legs",
         "_plan",
@@ -46,7 +49,7 @@
         shared: Shared,
         route: Route,
         service: str,
-        engine: Engine,
+        engine: Engine | None,
         prompt: Prompt,
         until: float,
         legs: OpenLegs,
@@ -54,6 +57,7 @@
         answer: ClientAnswer,
     ) -> None:
         self._shared, self._route, self._service, self._engine, self._prompt = shared, route, service, engine, prompt
+        self._choice = shared.choices.of(service, engine)
         self._until, self._legs, self._attempts, self._answer = until, legs, attempts, answer
         self.without: set[str] = set()
         self.handle: Handle | None = None
@@ -87,9 +91,11 @@
         """The prompt was read: go on with the memory under this handle."""
         took_ms = (now - reader.sent_at) * 1e3
         if reader.found_idle:  # else it waited for others as well, and the pace would grow with the queue
-            self._shared.chooser.pace(self._service, "prefill").learn(reader.tokens, took_ms)
+            self._shared.choices.pairs.pace(self._service, "prefill").learn(reader.tokens, took_ms)
         self._shared.count("readings")
         self._shared.count("reading_ms", round(took_ms))
+        if self._engine is None:
+            raise broken("a service without engines reads no prompt apart")
         self.handle = Handle(reader.seen.backend, handle, now + self._engine.handle_ttl_s - HANDLE_MARGIN_S)
         maker = self._maker(now)
         return self._make(now, maker, 0) if maker is not None else None
@@ -102,12 +108,13 @@
 
     def can_go_on(self, now: float) -> bool:
         """Whether there is what another run needs besides a try: budget, and somebody to run it."""
-        return self.budget.may(now, self._shared.chooser.proxies) and bool(
-            self._shared.candidates.ready(now, self._service, "decode", self.without)
-        )
+        return self._has_budget(now) and self._choice.has_backend(now, self.without)
 
     def _choose(self, now: float, without: set[str]) -> Plan | None:
-        return self._shared.chooser.choose(now, self._service, self._engine, self._prompt, self._route.goal_ms, without)
+        return self._choice.choose(now, self._prompt, self._route.goal_ms, without)
+
+    def _has_budget(self, now: float) -> bool:
+        return self.budget.may(now, self._shared.choices.draws.proxies)
 
     def _maker(self, now: float) -> Seen | None:
         """The planned maker, or another where it may take nothing any more or has failed lately."""
@@ -127,7 +134,7 @@
             return None
         is_counted = self._attempts.read()
         ahead = reader.tokens + reader.others_tokens  # a backend with much to read is late with it, and not silent
-        estimate_s = self._shared.chooser.pace(self._service, "prefill").estimate(ahead + tokens) / 1e3
+        estimate_s = self._shared.choices.pairs.pace(self._service, "prefill").estimate(ahead + tokens) / 1e3
         headers = (("X-Stage", "prefill"), self._priority())
         leg, call = self._send(now, reader, tokens, True, headers, SILENT_START_S + SILENT_READ * estimate_s)
         leg.is_counted = is_counted
@@ -157,7 +164,7 @@
         return "Priority", str(min(9, 3 + self._route.rank))
 
     def _may_repeat(self, now: float) -> bool:
-        if not self.budget.may(now, self._shared.chooser.proxies):
+        if not self._has_budget(now):
             self._shared.count("budget_empty")
             return False
         self.budget.spend(now)
@@ -174,12 +181,13 @@
         silent_s: float | None,
     ) -> tuple[Leg, Call]:
         leg = self._legs.open(now, seen, tokens, reads, silent_s)
-        chooser = self._shared.chooser
-        chooser.called(now, self._service, seen.backend.stage)
+        choices = self._shared.choices
+        choices.draws.called(now, self._service, seen.backend.stage)
         if reads or tokens > ALONE:  # also what is read where tokens are made since nobody is there to read it
-            leg.reading_s = chooser.pace(self._service, "prefill").token * tokens / 1e3
+            leg.reading_s = choices.pairs.pace(self._service, "prefill").token * tokens / 1e3
             self._shared.load.read(now, self._service, leg.reading_s)
-        self._shared.count(f"tokens_asked_{seen.backend.stage}", tokens)
-        self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens)
+        if self._engine is not None:
+            self._shared.count(f"tokens_asked_{seen.backend.stage}", tokens)
+            self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens)
         self._shared.count("reads" if reads else "makes")
         return leg, Call(leg.number, seen.backend, headers)
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -88,7 +88,7 @@
         shared: Shared,
         route: Route,
         service: str,
-        engine: Engine,
+        engine: Engine | None,
         prompt: Prompt,
         now: float,
         deadline: float,
@@ -190,7 +190,7 @@
             if other is not leg:
                 self._abort(now, other)
         if read:
-            self._shared.chooser.pace(self._service, "decode").learn(read, (now - leg.sent_at) * 1e3)
+            self._shared.choices.pairs.pace(self._service, "decode").learn(read, (now - leg.sent_at) * 1e3)
             self._tell_read(leg, read)
 
     def _data(self, now: float, leg: Leg | None, data: bytes) -> None:
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -10,20 +10,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from hashlib import blake2b
 from heapq import nlargest
-from random import Random
-
-import msgspec
 
+from cranebank.dataplane.blended_draw import BlendedDraw
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
-from cranebank.dataplane.decayed_rate import DecayedRate
+from cranebank.dataplane.choice import Plan
 from cranebank.dataplane.pace import Pace, prior
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.routes import Engine
 from cranebank.dataplane.seen import Seen
-from cranebank.decisions.balance import beta
 
 KEPT_HOMES = 4096  # shared parts of a service whose homes are remembered
 HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
@@ -32,17 +30,6 @@
 ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
 LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
 SAFE = 0.6  # part of the goal for which an estimate may be relied on
-RATE_S = 2.0  # seconds over which the rate of calls is averaged
-
-
-class Plan(msgspec.Struct, frozen=True):
-    """A pair: without a reader the maker reads for itself. Tokens are those thought to be read."""
-
-    maker: Seen
-    reader: Seen | None
-    read_tokens: int
-    figure: float
-    blend: float
 
 
 def _hash(key: str, backend: str) -> bytes:
@@ -52,11 +39,8 @@
 class PairChooser:
     """Pairs for the requests of one proxy."""
 
-    def __init__(self, candidates: Candidates, cache: CacheView, random: Random) -> None:
-        self._candidates, self._cache, self._random = candidates, cache, random
-        self.proxies = 1  # the told count
-        self.told_at = 0.0  # when neighbours told their figures last
-        self._rates: dict[tuple[str, str], DecayedRate] = {}
+    def __init__(self, candidates: Candidates, cache: CacheView, draws: BlendedDraw) -> None:
+        self._candidates, self._cache, self.draws = candidates, cache, draws
         self._paces: dict[tuple[str, str], Pace] = {}
         self._homes: dict[str, tuple[list[Seen], int, dict[str, list[Seen]]]] = {}  # by service: list, version, homes
 
@@ -67,17 +51,6 @@
             found = self._paces[service, stage] = prior(stage)
         return found
 
-    def called(self, now: float, service: str, stage: str) -> None:
-        """Any call counts in the rate behind b, also one that is refused, fails or is a repeat."""
-        self._rates.setdefault((service, stage), DecayedRate(RATE_S)).add(now)
-
-    def blend(self, now: float, service: str, stage: str, listed: list[Seen], drawn: tuple[Seen, Seen]) -> float:
-        """Beta for two draws: falls as their figures age and as proxies become more."""
-        age = now - max(self.told_at, min(drawn[0].figured_at, drawn[1].figured_at))
-        rate = self._rates.get((service, stage))
-        calls = (rate.at(now) if rate else 0.0) * self.proxies * min(age, RATE_S)
-        return min(1.0, beta(len(listed), calls))
-
     def keepers(self, listed: list[Seen], prompt: Prompt) -> list[Seen]:
         """Who is ready to read a prompt with a long shared part."""
         if len(listed) <= 1:
@@ -102,14 +75,7 @@
             found = known[2][key] = nlargest(HOMES, listed, key=lambda seen: _hash(key, seen.backend.id))
         return found
 
-    def _draw(self, listed: list[Seen]) -> tuple[Seen, Seen]:
-        """Two uniform draws, different where the list allows."""
-        if len(listed) == 1:
-            return listed[0], listed[0]
-        first, second = self._random.sample(listed, 2)
-        return first, second
-
-    def reader(self, now: float, service: str, prompt: Prompt, without: set[str]) -> tuple[Seen, float, int] | None:
+    def reader(self, now: float, service: str, prompt: Prompt, without: Set[str]) -> tuple[Seen, float, int] | None:
         """Who reads, its estimate in ms, and the tokens thought to be read there."""
         listed = self._candidates.ready(now, service, "prefill", without)
         if not listed:
@@ -117,33 +83,32 @@
         pace = self.pace(service, "prefill")
         if prompt.home_key:
             listed = self.keepers(listed, prompt)
-        first, second = self._draw(listed)
-        blend = self.blend(now, service, "prefill", listed, (first, second))
+        first, second = self.draws.draw(listed)
+        blend = self.draws.blend(now, service, "prefill", listed, (first, second))
 
         def figure(seen: Seen) -> tuple[float, int]:
             tokens = max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
             return pace.estimate(tokens) + pace.token * (seen.tokens + seen.others_tokens), tokens
 
         (a, a_tokens), (b, b_tokens) = figure(first), figure(second)
-        if self._random.random() < blend and (b < a or (b == a and self._random.random() < 0.5)):
+        if self.draws.takes_second(blend, a, b):
             return second, b, b_tokens
         return first, a, a_tokens
 
     def choose(
-        self, now: float, service: str, engine: Engine, prompt: Prompt, goal_ms: float, without: set[str]
+        self, now: float, service: str, engine: Engine, prompt: Prompt, goal_ms: float, without: Set[str]
     ) -> Plan | None:
         """A pair for a request, or none where nobody is ready."""
         listed = self._candidates.ready(now, service, "decode", without)
         if not listed:
             return None
-        first, second = self._draw(listed)
-        blend = self.blend(now, service, "decode", listed, (first, second))
+        first, second = self.draws.draw(listed)
+        blend = self.draws.blend(now, service, "decode", listed, (first, second))
         reading = self.reader(now, service, prompt, without) if prompt.tokens else None
         plan = self._plan(first, reading, service, engine, prompt, goal_ms, blend)
         if second is not first:
             other = self._plan(second, reading, service, engine, prompt, goal_ms, blend)
-            tie = other.figure == plan.figure and self._random.random() < 0.5
-            if self._random.random() < blend and (other.figure < plan.figure or tie):
+            if self.draws.takes_second(blend, plan.figure, other.figure):
                 plan = other
         return plan
 
@@ -172,6 +137,25 @@
             return Plan(maker, None, tokens, alone, blend)
         return Plan(maker, reader, read_tokens, split, blend)
 
+    def has_maker(self, now: float, service: str, without: Set[str]) -> bool:
+        """Whether anybody is ready to make tokens."""
+        return bool(self._candidates.ready(now, service, "decode", without))
+
     @staticmethod
     def _cost(time: float, goal_ms: float) -> float:
         return time + LATE_COST * max(0.0, time - SAFE * goal_ms)
+
+
+class StagedChoice:
+    """Of one service with engines."""
+
+    def __init__(self, pairs: PairChooser, service: str, engine: Engine) -> None:
+        self._pairs, self._service, self._engine = pairs, service, engine
+
+    def choose(self, now: float, prompt: Prompt, goal_ms: float, without: Set[str]) -> Plan | None:
+        """A pair for one request, or none where nobody is ready."""
+        return self._pairs.choose(now, self._service, self._engine, prompt, goal_ms, without)
+
+    def has_backend(self, now: float, without: Set[str]) -> bool:
+        """Whether another run could go anywhere."""
+        return self._pairs.has_maker(now, self._service, without)
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -13,6 +13,7 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.choices import Choices
 from cranebank.dataplane.client_request import ClientRequest
 from cranebank.dataplane.errors import Malformed, NoRoute, NotRun
 from cranebank.dataplane.evidence import SendEvidence
@@ -39,13 +40,11 @@
 )
 from cranebank.dataplane.front import ClientConnection, Front, Handler
 from cranebank.dataplane.legs import Connection, Pool
-from cranebank.dataplane.pair import PairChooser
-from cranebank.dataplane.routes import ClientLimits, Engine, RouteTable
+from cranebank.dataplane.routes import ClientLimits, RouteTable
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
 from cranebank.transport.messages import Backend, StageLoad
 
-NO_ENGINE = Engine()
 OWN_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
 DEADLINE_MS = 60_000.0  # where a client names none
 
@@ -232,8 +231,8 @@
         self._fresh_until = now if rule.fresh else now + rule.window_s
         self.counters: dict[str, int] = {}
         candidates, cache = Candidates(), CacheView()
-        chooser = PairChooser(candidates, cache, random)
-        self.shared = Shared(candidates, chooser, cache, self._budget, self.counters)
+        choices = Choices(candidates, cache, random)
+        self.shared = Shared(candidates, choices, cache, self._budget, self.counters)
         self.pool = Pool(self.counters)
         self.pool.most = self._most
         self.front = Front(self, self.limits)
@@ -247,7 +246,7 @@
     def _most(self, backend: Backend) -> int:
         """Connections to one backend: this proxy's part of what the service allows, never under four."""
         service = self.table.services.get(backend.target) if self.table is not None else None
-        return max(4, (service.max_conns if service else 64) // (self.shared.chooser.proxies + 1))
+        return max(4, (service.max_conns if service else 64) // (self.shared.choices.draws.proxies + 1))
 
     def _budget(self, service: str) -> Budget:
         found = self._budgets.get(service)
@@ -322,12 +321,11 @@
         until = now + (float(left) if left else DEADLINE_MS) / 1e3
         service = route.service(self._random)
         known = self.table.services.get(service)
-        engine = (known.engine if known is not None else None) or NO_ENGINE
         exchange = Exchange(
             self.shared,
             route,
             service,
-            engine,
+            known.engine if known is not None else None,
             prompts.read(request.named),
             now,
             until,
--- a/cranebank/dataplane/shared.py
+++ b/cranebank/dataplane/shared.py
@@ -9,15 +9,15 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.choices import Choices
 from cranebank.dataplane.offered_load import OfferedLoad
-from cranebank.dataplane.pair import PairChooser
 
 
 class Shared(msgspec.Struct):
     """What all requests of a proxy share."""
 
     candidates: Candidates
-    chooser: PairChooser
+    choices: Choices
     cache: CacheView
     budget: Callable[[str], Budget]
     counters: dict[str, int]
--- a/cranebank/dataplane/suspects.py
+++ b/cranebank/dataplane/suspects.py
@@ -29,6 +29,10 @@
     def __bool__(self) -> bool:
         return bool(self._by_place)
 
+    def has_any(self, place: Place) -> bool:
+        """Whether there is a suspect of this service and stage."""
+        return place in self._by_place
+
     def add(self, place: Place, seen: Seen) -> None:
         """Its heartbeats ceased."""
         self._by_place.setdefault(place, {})[seen.backend.id] = seen
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -73,7 +73,7 @@
     def others(self, sums: Sums) -> None:
         """Calls and tokens that neighbours have out at these backends."""
         if sums:
-            self._proxy.shared.chooser.told_at = asyncio.get_running_loop().time()
+            self._proxy.shared.choices.draws.told_at = asyncio.get_running_loop().time()
         for backend, (calls, tokens) in sums.items():
             seen = self._proxy.shared.candidates.seen.get(backend)
             if seen is not None:
@@ -97,7 +97,7 @@
 
     def told_proxies(self, count: int) -> None:
         """The told number of proxies."""
-        self._proxy.shared.chooser.proxies = max(1, count)
+        self._proxy.shared.choices.draws.proxies = max(1, count)
 
 
 class Edge:
@@ -112,7 +112,7 @@
             Random(),
             loop.time(),
         )
-        self.proxy.shared.chooser.proxies = UNTOLD
+        self.proxy.shared.choices.draws.proxies = UNTOLD
         self._plane = _Plane(self.proxy)
         self._life = secrets.randbits(63)
         self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
--- a/tests/mutants_data_plane.py
+++ b/tests/mutants_data_plane.py
@@ -169,7 +169,7 @@
         Point.OTHER,
         "further calls without a look at the budget",
         "dataplane/dispatch.py",
-        "if not self.budget.may(now, self._shared.chooser.proxies):",
+        "if not self._has_budget(now):",
         "if False:",
         "test_exchange.py",
     ),
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,6 +12,7 @@
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.choices import Choices
 from cranebank.dataplane.dispatch import SILENT_READ, SILENT_START_S
 from cranebank.dataplane.events_stream import EventSplitter
 from cranebank.dataplane.evidence import SendEvidence
@@ -37,7 +38,6 @@
     WakeAt,
 )
 from cranebank.dataplane.offered_load import AVERAGED_S
-from cranebank.dataplane.pair import PairChooser
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.shared import Shared
 from cranebank.transport.messages import Backend
@@ -61,9 +61,9 @@
         candidates, cache = Candidates(), CacheView()
         candidates.merge([backend(f"d{i}") for i in range(makers)])
         candidates.merge([backend(f"p{i}", "prefill") for i in range(readers)])
-        chooser = PairChooser(candidates, cache, Random(3))
+        choices = Choices(candidates, cache, Random(3))
         self.budget = Budget(0.2, slack, 10.0, 0.0)
-        self.shared = Shared(candidates, chooser, cache, lambda _: self.budget, {})
+        self.shared = Shared(candidates, choices, cache, lambda _: self.budget, {})
         self.route = Route(
             **{
                 "name": "r",
@@ -577,7 +577,7 @@
 
 def test_the_pace_of_reading_is_learnt_from_backends_that_were_idle_only() -> None:
     story = Story(readers=1, tries=1, resumable=False, goal_ms=600.0)
-    pace = story.shared.chooser.pace("svc", "prefill")
+    pace = story.shared.choices.pairs.pace("svc", "prefill")
     before = pace.estimate(17020)
     reader = story.shared.candidates.seen["p0"]
     for busy_with in ("calls", "others_calls"):
--- a/tests/test_flat_over_changes.py
+++ b/tests/test_flat_over_changes.py
@@ -90,7 +90,7 @@
 
     def told_proxies(self, count: int) -> None:
         """The told number of proxies."""
-        self._proxy.shared.chooser.proxies = max(1, count)
+        self._proxy.shared.choices.draws.proxies = max(1, count)
 
     def hold_off(self, backend: str, seconds: float) -> None:
         """Nothing is sent to this backend for so long."""
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -281,10 +281,10 @@
     made = edge.Edge(settings, with_neighbours=False)
     later = asyncio.get_running_loop().time() + 2 * settings.bounds.retry_window_s
     try:
-        chooser = made.proxy.shared.chooser
-        assert not made.proxy.shared.budget("svc").may(later, chooser.proxies)
+        draws = made.proxy.shared.choices.draws
+        assert not made.proxy.shared.budget("svc").may(later, draws.proxies)
         made.links.link_message(Link(Controllers(), True), Welcome("c", (), 4))
-        assert chooser.proxies == 4 and made.proxy.shared.budget("svc").may(later, chooser.proxies)
+        assert draws.proxies == 4 and made.proxy.shared.budget("svc").may(later, draws.proxies)
     finally:
         made.links.stop()
 
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane.blended_draw import BlendedDraw
 from cranebank.dataplane.budget import Budget
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
@@ -31,14 +32,14 @@
     candidates = Candidates()
     candidates.merge([Backend(f"d{i}", "svc", f"10.0.0.{i}:1", "z", "decode", 32, "ready", 1) for i in range(makers)])
     candidates.merge([Backend(f"p{i}", "svc", f"10.0.1.{i}:1", "z", "prefill", 32, "ready", 1) for i in range(readers)])
-    return PairChooser(candidates, CacheView(), Random(seed)), candidates
+    return PairChooser(candidates, CacheView(), BlendedDraw(Random(seed))), candidates
 
 
 def with_cache() -> tuple[PairChooser, Candidates, CacheView]:
     """The same, and its view of who keeps what."""
     _, candidates = chooser()
     cache = CacheView()
-    return PairChooser(candidates, cache, Random(1)), candidates, cache
+    return PairChooser(candidates, cache, BlendedDraw(Random(1))), candidates, cache
 
 
 def load(candidates: Candidates, now: float, stage: str = "d") -> None:
@@ -51,7 +52,7 @@
 def rate(choose: PairChooser, now: float, calls: int, stage: str = "decode") -> None:
     """So many calls within the last moment."""
     for _ in range(calls):
-        choose.called(now, "svc", stage)
+        choose.draws.called(now, "svc", stage)
 
 
 def shares(choose: PairChooser, now: float, count: int = 20_000) -> Counter[str]:
@@ -73,7 +74,7 @@
 @pytest.mark.parametrize(("calls", "proxies", "age"), [(1, 1, 0.0), (40, 9, 0.5), (400, 9, 1.0), (40, 90, 0.5)])
 def test_the_shares_are_those_of_the_blend(calls: int, proxies: int, age: float) -> None:
     choose, candidates = chooser()
-    choose.proxies = proxies
+    choose.draws.proxies = proxies
     load(candidates, 100.0 - age)
     rate(choose, 100.0, calls)
     b = calls / 2.0 * proxies * age  # calls a second are averaged over two seconds
@@ -90,12 +91,12 @@
     rate(choose, 100.0, 200)
     listed = candidates.ready(100.0, "svc", "decode")
     drawn = (listed[0], listed[1])
-    choose.proxies = 4
-    ages = [choose.blend(100.0 + age, "svc", "decode", listed, drawn) for age in (0.0, 0.2, 0.6, 1.0)]
+    choose.draws.proxies = 4
+    ages = [choose.draws.blend(100.0 + age, "svc", "decode", listed, drawn) for age in (0.0, 0.2, 0.6, 1.0)]
     assert ages[0] == 1.0 and ages == sorted(ages, reverse=True) and ages[-1] < ages[1]
     counts = []
-    for choose.proxies in (1, 4, 40, 350):
-        counts.append(choose.blend(100.5, "svc", "decode", listed, drawn))
+    for choose.draws.proxies in (1, 4, 40, 350):
+        counts.append(choose.draws.blend(100.5, "svc", "decode", listed, drawn))
     assert counts == sorted(counts, reverse=True) and counts[-1] < 0.1
 
 
