--- a/examples/choose_pair.py
+++ b/examples/choose_pair.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from cranebank.dataplane import prompt
+from cranebank.dataplane.blended_draw import BlendedDraw
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.pair import PairChooser
@@ -14,7 +15,7 @@
     candidates.merge(
         [Backend(f"{stage}-{n}", "chat", f"10.0.0.{n}:80", "a", stage, 16, "ready", 1) for n in range(count)]
     )
-chooser = PairChooser(candidates, CacheView(), Random(7))
+chooser = PairChooser(candidates, CacheView(), BlendedDraw(Random(7)))
 engine = Engine(capacity=16, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6)
 for counts, parts in (("383,6", "a:92,b:291"), ("17020,17", "s:13300,o:3720")):
     asked = prompt.read({"x-token-counts": counts, "x-prompt-prefix": parts})
