A stage whose queue grows without end gets whatever the other one can spare

The bound weighs one stage's waits against the other's. A stage that is asked for more than all its backends can do has no steady wait. It now gets a backend wherever the other stage stays within its own bound (an excess of one, a spare one counted out).

Ruled out: another factor than 0.4, which only moves the edge; a bound of one for any excess, which would move backends for waits that do not grow (tests/test_stage_policy.py keeps both apart).

--- a/cranebank/control/stage_policy.py
+++ b/cranebank/control/stage_policy.py
@@ -24,7 +24,9 @@
 GIVES_MOST: Mapping[Stage, float] = {Stage.PREFILL: 0.8, Stage.DECODE: 0.4}
 """A stage gives a backend only where it stays under so much of the excess that the other one has. Under one, so that no
 move is taken back at the same load; far under one for decode, which all requests need: it has room for a burst of
-twice its load before it is as busy as prefill was."""
+twice its load before it is as busy as prefill was. This weighs waits against waits. A stage that is asked for more than
+all of its backends can do has no steady wait: its queue grows for as long as the load lasts. For such a one the other
+stage gives whatever it can spare: it need only stay within its own bound (an excess of one)."""
 LEFT_LEAST: Mapping[Stage, int] = {Stage.PREFILL: 1, Stage.DECODE: 2}
 """Backends that a move for load leaves in a stage. Decode serves all requests: its last backend must not be lost."""
 
@@ -79,8 +81,10 @@
     other = busiest.other
     if excess[busiest] <= 1.0 or counts[other] <= LEFT_LEAST[other]:
         return None
+    is_unstable = loads[busiest] >= counts[busiest]
+    bound = 1.0 if is_unstable and excess[other] <= 1.0 else GIVES_MOST[other] * excess[busiest]
     left_with = _excess(other, counts[other] - 1, loads[other])
-    return Need(busiest, False) if left_with <= GIVES_MOST[other] * excess[busiest] else None
+    return Need(busiest, False) if left_with <= bound else None
 
 
 def _excess(stage: Stage, count: int, erlangs: float) -> float:
--- a/tests/test_stage_policy.py
+++ b/tests/test_stage_policy.py
@@ -40,6 +40,18 @@
     assert needed_stage(stages(0, 3), load(0.5, 0.6)) == Need(Stage.PREFILL, False)
 
 
+@pytest.mark.parametrize("decode_load", [0.30, 0.38, 0.41, 0.50, 0.69])
+def test_a_stage_whose_queue_grows_without_end_gets_whatever_the_other_can_spare(decode_load: float) -> None:
+    """Whether it does must not hang on a few hundredths of the other stage's load."""
+    assert needed_stage(stages(1, 3), load(1.04, decode_load)) == Need(Stage.PREFILL, False)
+    assert needed_stage(stages(2, 2), load(1.04, decode_load)) is None, "and that is enough"
+
+
+def test_a_stage_whose_queue_grows_without_end_gets_nothing_that_the_other_needs() -> None:
+    assert needed_stage(stages(1, 3), load(1.04, 0.75)) is None
+    assert needed_stage(stages(1, 3), load(0.98, 0.45)) is None, "its waits are long, and do not grow"
+
+
 def test_one_backend_of_many_is_moved_though_it_alone_changes_little() -> None:
     assert needed_stage(stages(8, 26), load(20.0, 7.0)) == Need(Stage.PREFILL, False)
     assert needed_stage(stages(15, 19), load(20.0, 7.0)) == Need(Stage.PREFILL, False)
