Readings are told to all proxies as they begin; a reader is chosen by its queue

Proxies knew of their own readings and of 12 of 65 neighbours', 0.2 s old.

Change: a proxy that asks for a reading tells every proxy that controllers named (64 at most, one datagram each) the backend, the tokens and the shared part. Each keeps a queue for every prefill backend: readings in line at the learnt pace; the end of one of its own shows how far the queue has slipped. The (1+beta) draws are over the whole stage for every prompt; whoever keeps the shared part is taken where its figure is no higher. Work that is read anew counts with congestion, 1 + the mean wait in readings, as this proxy has met it. The home of a part that nobody is known to keep counts as keeping it for as much as this proxy is not told of. How much slower than others a backend reads is learnt from whole prompts at idle backends, told along, and fades in 10 s.

--- a/cranebank/dataplane/blended_draw.py
+++ b/cranebank/dataplane/blended_draw.py
@@ -8,8 +8,8 @@
 
 from random import Random
 
-from cranebank.dataplane.decayed_rate import DecayedRate
 from cranebank.dataplane.seen import Seen
+from cranebank.decayed_rate import DecayedRate
 from cranebank.decisions.balance import beta
 
 RATE_S = 2.0  # seconds over which the rate of calls is averaged
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -14,6 +14,7 @@
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.shared import Shared
 from cranebank.invariants import broken
+from cranebank.transport.messages import ReadingBegun
 
 HANDLE_MARGIN_S = 0.5  # of a handle's life that is not relied on
 SILENT_READ = 4.0  # a reading is given up after so many times its estimate with what is read before it, and a start
@@ -90,8 +91,7 @@
     def call_after_reading(self, now: float, reader: Leg, handle: str) -> Call | None:
         """The prompt was read: go on with the memory under this handle."""
         took_ms = (now - reader.sent_at) * 1e3
-        if reader.found_idle:  # else it waited for others as well, and the pace would grow with the queue
-            self._shared.choices.pairs.pace(self._service, "prefill").learn(reader.tokens, took_ms)
+        self._shared.choices.pairs.end_reading(now, self._service, reader)
         self._shared.count("readings")
         self._shared.count("reading_ms", round(took_ms))
         if self._engine is None:
@@ -103,6 +103,8 @@
     def unsent(self, now: float, leg: Leg) -> None:
         """A call never left us: nobody was asked to read."""
         self._shared.load.read(now, self._service, -leg.reading_s)
+        if leg.ticket is not None:
+            leg.seen.readings.take_back(leg.ticket)
         if not leg.reads:
             self.handle = leg.handle  # nobody took it
 
@@ -133,13 +135,28 @@
         if self._attempts.readings and not self._may_repeat(now):
             return None
         is_counted = self._attempts.read()
-        ahead = reader.tokens + reader.others_tokens  # a backend with much to read is late with it, and not silent
-        estimate_s = self._shared.choices.pairs.pace(self._service, "prefill").estimate(ahead + tokens) / 1e3
+        pairs = self._shared.choices.pairs
+        wait_s = (
+            pairs.wait_ms(now, self._service, reader) / 1e3
+        )  # one with much to read is late with it, and not silent
+        estimate_s = wait_s + pairs.pace(self._service, "prefill").estimate(tokens) / 1e3
         headers = (("X-Stage", "prefill"), self._priority())
         leg, call = self._send(now, reader, tokens, True, headers, SILENT_START_S + SILENT_READ * estimate_s)
         leg.is_counted = is_counted
+        # What is thought to be kept may not be: only a whole prompt at an idle backend tells how fast it reads.
+        leg.found_idle = leg.found_idle and not wait_s and tokens >= self._prompt.tokens
+        leg.ticket = pairs.begin_reading(now, self._service, reader, tokens)
+        self._tell_reading(reader, tokens)
         return call
 
+    def _tell_reading(self, reader: Seen, tokens: int) -> None:
+        """Other proxies count it in the queue of the backend, and as kept there."""
+        tell, prompt = self._shared.on_reading, self._prompt
+        if tell is not None:
+            shared = prompt.shared_tokens if prompt.home_key else 0
+            slowness, reader.untold_slowness = reader.untold_slowness, 0.0
+            tell(ReadingBegun(reader.backend.id, tokens, prompt.home_key, shared, round(slowness, 2)))
+
     def _make(self, now: float, maker: Seen, tokens: int) -> Call | None:
         """Send the request to the backend that makes the tokens."""
         if self._attempts.arrivals and not self._may_repeat(now):
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -248,7 +248,6 @@
         backend = leg.seen.backend
         handle = handle_in(leg.body) if leg.status == 200 else ""
         if handle:
-            self._tell_read(leg, leg.tokens)
             self._go_on(now, self._dispatch.call_after_reading(now, leg, handle))
             return
         self._dispatch.without.add(backend.id)
--- a/cranebank/dataplane/offered_load.py
+++ b/cranebank/dataplane/offered_load.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from math import exp
 
-from cranebank.dataplane.decayed_rate import DecayedRate
 from cranebank.dataplane.seen import Seen
+from cranebank.decayed_rate import DecayedRate
 from cranebank.transport.messages import StageLoad
 
 AVERAGED_S = (
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cranebank.dataplane.reading_queue import Ticket
 from cranebank.dataplane.seen import Seen
 from cranebank.transport.messages import Backend
 
@@ -35,6 +36,7 @@
         "sent_at",
         "silent_at",
         "status",
+        "ticket",
         "tokens",
     )
 
@@ -42,6 +44,7 @@
         self.number, self.seen, self.tokens, self.reads = number, seen, tokens, reads
         self.found_idle = not seen.calls and not seen.others_calls  # as far as this proxy and its neighbours know
         self.sent_at, self.silent_at = now, silent_at
+        self.ticket: Ticket | None = None  # of a reading, in the queue of its backend
         self.reading_s = 0.0  # that it counts for in the load of its service
         self.status = 0
         self.headers: dict[str, str] = {}
--- a/cranebank/dataplane/pace.py
+++ b/cranebank/dataplane/pace.py
@@ -14,7 +14,7 @@
 
     start: float
     token: float
-    weight: float = 20.0
+    weight: float = 4.0  # answers that the prior counts for
     mean_x: float = 0.0
     mean_y: float = 0.0
     var: float = 0.0
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -1,10 +1,10 @@
 """The choice of a pair: who reads the prompt and who makes the tokens.
 
 At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
-probability beta = sqrt(n log n / b), ties at random, else the first draw. Who keeps a long shared prompt is ready to
-read it, and nobody else, unless the keepers have so much to read that reading it anew elsewhere is sooner done; one
-that nobody is known to keep goes to its home, the same for all proxies (rendezvous hashing). The figure is an
-estimate in milliseconds of what a call costs there: what is to be read, behind what this proxy and its neighbours have
+probability beta = sqrt(n log n / b), ties at random, else the first draw. Where another backend keeps the prompt's long
+shared part, it is taken if its figure is no higher than that of the draws; so is, where nobody is known to keep it,
+its home, the same for all proxies (rendezvous hashing), as far as other proxies' readings are not told here. The figure
+is an estimate in milliseconds of what a call costs there: what is to be read, behind what all proxies are known to have
 out there, the move, and how much a reading holds up the streams that run there.
 """
 
@@ -18,14 +18,17 @@
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.choice import Plan
+from cranebank.dataplane.open_legs import Leg
 from cranebank.dataplane.pace import Pace, prior
 from cranebank.dataplane.prompt import Prompt
+from cranebank.dataplane.reading_queue import Ticket
 from cranebank.dataplane.routes import Engine
 from cranebank.dataplane.seen import Seen
 
 KEPT_HOMES = 4096  # shared parts of a service whose homes are remembered
 HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
-FAR_BEHIND = 3  # so many readings of its shared part let a prompt go elsewhere: each costs work that others wait for
+MEMORY_S = 10.0  # a proxy that began later than this knows little of what backends keep
+WAITS_KEPT = 0.9  # of the waits and readings that congestion is averaged over, at each further one
 HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
 ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
 LATE_COST = 4.0  # a millisecond past the safe part of the goal counts as so many more
@@ -41,6 +44,9 @@
 
     def __init__(self, candidates: Candidates, cache: CacheView, draws: BlendedDraw) -> None:
         self._candidates, self._cache, self.draws = candidates, cache, draws
+        self.told_by = 0  # other proxies that tell this one of the readings they begin
+        self._began_at: float | None = None
+        self._waits = self._readings = 0.0  # milliseconds, decayed at each reading
         self._paces: dict[tuple[str, str], Pace] = {}
         self._homes: dict[str, tuple[list[Seen], int, dict[str, list[Seen]]]] = {}  # by service: list, version, homes
 
@@ -52,17 +58,14 @@
         return found
 
     def keepers(self, listed: list[Seen], prompt: Prompt) -> list[Seen]:
-        """Who is ready to read a prompt with a long shared part."""
-        if len(listed) <= 1:
-            return listed
+        """Who keeps a prompt's long shared part, as far as is known; none known: its home."""
         shared = prompt.shared_tokens
         found = [seen for seen in listed if self._cache.kept(seen.backend.id, prompt.shared) >= shared]
-        if not found:
-            return self._home(listed, prompt.home_key)
-        behind = min(seen.tokens + seen.others_tokens for seen in found)
-        if behind > FAR_BEHIND * shared + min(seen.tokens + seen.others_tokens for seen in listed):
-            return listed
-        return found
+        return found or self._home(listed, prompt.home_key)
+
+    def _is_home(self, service: str, prompt: Prompt, seen: Seen) -> bool:
+        known = self._homes.get(service)
+        return known is not None and bool(prompt.home_key) and seen in known[2].get(prompt.home_key, ())
 
     def _home(self, listed: list[Seen], key: str) -> list[Seen]:
         """The homes of a shared part; remembered while the list stays as it is."""
@@ -75,25 +78,77 @@
             found = known[2][key] = nlargest(HOMES, listed, key=lambda seen: _hash(key, seen.backend.id))
         return found
 
+    def visibility(self, now: float) -> float:
+        """The share of all proxies' latest readings that this proxy knows of."""
+        if self._began_at is None:
+            self._began_at = now
+        told = (1 + self.told_by) / max(1, self.draws.proxies)
+        return min(1.0, told) * min(1.0, (now - self._began_at) / MEMORY_S)
+
+    def wait_ms(self, now: float, service: str, seen: Seen) -> float:
+        """Milliseconds before a reading that is asked for now begins there."""
+        wait = seen.readings.wait(now) * 1e3
+        if wait:
+            return wait
+        return self.pace(service, "prefill").token * (seen.tokens + seen.others_tokens)  # late, or not told of
+
+    def begin_reading(self, now: float, service: str, seen: Seen, tokens: int) -> Ticket:
+        """A reading of so many tokens is asked for there, by whichever proxy."""
+        token_ms = self.pace(service, "prefill").token * seen.slowness.at(now)
+        return seen.readings.add(now, token_ms * tokens / 1e3)
+
+    def end_reading(self, now: float, service: str, leg: Leg) -> None:
+        """A reading of our own was answered."""
+        pace, seen = self.pace(service, "prefill"), leg.seen
+        if leg.ticket is not None:
+            seen.readings.over(now - pace.start / 1e3, leg.ticket)
+        if not leg.found_idle:  # it waited for others as well, and the pace would grow with the queue
+            return
+        took_ms = (now - leg.sent_at) * 1e3
+        seen.untold_slowness = took_ms / pace.estimate(leg.tokens)
+        seen.slowness.observe(now, seen.untold_slowness)
+        pace.learn(leg.tokens, took_ms)
+
     def reader(self, now: float, service: str, prompt: Prompt, without: Set[str]) -> tuple[Seen, float, int] | None:
         """Who reads, its estimate in ms, and the tokens thought to be read there."""
         listed = self._candidates.ready(now, service, "prefill", without)
         if not listed:
             return None
-        pace = self.pace(service, "prefill")
-        if prompt.home_key:
-            listed = self.keepers(listed, prompt)
         first, second = self.draws.draw(listed)
         blend = self.draws.blend(now, service, "prefill", listed, (first, second))
+        congestion = self._congestion(now, service, prompt, (first, second))
 
-        def figure(seen: Seen) -> tuple[float, int]:
-            tokens = max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
-            return pace.estimate(tokens) + pace.token * (seen.tokens + seen.others_tokens), tokens
+        def cost(seen: Seen) -> float:
+            return self._reading_cost(now, service, prompt, seen, congestion)
 
-        (a, a_tokens), (b, b_tokens) = figure(first), figure(second)
-        if self.draws.takes_second(blend, a, b):
-            return second, b, b_tokens
-        return first, a, a_tokens
+        chosen = second if self.draws.takes_second(blend, cost(first), cost(second)) else first
+        if prompt.home_key:
+            keeper = min(self.keepers(listed, prompt), key=cost)
+            if cost(keeper) <= cost(chosen):
+                chosen = keeper
+        tokens = self._unread(prompt, chosen)
+        read_ms = self.pace(service, "prefill").estimate(tokens) * chosen.slowness.at(now)
+        return chosen, self.wait_ms(now, service, chosen) + read_ms, tokens
+
+    def _unread(self, prompt: Prompt, seen: Seen) -> int:
+        """Tokens that a backend is thought to have to read."""
+        return max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
+
+    def _reading_cost(self, now: float, service: str, prompt: Prompt, seen: Seen, congestion: float) -> float:
+        """The wait there, and the work, which whoever comes behind it waits for as well."""
+        tokens = float(self._unread(prompt, seen))
+        if tokens == prompt.tokens and self._is_home(service, prompt, seen):
+            tokens -= (1.0 - self.visibility(now)) * prompt.shared_tokens  # another proxy may have had it read
+        work = self.pace(service, "prefill").token * seen.slowness.at(now) * tokens
+        return self.wait_ms(now, service, seen) + congestion * work
+
+    def _congestion(self, now: float, service: str, prompt: Prompt, drawn: tuple[Seen, Seen]) -> float:
+        """One, and how many readings wait at a backend on average, by the draws that this proxy has made: so many
+        requests are held up by work that one adds."""
+        wait = sum(self.wait_ms(now, service, seen) for seen in drawn) / 2
+        self._waits = WAITS_KEPT * self._waits + wait
+        self._readings = WAITS_KEPT * self._readings + self.pace(service, "prefill").token * prompt.tokens
+        return 1.0 + self._waits / self._readings
 
     def choose(
         self, now: float, service: str, engine: Engine, prompt: Prompt, goal_ms: float, without: Set[str]
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -43,9 +43,10 @@
 from cranebank.dataplane.routes import ClientLimits, RouteTable
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
-from cranebank.transport.messages import Backend, StageLoad
+from cranebank.transport.messages import Backend, ReadingBegun, StageLoad
 
 OWN_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
+TOKENS_MOST = 1 << 24  # of one prompt; a figure beyond it is none
 DEADLINE_MS = 60_000.0  # where a client names none
 
 
@@ -296,6 +297,18 @@
         if service is not None and service.engine is not None and tokens > 0:
             self.shared.cache.note(backend, part, tokens, service.engine.cache_tokens)
 
+    def reading_begun(self, told: ReadingBegun) -> None:
+        """Another proxy has asked a backend to read a prompt."""
+        seen = self.shared.candidates.seen.get(told.backend)
+        if seen is None or seen.backend.stage != "prefill" or not 0 < told.tokens <= TOKENS_MOST:
+            return
+        now = asyncio.get_running_loop().time()
+        if told.slowness > 0.0:
+            seen.slowness.observe(now, told.slowness)
+        self.shared.choices.pairs.begin_reading(now, seen.backend.target, seen, told.tokens)
+        if told.part:
+            self.noted(told.backend, told.part, told.shared)
+
     @property
     def ready(self) -> bool:
         """A configuration is in force, and somebody is there to send to."""
--- a/cranebank/dataplane/seen.py
+++ b/cranebank/dataplane/seen.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cranebank.dataplane.reading_queue import ReadingQueue, Slowness
 from cranebank.transport.messages import Backend
 
 
@@ -21,7 +22,10 @@
         "lost_at",
         "others_calls",
         "others_tokens",
+        "readings",
+        "slowness",
         "tokens",
+        "untold_slowness",
     )
 
     def __init__(self, backend: Backend) -> None:
@@ -29,6 +33,8 @@
         self.calls = 0
         self.tokens = 0
         self.others_calls = self.others_tokens = 0
+        self.readings, self.slowness = ReadingQueue(), Slowness()
+        self.untold_slowness = 0.0  # observed here last, and not told to others yet
         self.figured_at = 0.0  # when the figures last changed, by a call sent or ended
         self.answered_at = float("-inf")
         self.lost_at = 0.0  # when its heartbeats ceased, where they have
--- a/cranebank/dataplane/shared.py
+++ b/cranebank/dataplane/shared.py
@@ -11,6 +11,7 @@
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.choices import Choices
 from cranebank.dataplane.offered_load import OfferedLoad
+from cranebank.transport.messages import ReadingBegun
 
 
 class Shared(msgspec.Struct):
@@ -23,6 +24,7 @@
     counters: dict[str, int]
     load: OfferedLoad = msgspec.field(default_factory=OfferedLoad)
     on_read: Callable[[str, str, int], None] | None = None  # backend, last long shared part, tokens up to it
+    on_reading: Callable[[ReadingBegun], None] | None = None
 
     def count(self, name: str, more: int = 1) -> None:
         """One more of something, or so many."""
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -67,6 +67,7 @@
         self.heard_at = 0.0
         self.epoch = 0  # the highest that a controller showed
         self._confirmed_at = asyncio.get_running_loop().time()
+        self._proxies_named: dict[Link, tuple[str, ...]] = {}  # by each controller that is linked, in its last Welcome
         self.neighbours: tuple[str, ...] = ()
         self.relayed = 0  # messages passed on from one controller to another
 
@@ -132,7 +133,8 @@
                 if self._plane.configure(document):
                     link.send(ConfigAck(self._plane.revision))
             case Welcome(_, controllers, proxies, neighbours):
-                self.neighbours = neighbours
+                self._proxies_named[link] = neighbours
+                self._name_neighbours()
                 self._proxies = max(self._proxies, proxies)
                 self._plane.told_proxies(self._proxies)
                 self._lists[link] = controllers
@@ -155,3 +157,10 @@
     def link_down(self, link: Link) -> None:
         """A link ended; its dialer goes on."""
         self._lists.pop(link, None)
+        if self._proxies_named.pop(link, None) is not None:
+            self._name_neighbours()
+
+    def _name_neighbours(self) -> None:
+        """Whom the controller names that knows most: one that has just come back knows few. Without a link all stay."""
+        if self._proxies_named:
+            self.neighbours = max(self._proxies_named.values(), key=len)
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -15,18 +15,31 @@
 
 from loguru import logger
 
+from cranebank.decayed_rate import DecayedRate
 from cranebank.invariants import broken
 from cranebank.membership.loads import Loads, Sums
 from cranebank.membership.outbox import Outbox
 from cranebank.membership.views import Event, FetchEnded, FetchFrom, Heard, SendShuffle, Shown, Tick, Views, Welcomed
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
 from cranebank.transport.links import Link, dial, listen
-from cranebank.transport.messages import Backend, ConfigPush, Fetch, Gossip, Message, Note, Pulse, Push, Shuffle
+from cranebank.transport.messages import (
+    Backend,
+    ConfigPush,
+    Fetch,
+    Gossip,
+    Message,
+    Note,
+    Pulse,
+    Push,
+    ReadingBegun,
+    Shuffle,
+)
 
 TICK_S = 0.1
 FETCH_S = 3.0  # a fetch that takes longer is given up
 LINKS = 8  # neighbours that fetch from us at once
 LARGEST = 1200  # bytes of a datagram
+READINGS_MOST = 50.0  # of the readings that this proxy begins in a second are told of
 AT_ONCE = 32  # datagrams that are read in one turn
 
 
@@ -62,6 +75,12 @@
     def noted(self, note: Note) -> None:
         """A neighbour had a backend read a shared part."""
 
+    def reading_begun(self, told: ReadingBegun) -> None:
+        """Another proxy has asked a backend to read a prompt."""
+
+    def told_by(self, proxies: int) -> None:
+        """So many other proxies tell of the readings that they begin."""
+
 
 class Neighbours:
     """One proxy's neighbours; ``named`` gives those that a controller named last."""
@@ -74,6 +93,7 @@
         self.counters: dict[str, int] = {}
         self._welcomed: tuple[str, ...] = ()
         self._digest = (b"", 0)
+        self._readings = DecayedRate(1.0)  # told in a second
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -122,6 +142,17 @@
         """Records came that are not merged yet."""
         self.outbox.changes(records, self._plane.records())
 
+    def reading_begun(self, told: ReadingBegun) -> None:
+        """Tell every proxy that a controller named, and the neighbours: at once, since a queue is soon another."""
+        now = asyncio.get_running_loop().time()
+        if self._readings.at(now) >= READINGS_MOST:
+            self._count("readings_untold")
+            return
+        self._readings.add(now)
+        frame = encode(told)
+        for ip in {*self._welcomed, *self.views.neighbours} - {self._ip}:
+            self._send(ip, frame)
+
     # Out.
 
     def _beat(self) -> None:
@@ -135,6 +166,7 @@
         if named != self._welcomed:
             self._welcomed = named
             self._do(now, Welcomed(named))
+            self._plane.told_by(len({*named} - {self._ip}))
         self._do(now, Tick(self._plane.revision))
         self._plane.others(self.loads.expire(now))
         gossip = self.outbox.next(now, self._plane.revision, self.digest, self._plane.out())
@@ -207,6 +239,8 @@
                     self._plane.noted(note)
                 if news:
                     self._learn(news)
+            case ReadingBegun():
+                self._plane.reading_begun(message)
             case _:
                 self._count("damaged")
                 return
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -19,7 +19,7 @@
 from cranebank.membership.neighbours import Neighbours
 from cranebank.programs.ring import Ring
 from cranebank.programs.settings import NodeSettings, SettingsError, load
-from cranebank.transport.messages import Backend, Hello, Note, StageLoad
+from cranebank.transport.messages import Backend, Hello, Note, ReadingBegun, StageLoad
 
 if TYPE_CHECKING:
     from cranebank.programs.metrics import Exporter
@@ -83,6 +83,14 @@
         """A neighbour had a backend read a shared part."""
         self._proxy.noted(note.backend, note.part, note.tokens)
 
+    def reading_begun(self, told: ReadingBegun) -> None:
+        """Another proxy has asked a backend to read a prompt."""
+        self._proxy.reading_begun(told)
+
+    def told_by(self, proxies: int) -> None:
+        """So many other proxies tell of the readings that they begin."""
+        self._proxy.shared.choices.pairs.told_by = proxies
+
     def known(self) -> tuple[Backend, ...]:
         """All records."""
         return self._proxy.shared.candidates.known()
@@ -121,6 +129,7 @@
                 self._plane, lambda: self.links.neighbours, settings.ip, settings.link_port, Random()
             )
             self._plane.neighbours, self.proxy.shared.on_read = neighbours, neighbours.read
+            self.proxy.shared.on_reading = neighbours.reading_begun
         self.stopping = False
 
     def _hello(self) -> Hello:
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -184,6 +184,18 @@
     tokens: int
 
 
+class ReadingBegun(msgspec.Struct, frozen=True, tag=17, array_like=True):
+    """Between proxies: the sender has just asked a prefill backend to read so many tokens. ``part``: the deepest of the
+    prompt's shared parts where these are long, else nothing; ``shared``: tokens up to and with it. ``slowness``: how
+    many times the estimate a reading there took that the sender has observed since it told last; 0: none."""
+
+    backend: str
+    tokens: int
+    part: str = ""
+    shared: int = 0
+    slowness: float = 0.0
+
+
 class Gossip(msgspec.Struct, frozen=True, tag=12, array_like=True):
     """Between proxies, to every neighbour: which configuration the sender has, its own loads, notes of prompts that
     were read, and backends whose phase changed. ``number`` rises with each; it orders the loads."""
@@ -213,4 +225,5 @@
     | Fetch
     | Gossip
     | HoldOff
+    | ReadingBegun
 )
--- /dev/null
+++ b/tests/test_reading_queue.py
@@ -0,0 +1,61 @@
+"""The estimate of how long a prompt waits at a prefill backend."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranebank.dataplane.reading_queue import MOST_S, SLOWNESS_BOUNDS, SLOWNESS_S, ReadingQueue, Slowness
+
+
+def test_readings_stand_one_behind_the_other_and_time_ends_them() -> None:
+    queue = ReadingQueue()
+    assert queue.wait(10.0) == 0.0
+    assert queue.add(10.0, 0.3).over_at == 10.3 and queue.add(10.1, 0.2).over_at == 10.5
+    assert abs(queue.wait(10.2) - 0.3) < 1e-9 and queue.wait(11.0) == 0.0
+    assert queue.add(12.0, 0.1).over_at == 12.1, "nothing is gained by a pause"
+
+
+def test_the_end_of_one_reading_shows_how_late_or_early_those_behind_it_are() -> None:
+    queue = ReadingQueue()
+    first, second, third = (queue.add(10.0, 0.3) for _ in range(3))
+    queue.over(10.5, first)
+    assert abs(queue.wait(10.5) - 0.6) < 1e-9
+    queue.over(10.8, second)
+    assert abs(queue.wait(10.8) - 0.3) < 1e-9, "one delay counts once, however many readings it holds up"
+    queue.over(10.9, third)
+    assert queue.wait(10.9) == 0.0
+
+
+def test_a_reading_that_never_left_is_taken_out_again() -> None:
+    queue = ReadingQueue()
+    ticket = queue.add(10.0, 0.3)
+    queue.add(10.0, 0.5)
+    queue.take_back(ticket)
+    assert abs(queue.wait(10.0) - 0.5) < 1e-9
+
+
+@given(st.lists(st.tuples(st.floats(0, 2), st.floats(0, 60), st.booleans()), max_size=60))
+def test_the_wait_is_never_below_zero_nor_without_bound(steps: list[tuple[float, float, bool]]) -> None:
+    queue, now = ReadingQueue(), 0.0
+    ticket = queue.add(now, 1.0)
+    for pause, seconds, ends in steps:
+        now += pause
+        if ends:
+            queue.over(now, ticket)
+        else:
+            ticket = queue.add(now, seconds)
+        assert 0.0 <= queue.wait(now) <= MOST_S + 1e-6
+
+
+def test_a_slow_backend_is_known_after_some_readings_and_tried_again_after_a_while() -> None:
+    slowness = Slowness()
+    assert slowness.at(5.0) == 1.0
+    for _ in range(12):
+        slowness.observe(10.0, 5.0)
+    assert 4.9 < slowness.at(10.0) <= 5.0
+    assert slowness.at(10.0 + 5 * SLOWNESS_S) < 1.05
+    for ratio in (1e9, 0.0):
+        for _ in range(40):
+            slowness.observe(100.0, ratio)
+        assert any(abs(slowness.at(100.0) - bound) < 0.01 for bound in SLOWNESS_BOUNDS)
