--- a/cranebank/dataplane/blended_draw.py
+++ b/cranebank/dataplane/blended_draw.py
@@ -18,8 +18,8 @@
 class BlendedDraw:
     """The draws of one proxy, for all services and stages."""
 
-    def __init__(self, random: Random) -> None:
-        self._random = random
+    def __init__(self, random: Random, is_blended: bool = True) -> None:
+        self._random, self._is_blended = random, is_blended
         self.proxies = 1  # the told count
         self.told_at = 0.0  # when neighbours told their figures last
         self._rates: dict[tuple[str, str], DecayedRate] = {}
@@ -30,6 +30,8 @@
 
     def blend(self, now: float, service: str, stage: str, listed: list[Seen], drawn: tuple[Seen, Seen]) -> float:
         """Beta for two draws: falls as their figures age and as proxies become more."""
+        if not self._is_blended:
+            return 1.0
         age = now - max(self.told_at, min(drawn[0].figured_at, drawn[1].figured_at))
         rate = self._rates.get((service, stage))
         calls = (rate.at(now) if rate else 0.0) * self.proxies * min(age, RATE_S)
@@ -42,6 +44,15 @@
         first, second = self._random.sample(listed, 2)
         return first, second
 
+    def one_of(self, listed: list[Seen]) -> list[Seen]:
+        """One uniform draw from a list that may be empty."""
+        return [self._random.choice(listed)] if listed else []
+
+    def takes_near(self, blend: float, chosen: float, near: float) -> bool:
+        """Whether a further draw that is near is taken in place of the chosen one, by the two figures: with probability
+        ``blend`` where its own is no higher."""
+        return near <= chosen and self._random.random() < blend
+
     def takes_second(self, blend: float, first: float, second: float) -> bool:
         """Whether the second draw is taken, by the two figures: the lower one with probability ``blend``, ties at
         random; else the first."""
--- /dev/null
+++ b/cranebank/dataplane/by_zone.py
@@ -0,0 +1,30 @@
+"""The backends of a ready list by zone, remembered while the list stays as it is."""
+
+from __future__ import annotations
+
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.seen import Seen
+
+NONE: list[Seen] = []
+
+
+class ByZone:
+    """Of the ready lists of one proxy; one list is remembered for each service and stage."""
+
+    def __init__(self, candidates: Candidates) -> None:
+        self._candidates = candidates
+        self._known: dict[tuple[str, str], tuple[list[Seen], int, dict[str, list[Seen]]]] = {}
+
+    def of(self, listed: list[Seen], zone: str) -> list[Seen]:
+        """Those of a ready list that are in a zone; not to be changed."""
+        if not zone or not listed:
+            return NONE
+        backend, version = listed[0].backend, self._candidates.version
+        key = (backend.target, backend.stage)
+        known = self._known.get(key)
+        if known is None or known[0] is not listed or known[1] != version:
+            zones: dict[str, list[Seen]] = {}
+            for seen in listed:
+                zones.setdefault(seen.backend.zone, []).append(seen)
+            known = self._known[key] = (listed, version, zones)
+        return known[2].get(zone, NONE)
--- a/cranebank/dataplane/choices.py
+++ b/cranebank/dataplane/choices.py
@@ -10,16 +10,18 @@
 from cranebank.dataplane.choice import BackendChoice
 from cranebank.dataplane.pair import PairChooser, StagedChoice
 from cranebank.dataplane.plain_choice import PlainChoice
+from cranebank.dataplane.policy import ALL_ON, Policy
 from cranebank.dataplane.routes import Engine
 
 
 class Choices:
     """Of one proxy, for all services."""
 
-    def __init__(self, candidates: Candidates, cache: CacheView, random: Random) -> None:
+    def __init__(self, candidates: Candidates, cache: CacheView, random: Random, policy: Policy = ALL_ON) -> None:
         self._candidates = candidates
-        self.draws = BlendedDraw(random)
-        self.pairs = PairChooser(candidates, cache, self.draws)
+        self.policy = policy
+        self.draws = BlendedDraw(random, policy.blended_draws)
+        self.pairs = PairChooser(candidates, cache, self.draws, policy)
 
     def of(self, service: str, engine: Engine | None) -> BackendChoice:
         """The choice for a service; ``engine``: what its configuration says of engines, if anything."""
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -178,6 +178,8 @@
 
     def _priority(self) -> tuple[str, str]:
         """A lower rank of the route is more urgent; the ends of the scale are left to others."""
+        if not self._shared.choices.policy.priorities:
+            return "Priority", "5"
         return "Priority", str(min(9, 3 + self._route.rank))
 
     def _may_repeat(self, now: float) -> bool:
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -1,7 +1,8 @@
 """The choice of a pair: who reads the prompt and who makes the tokens.
 
 At both stages the choice is the (1+beta) process: two uniform draws from the stage's ready list, the lower figure with
-probability beta = sqrt(n log n / b), ties at random, else the first draw. Where another backend keeps the prompt's long
+probability beta = sqrt(n log n / b), ties at random, else the first draw. One more draw from the zone that is nearest,
+to the proxy or to the reader, is taken if its figure is no higher. Where another backend keeps the prompt's long
 shared part, it is taken if its figure is no higher than that of the draws; so is, where nobody is known to keep it,
 its home, the same for all proxies (rendezvous hashing), as far as other proxies' readings are not told here. The figure
 is an estimate in milliseconds of what a call costs there: what is to be read, behind what all proxies are known to have
@@ -15,11 +16,13 @@
 from heapq import nlargest
 
 from cranebank.dataplane.blended_draw import BlendedDraw
+from cranebank.dataplane.by_zone import ByZone
 from cranebank.dataplane.cache_view import CacheView
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.choice import Plan
 from cranebank.dataplane.open_legs import Leg
 from cranebank.dataplane.pace import Pace, prior
+from cranebank.dataplane.policy import ALL_ON, Policy
 from cranebank.dataplane.prompt import Prompt
 from cranebank.dataplane.reading_queue import Ticket
 from cranebank.dataplane.routes import Engine
@@ -27,6 +30,7 @@
 
 KEPT_HOMES = 4096  # shared parts of a service whose homes are remembered
 HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
+ANEW = 3.0  # what is read although it is kept elsewhere counts so many times at least: others wait for it, and it costs
 MEMORY_S = 10.0  # a proxy that began later than this knows little of what backends keep
 WAITS_KEPT = 0.9  # of the waits and readings that congestion is averaged over, at each further one
 HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
@@ -42,8 +46,11 @@
 class PairChooser:
     """Pairs for the requests of one proxy."""
 
-    def __init__(self, candidates: Candidates, cache: CacheView, draws: BlendedDraw) -> None:
+    def __init__(self, candidates: Candidates, cache: CacheView, draws: BlendedDraw, policy: Policy = ALL_ON) -> None:
         self._candidates, self._cache, self.draws = candidates, cache, draws
+        self._policy = policy
+        self._by_zone = ByZone(candidates)
+        self.zone = ""  # this proxy's own
         self.told_by = 0  # other proxies that tell this one of the readings they begin
         self._began_at: float | None = None
         self._waits = self._readings = 0.0  # milliseconds, decayed at each reading
@@ -61,7 +68,11 @@
         """Who keeps a prompt's long shared part, as far as is known; none known: its home."""
         shared = prompt.shared_tokens
         found = [seen for seen in listed if self._cache.kept(seen.backend.id, prompt.shared) >= shared]
-        return found or self._home(listed, prompt.home_key)
+        if not self._policy.cached_parts:
+            found = []
+        if found or not self._policy.homes:
+            return found
+        return self._home(listed, prompt.home_key)
 
     def _is_home(self, service: str, prompt: Prompt, seen: Seen) -> bool:
         known = self._homes.get(service)
@@ -94,7 +105,7 @@
 
     def begin_reading(self, now: float, service: str, seen: Seen, tokens: int) -> Ticket:
         """A reading of so many tokens is asked for there, by whichever proxy."""
-        token_ms = self.pace(service, "prefill").token * seen.slowness.at(now)
+        token_ms = self.pace(service, "prefill").token * self._slowness(now, seen)
         return seen.readings.add(now, token_ms * tokens / 1e3)
 
     def end_reading(self, now: float, service: str, leg: Leg) -> None:
@@ -117,34 +128,51 @@
         first, second = self.draws.draw(listed)
         blend = self.draws.blend(now, service, "prefill", listed, (first, second))
         congestion = self._congestion(now, service, prompt, (first, second))
+        keepers = self.keepers(listed, prompt) if prompt.home_key and self._policy.keepers else []
+        is_kept = any(self._unread(prompt, seen) < prompt.tokens for seen in keepers)
 
         def cost(seen: Seen) -> float:
-            return self._reading_cost(now, service, prompt, seen, congestion)
+            return self._reading_cost(now, service, prompt, seen, congestion, is_kept)
 
         chosen = second if self.draws.takes_second(blend, cost(first), cost(second)) else first
-        if prompt.home_key:
-            keeper = min(self.keepers(listed, prompt), key=cost)
-            if cost(keeper) <= cost(chosen):
-                chosen = keeper
+        chosen = min((*keepers, *self._near(listed, self.zone), chosen), key=cost)
         tokens = self._unread(prompt, chosen)
-        read_ms = self.pace(service, "prefill").estimate(tokens) * chosen.slowness.at(now)
+        read_ms = self.pace(service, "prefill").estimate(tokens) * self._slowness(now, chosen)
         return chosen, self.wait_ms(now, service, chosen) + read_ms, tokens
 
+    def _near(self, listed: list[Seen], zone: str) -> list[Seen]:
+        """One draw from those in a zone, if there are any."""
+        return self.draws.one_of(self._by_zone.of(listed, zone)) if self._policy.near_zone else []
+
     def _unread(self, prompt: Prompt, seen: Seen) -> int:
         """Tokens that a backend is thought to have to read."""
+        if not self._policy.cached_parts:
+            return max(1, prompt.tokens)
         return max(1, prompt.tokens - self._cache.kept(seen.backend.id, prompt.parts))
 
-    def _reading_cost(self, now: float, service: str, prompt: Prompt, seen: Seen, congestion: float) -> float:
-        """The wait there, and the work, which whoever comes behind it waits for as well."""
+    def _slowness(self, now: float, seen: Seen) -> float:
+        return seen.slowness.at(now) if self._policy.slowness else 1.0
+
+    def _reading_cost(
+        self, now: float, service: str, prompt: Prompt, seen: Seen, congestion: float, is_kept: bool
+    ) -> float:
+        """The wait there, and the work, which whoever comes behind it waits for as well. ``is_kept``: some backend
+        keeps the shared part."""
         tokens = float(self._unread(prompt, seen))
-        if tokens == prompt.tokens and self._is_home(service, prompt, seen):
-            tokens -= (1.0 - self.visibility(now)) * prompt.shared_tokens  # another proxy may have had it read
-        work = self.pace(service, "prefill").token * seen.slowness.at(now) * tokens
-        return self.wait_ms(now, service, seen) + congestion * work
+        anew = 0.0
+        if tokens == prompt.tokens:  # nothing is known to be kept there
+            if is_kept:
+                anew = max(0.0, ANEW - congestion) * prompt.shared_tokens
+            elif self._is_home(service, prompt, seen):
+                tokens -= (1.0 - self.visibility(now)) * prompt.shared_tokens  # another proxy may have had it read
+        work = congestion * self._slowness(now, seen) * tokens + anew
+        return self.wait_ms(now, service, seen) + self.pace(service, "prefill").token * work
 
     def _congestion(self, now: float, service: str, prompt: Prompt, drawn: tuple[Seen, Seen]) -> float:
-        """One, and how many readings wait at a backend on average, by the draws that this proxy has made: so many
-        requests are held up by work that one adds."""
+        """How many times work counts: one, and how many readings wait at a backend on average, by the draws that this
+        proxy has made, since so many requests are held up by what one adds."""
+        if not self._policy.congestion:
+            return 1.0
         wait = sum(self.wait_ms(now, service, seen) for seen in drawn) / 2
         self._waits = WAITS_KEPT * self._waits + wait
         self._readings = WAITS_KEPT * self._readings + self.pace(service, "prefill").token * prompt.tokens
@@ -165,6 +193,13 @@
             other = self._plan(second, reading, service, engine, prompt, goal_ms, blend)
             if self.draws.takes_second(blend, plan.figure, other.figure):
                 plan = other
+        # What is moved between zones takes longer and is paid for: the prompt's memory, else its body.
+        zone = plan.reader.backend.zone if plan.reader is not None else self.zone
+        for near in self._near(listed, zone):
+            other = self._plan(near, reading, service, engine, prompt, goal_ms, blend)
+            is_busier = near.all_calls > plan.maker.all_calls  # a short way is not worth a fuller batch
+            if not is_busier and self.draws.takes_near(blend, plan.figure, other.figure):
+                plan = other
         return plan
 
     def _plan(
@@ -178,9 +213,9 @@
         blend: float,
     ) -> Plan:
         pace = self.pace(service, "decode")
-        streams = maker.calls + maker.others_calls
+        streams = maker.all_calls
         ahead = pace.token * (maker.tokens + maker.others_tokens) + streams
-        tokens = max(1, prompt.tokens - self._cache.kept(maker.backend.id, prompt.parts))
+        tokens = self._unread(prompt, maker)
         alone = self._cost(pace.estimate(tokens) + ahead, goal_ms) + HOLD_UP * streams * pace.token * tokens
         if reading is None:
             return Plan(maker, None, tokens, alone, blend)
@@ -188,7 +223,7 @@
         far = 1.0 if reader.backend.zone == maker.backend.zone else 2.0
         move = far * prompt.tokens * engine.token_bytes * 8 / max(1.0, engine.link_mbps) / 1e3
         split = self._cost(read_ms + pace.start + move + ahead, goal_ms)
-        if tokens <= ALONE and alone <= split:
+        if tokens <= ALONE and alone <= split and self._policy.short_prompts_at_makers:
             return Plan(maker, None, tokens, alone, blend)
         return Plan(maker, reader, read_tokens, split, blend)
 
--- a/cranebank/dataplane/plain_choice.py
+++ b/cranebank/dataplane/plain_choice.py
@@ -47,4 +47,4 @@
 
 def _taken(seen: Seen) -> float:
     """The part of a backend's places that is taken."""
-    return (seen.calls + seen.others_calls) / max(1, seen.backend.capacity)
+    return seen.all_calls / max(1, seen.backend.capacity)
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -40,6 +40,7 @@
 )
 from cranebank.dataplane.front import ClientConnection, Front, Handler
 from cranebank.dataplane.legs import Connection, Pool
+from cranebank.dataplane.policy import ALL_ON, Policy
 from cranebank.dataplane.routes import ClientLimits, RouteTable
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
@@ -225,14 +226,14 @@
 class Proxy(Handler):
     """A proxy's data plane. ``configure`` and ``learn`` bring it what the control plane knows."""
 
-    def __init__(self, rule: RetryRule, random: Random, now: float) -> None:
+    def __init__(self, rule: RetryRule, random: Random, now: float, policy: Policy = ALL_ON) -> None:
         self.table: RouteTable | None = None
         self._rule, self._random = rule, random
         self._budgets: dict[str, Budget] = {}
         self._fresh_until = now if rule.fresh else now + rule.window_s
         self.counters: dict[str, int] = {}
         candidates, cache = Candidates(), CacheView()
-        choices = Choices(candidates, cache, random)
+        choices = Choices(candidates, cache, random, policy)
         self.shared = Shared(candidates, choices, cache, self._budget, self.counters)
         self.pool = Pool(self.counters)
         self.pool.most = self._most
@@ -287,6 +288,8 @@
 
     def loads(self) -> tuple[StageLoad, ...]:
         """What this proxy asks of the stages of each service."""
+        if not self.shared.choices.policy.stage_loads:
+            return ()
         now = asyncio.get_running_loop().time()
         return self.shared.load.tell(now, self.shared.candidates.seen.values())
 
--- a/cranebank/dataplane/reading_queue.py
+++ b/cranebank/dataplane/reading_queue.py
@@ -12,7 +12,7 @@
 import msgspec
 
 MOST_S = 30.0  # longer than any client waits: a figure beyond it says nothing more
-SLOWNESS_GAIN = 0.3  # of one observation
+SLOWNESS_GAIN = 0.15  # of one observation
 SLOWNESS_BOUNDS = 0.25, 16.0
 SLOWNESS_S = 10.0  # a backend that is avoided since it was slow is tried again when this has faded
 
--- a/cranebank/dataplane/seen.py
+++ b/cranebank/dataplane/seen.py
@@ -46,6 +46,11 @@
         """Whether others are asked first: it failed lately, or is about to change its stage."""
         return max(self.away_until, self.held_until) > now
 
+    @property
+    def all_calls(self) -> int:
+        """Calls that are out there, as far as this proxy is told."""
+        return self.calls + self.others_calls
+
     @property
     def has_failed(self) -> bool:
         """Whether a call failed since the last answer."""
--- a/cranebank/programs/__main__.py
+++ b/cranebank/programs/__main__.py
@@ -6,27 +6,39 @@
 from __future__ import annotations
 
 import sys
+from typing import NamedTuple
 
 
 def main(arguments: list[str]) -> int:
     """Run what the command line names: a role, and a port for metrics; all else is left to the commands."""
-    metrics_port = _metrics_port(arguments[1:])
-    if arguments[:1] in (["edge"], ["control"]) and metrics_port is not None:
+    options = _options(arguments[1:])
+    if arguments[:1] in (["edge"], ["control"]) and options is not None:
         from cranebank.programs.serve import serve  # noqa: PLC0415
 
-        return serve("edge" if arguments[0] == "edge" else "control", metrics_port)
+        return serve("edge" if arguments[0] == "edge" else "control", options.metrics_port, options.without)
     from cranebank.programs import command  # noqa: PLC0415
 
     return command.main(arguments)
 
 
-def _metrics_port(options: list[str]) -> int | None:
-    """The port in ``--metrics-port PORT``, 0 without options; None: these are for the commands to read or refuse."""
-    match options:
+class Options(NamedTuple):
+    """Of a process that serves. ``without``: mechanisms that are off, with commas between; of a proxy only."""
+
+    metrics_port: int = 0
+    without: str = ""
+
+
+def _options(words: list[str]) -> Options | None:
+    """What the words name; None: these are for the commands to read or refuse."""
+    match words:
         case []:
-            return 0
-        case ["--metrics-port", port] if port.isascii() and port.isdigit():
-            return int(port)
+            return Options()
+        case ["--metrics-port", port, *rest] if port.isascii() and port.isdigit():
+            found = _options(rest)
+            return found and found._replace(metrics_port=int(port))
+        case ["--without", names, *rest] if names:
+            found = _options(rest)
+            return found and found._replace(without=names)
         case _:
             return None
 
--- a/cranebank/programs/command.py
+++ b/cranebank/programs/command.py
@@ -63,16 +63,32 @@
     proxies: tuple[ProxyStatus, ...] = ()
 
 
-def edge(*, metrics_port: int = 0) -> int:
+def edge(*, metrics_port: int = 0, without: str = "") -> int:
     """Run a proxy, by the settings file that CRANEBANK_NODE_FILE names.
 
     Example: cranebank system edge
 
     :param metrics_port: where figures are told to scrapers, instead of what the settings file says
+    :param without: mechanisms of deciding to switch off, with commas between; cranebank system policy lists them
     """
     from cranebank.programs.serve import serve  # noqa: PLC0415
 
-    return serve("edge", metrics_port)
+    return serve("edge", metrics_port, without)
+
+
+def policy() -> int:
+    """List the mechanisms by which a proxy decides, and what each does.
+
+    Each has a key of its name under ``cranebank_policy`` in the settings file (true or false; true by default).
+
+    Example: cranebank system policy
+    """
+    from cranebank.dataplane.policy import MECHANISMS  # noqa: PLC0415
+
+    width = max(map(len, MECHANISMS))
+    for name, text in MECHANISMS.items():
+        print(f"{name:{width}}  {text}")
+    return 0
 
 
 def control(*, metrics_port: int = 0) -> int:
@@ -226,6 +242,7 @@
     "control": control,
     "check-settings": check_settings,
     "check-configuration": check_configuration,
+    "policy": policy,
     "show": show,
     "backup": backup,
     "restore": restore,
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -72,6 +72,8 @@
 
     def others(self, sums: Sums) -> None:
         """Calls and tokens that neighbours have out at these backends."""
+        if not self._proxy.shared.choices.policy.told_loads:
+            return
         if sums:
             self._proxy.shared.choices.draws.told_at = asyncio.get_running_loop().time()
         for backend, (calls, tokens) in sums.items():
@@ -119,8 +121,10 @@
             RetryRule(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, settings.is_first_start),
             Random(),
             loop.time(),
+            settings.cranebank_policy,
         )
         self.proxy.shared.choices.draws.proxies = UNTOLD
+        self.proxy.shared.choices.pairs.zone = settings.zone
         self._plane = _Plane(self.proxy)
         self._life = secrets.randbits(63)
         self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
@@ -129,7 +133,8 @@
                 self._plane, lambda: self.links.neighbours, settings.ip, settings.link_port, Random()
             )
             self._plane.neighbours, self.proxy.shared.on_read = neighbours, neighbours.read
-            self.proxy.shared.on_reading = neighbours.reading_begun
+            if settings.cranebank_policy.told_readings:
+                self.proxy.shared.on_reading = neighbours.reading_begun
         self.stopping = False
 
     def _hello(self) -> Hello:
--- a/cranebank/programs/settings.py
+++ b/cranebank/programs/settings.py
@@ -16,6 +16,8 @@
 import msgspec
 import yaml
 
+from cranebank.dataplane.policy import Policy
+
 VARIABLE = "CRANEBANK_NODE_FILE"
 METRICS = "CRANEBANK_METRICS"
 DEFAULT = "/etc/cranebank/boot.yaml"
@@ -117,6 +119,7 @@
     in_force: tuple[str, ...] = ()
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
+    cranebank_policy: Policy = Policy()  # our own key; operators' pages may come to use shorter ones
     metrics: Any = False  # only ``true`` counts: a later field of this name must not end the program
     metrics_listen_port: int = 0  # where metrics are told; 0: at the second port of port_range, and only if asked for
 
