--- a/benchmarks/reading_choice.py
+++ b/benchmarks/reading_choice.py
@@ -24,7 +24,7 @@
 from statistics import mean, pstdev
 
 from cranebank.dataplane.blended_draw import BlendedDraw
-from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.cache_view import READER_SHARE, CacheView
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.open_legs import OpenLegs
 from cranebank.dataplane.pair import PairChooser
@@ -65,7 +65,7 @@
     Deployment("uneven", 20, 6, 14.0, 200, 10_000, 3_000, 60.0, 2e-7, 400_000, 600.0, 150.0, (1.0, 1.0, 2.0)),
     Deployment("little shared", 60, 10, 30.0, 5_000, 3_000, 9_000, 60.0, 2e-7, 400_000, 700.0, 150.0),
 )
-VARIANTS = ("", "keepers", "homes", "congestion", "slowness", "told_readings", "blended_draws", "cached_parts")
+VARIANTS = ("", "keepers", "homes", "slowness", "told_readings", "blended_draws", "cached_parts")
 
 
 @dataclass
@@ -118,7 +118,7 @@
         leg = self.legs.open(now, seen, tokens, True, None)
         leg.found_idle = leg.found_idle and not wait and tokens >= prompt.tokens
         leg.ticket = self.pairs.begin_reading(now, SERVICE, seen, tokens)
-        self.cache.touch(seen.backend.id, prompt.parts, deployment.cache_tokens)
+        self.cache.touch(seen.backend.id, prompt.parts, deployment.cache_tokens, READER_SHARE)
         slowness, seen.untold_slowness = seen.untold_slowness, 0.0
         told = ReadingBegun(seen.backend.id, tokens, prompt.home_key, prompt.shared_tokens, slowness)
         return leg.number, seen.backend.id, told
@@ -130,7 +130,7 @@
             seen.slowness.observe(now, told.slowness)
         self.pairs.begin_reading(now, SERVICE, seen, told.tokens)
         if told.part:
-            self.cache.note(told.backend, told.part, told.shared, deployment.cache_tokens)
+            self.cache.note(told.backend, told.part, told.shared, deployment.cache_tokens, READER_SHARE)
 
     def end(self, now: float, number: int) -> None:
         """A reading of its own was answered."""
--- a/cranebank/dataplane/blended_draw.py
+++ b/cranebank/dataplane/blended_draw.py
@@ -48,11 +48,6 @@
         """One uniform draw from a list that may be empty."""
         return [self._random.choice(listed)] if listed else []
 
-    def takes_near(self, blend: float, chosen: float, near: float) -> bool:
-        """Whether a further draw that is near is taken in place of the chosen one, by the two figures: with probability
-        ``blend`` where its own is no higher."""
-        return near <= chosen and self._random.random() < blend
-
     def takes_second(self, blend: float, first: float, second: float) -> bool:
         """Whether the second draw is taken, by the two figures: the lower one with probability ``blend``, ties at
         random; else the first."""
--- a/cranebank/dataplane/cache_view.py
+++ b/cranebank/dataplane/cache_view.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from itertools import count
 
 import msgspec
 
 KEPT_SHARE = 0.8  # of a backend's memory: the rest is for what runs
+READER_SHARE = 1.0  # of a prefill backend's: nothing runs there for long, and a part missed is read once more
 ENTRIES = 4096  # parts a backend, whatever their size
 
 
@@ -46,7 +46,6 @@
 
     def __init__(self) -> None:
         self._kept: dict[str, _Kept] = {}
-        self._unnamed = count()
 
     def kept(self, backend: str, parts: tuple[tuple[str, int], ...]) -> int:
         """Tokens at the start of these parts that the backend is thought to keep."""
@@ -63,21 +62,20 @@
                 total = before
         return total
 
-    def note(self, backend: str, part: str, tokens: int, most: int, unshared: int = 0) -> None:
-        """Another proxy had the backend read a prompt up to and with this part, and so many tokens of its own besides;
-        ``most``: tokens of the backend's memory."""
+    def note(self, backend: str, part: str, tokens: int, most: int, share: float = KEPT_SHARE) -> None:
+        """Another proxy had the backend read a prompt up to and with this part; ``most``: tokens of the backend's
+        memory, of which ``share`` is for parts."""
         held = self._kept.setdefault(backend, _Kept())
         held.put(part, _Entry(tokens, is_prefix=True))
-        if unshared > 0:
-            held.put(f"#{next(self._unnamed)}", _Entry(unshared, is_prefix=False))
-        held.trim(most * KEPT_SHARE)
+        held.trim(most * share)
 
-    def touch(self, backend: str, parts: tuple[tuple[str, int], ...], most: int) -> None:
-        """The backend has just read or fetched these parts; ``most``: tokens of its memory."""
+    def touch(self, backend: str, parts: tuple[tuple[str, int], ...], most: int, share: float = KEPT_SHARE) -> None:
+        """The backend has just read or fetched these parts; ``most``: tokens of its memory, of which ``share`` is for
+        parts."""
         held = self._kept.setdefault(backend, _Kept())
         for name, size in parts:
             held.put(name, held.entries.get(name) or _Entry(size, is_prefix=False))
-        held.trim(most * KEPT_SHARE)
+        held.trim(most * share)
 
     def forget(self, backend: str) -> None:
         """The backend has ended."""
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -4,6 +4,7 @@
 
 from cranebank.dataplane.attempts import Attempts
 from cranebank.dataplane.budget import Budget
+from cranebank.dataplane.cache_view import KEPT_SHARE, READER_SHARE
 from cranebank.dataplane.choice import Plan
 from cranebank.dataplane.client_answer import ClientAnswer
 from cranebank.dataplane.exchange_events import Call
@@ -207,6 +208,7 @@
             self._shared.load.read(now, self._service, leg.reading_s)
         if self._engine is not None:
             self._shared.count(f"tokens_asked_{seen.backend.stage}", tokens)
-            self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens)
+            share = READER_SHARE if reads else KEPT_SHARE
+            self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens, share)
         self._shared.count("reads" if reads else "makes")
         return leg, Call(leg.number, seen.backend, headers)
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -11,7 +11,7 @@
 
 from cranebank.dataplane import prompt as prompts
 from cranebank.dataplane.budget import Budget
-from cranebank.dataplane.cache_view import CacheView
+from cranebank.dataplane.cache_view import KEPT_SHARE, READER_SHARE, CacheView
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.choices import Choices
 from cranebank.dataplane.client_request import ClientRequest
@@ -297,8 +297,9 @@
         """A neighbour had this backend read a prompt up to and with this shared part."""
         record = self.shared.candidates.records.get(backend)
         service = self.table.services.get(record.target) if record is not None and self.table is not None else None
-        if service is not None and service.engine is not None and tokens > 0:
-            self.shared.cache.note(backend, part, tokens, service.engine.cache_tokens)
+        if record is not None and service is not None and service.engine is not None and tokens > 0:
+            share = READER_SHARE if record.stage == "prefill" else KEPT_SHARE
+            self.shared.cache.note(backend, part, tokens, service.engine.cache_tokens, share)
 
     def reading_begun(self, told: ReadingBegun) -> None:
         """Another proxy has asked a backend to read a prompt."""
