Docs of the choice of readers and of plain services; backends without a stage in the metrics

Backends that tell no stage were in no line of backends_ready; they stand there as none, for plain services and for one that a staged service sends nothing to.

--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -247,9 +247,9 @@
     return Metric(
         f"{prefix}backends_ready",
         "gauge",
-        "Backends that are ready, by stage.",
+        "Backends that are ready, by stage; none: they tell no stage.",
         label="stage",
-        values={stage: stages[stage] for stage in STAGES},
+        values={**{stage: stages[stage] for stage in STAGES}, "none": stages[""]},
     )
 
 
