Congestion is back: without it a stage under load reads ever more anew

Where readings wait behind one another, each one read anew holds up all behind it and makes the next choice for reading anew likelier.

--- a/benchmarks/reading_choice.py
+++ b/benchmarks/reading_choice.py
@@ -63,9 +63,10 @@
     Deployment("many small", 40, 16, 60.0, 500, 6_000, 1_500, 40.0, 2e-7, 200_000, 400.0, 120.0, (1.0, 1.2)),
     Deployment("few large", 5, 3, 3.0, 40, 20_000, 8_000, 70.0, 3e-7, 600_000, 1_200.0, 250.0),
     Deployment("uneven", 20, 6, 14.0, 200, 10_000, 3_000, 60.0, 2e-7, 400_000, 600.0, 150.0, (1.0, 1.0, 2.0)),
+    Deployment("overloaded", 40, 8, 48.0, 500, 9_000, 2_500, 60.0, 2e-7, 400_000, 600.0, 150.0, (1.0, 1.2)),
     Deployment("little shared", 60, 10, 30.0, 5_000, 3_000, 9_000, 60.0, 2e-7, 400_000, 700.0, 150.0),
 )
-VARIANTS = ("", "keepers", "homes", "slowness", "told_readings", "blended_draws", "cached_parts")
+VARIANTS = ("", "keepers", "homes", "congestion", "slowness", "told_readings", "blended_draws", "cached_parts")
 
 
 @dataclass
--- a/cranebank/dataplane/pair.py
+++ b/cranebank/dataplane/pair.py
@@ -32,6 +32,7 @@
 HOMES = 1  # where a long shared prompt that nobody keeps is read; at two it would be read twice
 ANEW = 3.0  # what is read although it is kept elsewhere counts so many times at least: others wait for it, and it costs
 HOME_LIKELY = 0.5  # how likely a part that nobody is known to keep is at its home still, at least
+WAITS_KEPT = 0.9  # of the waits and readings that congestion is averaged over, at each further one
 MEMORY_S = 10.0  # a proxy that began later than this knows little of what backends keep
 HOLD_UP = 0.1  # of its time, what a reading costs each stream that runs where it is read
 ALONE = 1024  # tokens that a decode backend may read itself: one piece; more would hold up those that stream there
@@ -53,6 +54,7 @@
         self.zone = ""  # this proxy's own
         self.told_by = 0  # other proxies that tell this one of the readings they begin
         self._began_at: float | None = None
+        self._waits = self._readings = 0.0  # milliseconds, decayed at each reading
         self._paces: dict[tuple[str, str], Pace] = {}
         self._homes: dict[str, tuple[list[Seen], int, dict[str, list[Seen]]]] = {}  # by service: list, version, homes
 
@@ -126,11 +128,12 @@
             return None
         first, second = self.draws.draw(listed)
         blend = self.draws.blend(now, service, "prefill", listed, (first, second))
+        congestion = self._congestion(now, service, prompt, (first, second))
         keepers = self.keepers(listed, prompt) if prompt.home_key and self._policy.keepers else []
         is_kept = any(self._unread(prompt, seen) < prompt.tokens for seen in keepers)
 
         def cost(seen: Seen) -> float:
-            return self._reading_cost(now, service, prompt, seen, is_kept)
+            return self._reading_cost(now, service, prompt, seen, congestion, is_kept)
 
         chosen = second if self.draws.takes_second(blend, cost(first), cost(second)) else first
         chosen = min((*self._near(listed, self.zone), *keepers, chosen), key=cost)
@@ -151,19 +154,33 @@
     def _slowness(self, now: float, seen: Seen) -> float:
         return seen.slowness.at(now) if self._policy.slowness else 1.0
 
-    def _reading_cost(self, now: float, service: str, prompt: Prompt, seen: Seen, is_kept: bool) -> float:
-        """Milliseconds of waiting and of work there. ``is_kept``: some backend keeps the shared part."""
+    def _reading_cost(
+        self, now: float, service: str, prompt: Prompt, seen: Seen, congestion: float, is_kept: bool
+    ) -> float:
+        """The wait there, and the work, which whoever comes behind it waits for as well. ``is_kept``: some backend
+        keeps the shared part."""
         tokens = float(self._unread(prompt, seen))
         anew = 0.0
         if tokens == prompt.tokens:  # nothing is known to be kept there
             if is_kept:
-                anew = (ANEW - 1.0) * prompt.shared_tokens
+                anew = max(0.0, ANEW - congestion) * prompt.shared_tokens
             elif self._is_home(service, prompt, seen):
                 likely = max(HOME_LIKELY, 1.0 - self.visibility(now))  # another proxy may have had it read
                 tokens -= likely * prompt.shared_tokens
-        work = self._slowness(now, seen) * tokens + anew
+        work = congestion * self._slowness(now, seen) * tokens + anew
         return self.wait_ms(now, service, seen) + self.pace(service, "prefill").token * work
 
+    def _congestion(self, now: float, service: str, prompt: Prompt, drawn: tuple[Seen, Seen]) -> float:
+        """How many times work counts: one, and how many readings wait at a backend on average, by the draws that this
+        proxy has made, since so many requests are held up by what one adds. Without it a stage that is asked for more
+        than it can do reads ever more anew, and can do ever less."""
+        if not self._policy.congestion:
+            return 1.0
+        wait = sum(self.wait_ms(now, service, seen) for seen in drawn) / 2
+        self._waits = WAITS_KEPT * self._waits + wait
+        self._readings = WAITS_KEPT * self._readings + self.pace(service, "prefill").token * prompt.tokens
+        return 1.0 + self._waits / max(1.0, self._readings)
+
     def choose(
         self, now: float, service: str, engine: Engine, prompt: Prompt, goal_ms: float, without: Set[str]
     ) -> Plan | None:
--- a/cranebank/dataplane/policy.py
+++ b/cranebank/dataplane/policy.py
@@ -25,6 +25,7 @@
     keepers: bool = True
     homes: bool = True
     near_zone: bool = True
+    congestion: bool = True
     slowness: bool = True
     told_readings: bool = True
     told_loads: bool = True
@@ -41,6 +42,7 @@
     "keepers": "who keeps a long shared part is compared with the draws; off: the draws alone",
     "homes": "a part that nobody is known to keep may go to its home; off: to the draws",
     "near_zone": "one more reader is drawn from the proxy's own zone; off: the two draws alone",
+    "congestion": "work that is added counts for those that wait behind it; off: it counts for itself",
     "slowness": "a prefill backend that reads slower than others is known to; off: all count as alike",
     "told_readings": "proxies tell each other of readings as they begin; off: by their loads each 0.2 s alone",
     "told_loads": "neighbours tell each other what they have out at backends; off: each knows its own",
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -18,6 +18,7 @@
 from cranebank.dataplane.choice import Plan
 from cranebank.dataplane.pair import ANEW, HOMES, MEMORY_S, PairChooser
 from cranebank.dataplane.prompt import Prompt
+from cranebank.dataplane.reading_queue import ReadingQueue
 from cranebank.dataplane.routes import Document, Engine, Route, RouteTable
 from cranebank.invariants import violations
 from cranebank.transport.messages import Backend
@@ -226,6 +227,25 @@
         assert ("p3" not in readers) is is_left
 
 
+def test_the_more_waits_the_more_a_keeper_is_worth() -> None:
+    wait = 1.2 * ANEW  # of the time that its shared part takes to read
+    for congested in (False, True):
+        choose, candidates, cache = with_cache()
+        cache.note("p3", "s", 13_300, 400_000)
+        second = choose.pace("svc", "prefill").token * 13.300
+        if congested:
+            for _ in range(60):  # waits of eight readings are what this proxy has met
+                for seen in candidates.seen.values():
+                    seen.readings = ReadingQueue()
+                    seen.readings.add(100.0, 8 * second)
+                choose.reader(100.0, "svc", LONG, set())
+        for seen in candidates.seen.values():
+            seen.readings = ReadingQueue()
+        candidates.seen["p3"].readings.add(100.0, wait * second)
+        reading = choose.reader(100.0, "svc", LONG, set())
+        assert reading is not None and (reading[0].backend.id == "p3") is congested
+
+
 def test_who_keeps_a_shared_prompt_reads_it_unless_it_is_far_behind() -> None:
     choose, candidates, cache = with_cache()
     cache.note("p3", "s", 13_300, 400_000)
