Test: the call faults' backends have room for all dials at once, and dials have time

Its first run had been reset at the only other backend, so nobody was left. 165 requests dial a stand-in whose queue of new connections held 100; an opening packet that is dropped is sent again after a second.

The stand-ins' queues hold 512 now, as the proxy's own does there, and a dial has 10 s: neither is what the test asks. What it asserts is unchanged.

--- a/tests/test_call_faults.py
+++ b/tests/test_call_faults.py
@@ -27,6 +27,7 @@
 
 TRIALS_AT_ONCE = 48
 SILENT_MS = 150  # deadline of a request whose backend falls silent
+PATIENT_DIAL_S = 10.0  # the backends are there: how long a dial may take is not what these tests ask
 SHORT_SILENCE_S = 0.03
 LONG_SILENCE_S = 0.12  # longer than this process stalls on a busy machine
 NO_SILENCE_S = 60.0  # where no backend falls silent, a stall of this process must not pass for one
@@ -236,6 +237,7 @@
     """A proxy before scripted backends, which retries at once, after ``silence_s`` of silence, and without a bound on
     its budget."""
     monkeypatch.setattr(legs, "REST_S", 0.0)
+    monkeypatch.setattr(legs, "DIAL_S", PATIENT_DIAL_S)
     monkeypatch.setattr(dispatch, "SILENT_MAKE_S", silence_s)
     monkeypatch.setattr(exchange, "SILENT_STREAM_S", silence_s)
     record = Record()
@@ -244,7 +246,10 @@
         loop = asyncio.get_running_loop()
         made = Proxy(RetryRule(0.2, 1e9, 10.0, True), Random(1), loop.time())
         assert made.configure(document(header_read_ms))
-        servers = [await loop.create_server(lambda: ScriptedBackend(record), "127.0.0.1", 0) for _ in range(backends)]
+        servers = [
+            await loop.create_server(lambda: ScriptedBackend(record), "127.0.0.1", 0, backlog=512)
+            for _ in range(backends)
+        ]
         for number, server in enumerate(servers):
             address = "{}:{}".format(*server.sockets[0].getsockname())
             made.learn([Backend(f"d{number}", "svc", address, "z", "decode", 4, "ready", 1)])
