A controller that is behind gets the newest configuration also while changes come in a row

Cause: whoever is not the primary waits 0.3 s (proxies) or 0.5 s (controllers) before it hands a configuration on, and each further change began that wait anew. Found by judging 'in step within catch_up_s' at every moment (controlsim/in_step.py) and not at the end only. Mend: a wait that has begun is not lengthened. Tests: two of delivery, a plant of the simulation, a planted fault.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -143,6 +143,10 @@
                 self._actions.append(ev.Send(ip, ev.Join(self._id, self._acceptor.epoch)))
         if self._is_retired and now >= self._leave_at:
             self._tell_leaving()
+        self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
+        """Drop what was told too long ago to count."""
         self._leaving = {who: at for who, at in self._leaving.items() if now - at < LEAVING_FRESH_S}
         self._join_requests = {who: at for who, at in self._join_requests.items() if now - at < REMEMBERED_S}
         if len(self._heard) > len(self._members) + len(self._join_requests):
--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -160,9 +160,10 @@
         """A configuration was committed; whether it is newer than the one published so far."""
         if revision <= self.revision:
             return False
-        self.revision, self.document = revision, document
+        before, self.revision, self.document = self.revision, revision, document
         for link, peer in self.peers.items():
-            peer.due = max(peer.due, now + (BACKUP_S if peer.slot >= 0 else CONTROLLER_S))
+            if max(peer.revision, peer.sent) >= before:  # else its wait has begun: changes in a row don't lengthen it
+                peer.due = max(peer.due, now + (BACKUP_S if peer.slot >= 0 else CONTROLLER_S))
             self._configure(now, link, peer)
         return True
 
--- a/cranebank/control/epochs.py
+++ b/cranebank/control/epochs.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from functools import lru_cache
 
 import msgspec
 
@@ -16,6 +17,7 @@
 """A round's number and its proposer's replica id; higher ones win."""
 
 NO_BALLOT: Ballot = (0, "")
+REPLICAS_KEPT = 1024  # addresses of replicas that are remembered, beyond all that a group ever has at a time
 
 
 class EpochRecord(msgspec.Struct, frozen=True):
@@ -33,6 +35,7 @@
     return EpochRecord(0, 0, "", (), tuple(sorted(set(seeds))))
 
 
+@lru_cache(maxsize=REPLICAS_KEPT)
 def ip_of(replica: str) -> str:
     """Return the address in a replica id ("IP" or "IP/HEX")."""
     return replica.split("/", 1)[0]
@@ -137,6 +140,7 @@
         self._margin_s = margin_s
         self._asked: dict[int, float] = {}
         self._granted: dict[str, float] = {}
+        self._end: tuple[Sequence[str], float] | None = None  # of the lease, for these members; until a grant comes
         self.number = 0
 
     def ask(self, now: float) -> int:
@@ -150,6 +154,7 @@
         """Note a grant; a grant of an ask that is long forgotten counts for nothing."""
         asked = self._asked.get(number)
         if asked is not None:
+            self._end = None
             self._granted[voter] = max(self._start(asked, now), self._granted.get(voter, float("-inf")))
 
     @staticmethod
@@ -157,8 +162,13 @@
         # The voter counts from when it received the ask: no earlier than it was asked, maybe long before `received`.
         return min(asked, received)
 
-    def until(self, members: Iterable[str]) -> float:
+    def until(self, members: Sequence[str]) -> float:
         """Return when the lease ends (seconds), -inf when no majority of these members granted it."""
+        if self._end is None or self._end[0] != members:
+            self._end = (members, self._computed_until(members))
+        return self._end[1]
+
+    def _computed_until(self, members: Iterable[str]) -> float:
         group = set(members)
         starts = sorted((start for voter, start in self._granted.items() if voter in group), reverse=True)
         needed = len(group) // 2 + 1
@@ -167,6 +177,7 @@
     def forget_others(self, members: Iterable[str]) -> None:
         """Drop the grants of replicas that are members no longer."""
         group = set(members)
+        self._end = None
         self._granted = {voter: start for voter, start in self._granted.items() if voter in group}
 
 
@@ -222,8 +233,10 @@
 def choose_by_zone(candidates: Iterable[str], taken: Iterable[str], zones: Mapping[str, str]) -> list[str]:
     """Order the candidates so that each is of a zone with the fewest of those before it and of the taken ones; by id
     where zones are alike or unknown."""
-    counts = Counter(zones.get(ip_of(replica), "") for replica in taken)
     left = sorted(candidates)
+    if len(left) <= 1:
+        return left
+    counts = Counter(zones.get(ip_of(replica), "") for replica in taken)
     ordered: list[str] = []
     while left:
         best = min(left, key=lambda replica: (counts[zones.get(ip_of(replica), "")], replica))
--- a/cranebank/control/membership.py
+++ b/cranebank/control/membership.py
@@ -67,6 +67,8 @@
     members = set(view.members)
     newcomers = sorted(set(view.newcomers) - members)
     removable = _removable(view)
+    if not newcomers and not removable:
+        return None  # nobody to admit, nobody to take out
     for newcomer in newcomers:
         earlier = next((member for member in view.members if ip_of(member) == ip_of(newcomer)), None)
         if earlier is not None and earlier in removable and view.silence[earlier] > REPLACED_S:
--- a/cranebank/control/primary.py
+++ b/cranebank/control/primary.py
@@ -131,6 +131,9 @@
 
     def _replacement_copies(self, leadership: Leadership, record: EpochRecord, good: list[str]) -> list[str]:
         """Return the members, best first, of whom as many as are missing are to become copies."""
+        missing = self._target(record) - len(good)
+        if missing <= 0:
+            return []
         fit = [
             replica
             for replica in record.members
@@ -140,7 +143,7 @@
         ordered = choose_by_zone(fit, good, self._zones)
         # A late one comes last, but it is tried again: it may be a message that was lost.
         ordered.sort(key=lambda replica: (replica not in holders, self._is_late(replica)))
-        return ordered[: max(0, self._target(record) - len(good))]
+        return ordered[:missing]
 
     def _healthy_copies(self, record: EpochRecord) -> list[str]:
         return [
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -233,6 +233,11 @@
         loads = self._protocol.loads.total(self.now()).values()
         return {"prefill": sum(load.prefill for load in loads), "decode": sum(load.decode for load in loads)}
 
+    @property
+    def published_revision(self) -> int:
+        """The revision of the configuration that goes out to proxies; 0: none does yet."""
+        return self._delivery.revision
+
     def overview(self) -> dict[str, Any]:
         """The state, for people."""
         status = self._consensus.status(self.now())
--- /dev/null
+++ b/tests/controlsim/in_step.py
@@ -0,0 +1,52 @@
+"""The rule that a controller is in step: judged at every moment, and not at the end of a schedule only.
+
+A controller that has been in contact with a majority for ``CATCH_UP_S``, under a primary all the while, publishes no
+configuration that is older than the newest one acknowledged when that time began.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from .judge import CATCH_UP_S
+
+if TYPE_CHECKING:
+    from .world import Machine, World
+
+
+class InStepWatch:
+    """What every controller publishes, against what was acknowledged ``CATCH_UP_S`` ago."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._acknowledged: deque[tuple[float, int]] = deque()  # when it was looked at, and the newest revision
+        self._in_contact_since: dict[str, float] = {}
+
+    def look(self) -> None:
+        """Compare all controllers with what they must have by now."""
+        world, now = self._world, self._world.scheduler.now
+        self._acknowledged.append((now, world.judge.ledger.newest))
+        while len(self._acknowledged) > 1 and self._acknowledged[1][0] <= now - CATCH_UP_S:
+            self._acknowledged.popleft()
+        has_primary = world.primary() is not None
+        for machine in world.machines.values():
+            if has_primary and self._is_in_contact(machine):
+                self._look_at(machine)
+            else:
+                self._in_contact_since.pop(machine.ip, None)
+
+    def _is_in_contact(self, machine: Machine) -> bool:
+        is_well = machine.controller is not None and not machine.is_frozen and not machine.troubles
+        return is_well and not machine.is_removed and machine.ip not in self._world.contactless
+
+    def _look_at(self, machine: Machine) -> None:
+        now = self._world.scheduler.now
+        since = max(self._in_contact_since.setdefault(machine.ip, now), machine.back_at)
+        if now - since < CATCH_UP_S or machine.controller is None:
+            return
+        judge = self._world.judge
+        judge.counts["controllers looked at that must be in step"] += 1
+        revision, wanted = machine.controller.published_revision, self._acknowledged[0][1]
+        if revision < wanted:
+            judge.breach("in step", f"{machine.ip} publishes {revision}; {wanted} was acknowledged {CATCH_UP_S} s ago")
--- a/tests/mutants_replication.py
+++ b/tests/mutants_replication.py
@@ -5,6 +5,14 @@
 from mutant import Mutant, Point
 
 REPLICATION_MUTANTS = (
+    Mutant(
+        Point.HUNDREDS_OF_CHANGES,
+        "changes in a row keep a peer waiting that is behind",
+        "control/delivery.py",
+        "if max(peer.revision, peer.sent) >= before:",
+        "if True:",
+        "test_delivery.py",
+    ),
     Mutant(
         Point.TWO_OPERATORS,
         "a call that may have been taken is refused",
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -186,6 +186,16 @@
     patch.setattr(BackendOrder, "blocks", lambda self, now: True)
 
 
+def _controllers_are_sent_nothing(patch: pytest.MonkeyPatch) -> None:
+    configure = Delivery._configure
+
+    def to_proxies_only(self: Delivery, now: float, link: Any, peer: Any) -> None:
+        if peer.slot >= 0:
+            configure(self, now, link, peer)
+
+    patch.setattr(Delivery, "_configure", to_proxies_only)
+
+
 PLANTS: tuple[tuple[Plant, str, set[str]], ...] = (
     (_no_lease, "cut", {"lease", "reading", "two on one base"}),
     (_published_without_contact, "cut", {"contact"}),
@@ -198,6 +208,7 @@
     (_forgets_wipes, "losses", {"reading", "two on one base", "in step", "lease", "error", "two of one number"}),
     (_unsynced, "losses", {"reading", "two on one base", "two of one number", "lease"}),
     (_grows_to_even_groups, "losses", {"majority", "recovery"}),
+    (_controllers_are_sent_nothing, "losses", {"in step"}),
     (_restarts_without_its_value, "orders", {"reading", "two on one base", "in step", "two of one number", "error"}),
     (_wrong_caller, "resets", {"two on one base", "refused", "two of one number"}),
     (_no_hand_out, "many", {"in step", "recovery", "reading", "resend"}),
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -138,6 +138,32 @@
     assert configured(delivery.pop_messages()) == [(5, 7)]
 
 
+def test_changes_in_a_row_do_not_keep_anybody_waiting() -> None:
+    """A peer that gets none from elsewhere is sent the newest one a little after the first, not after the last."""
+    delivery = made(1)
+    delivery.join(0, "c", "c-2", "10.0.1.1", False, 0, ())
+    delivery.committed(1.0, 1, b"{}")
+    sent: dict[Hashable, float] = {}
+    for step in range(1, 20):
+        now = 1.0 + step * 0.1
+        delivery.committed(now, 1 + step, b"{}")
+        delivery.tick(now)
+        for link, _ in configured(delivery.pop_messages()):
+            sent.setdefault(link, now)
+    assert sent[0] <= 1.0 + BACKUP_S + 0.11
+    assert sent["c"] <= 1.0 + CONTROLLER_S + 0.11
+
+
+def test_a_peer_that_keeps_in_step_is_sent_nothing_by_others_than_the_primary() -> None:
+    delivery = made(1)
+    for step in range(20):
+        now = 1.0 + step * 0.1
+        delivery.committed(now, 1 + step, b"{}")
+        delivery.observe_revision(0, 1 + step)
+        delivery.tick(now)
+    assert configured(delivery.pop_messages()) == []
+
+
 def test_a_proxy_without_any_configuration_gets_one_from_whoever_has_it() -> None:
     """It serves nobody until then, and there may be no primary for a while."""
     delivery = made(1)
