--- a/tests/controlsim/actors.py
+++ b/tests/controlsim/actors.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -105,6 +106,7 @@
     ) -> None:
         self.world, self.name, self.random, self._reaches = world, name, random, reaches
         self.loop = world.process(name, world.next_caller_ip())
+        self._failed = ""  # whom it asked last, where that came to nothing: it goes on to another one
         self.impatience = 0.0  # share of the calls whose answer is lost on its way
 
     def pick(self, without: str = "") -> str:
@@ -116,7 +118,8 @@
         self, method: str, path: str, body: bytes = b"", base: int | None = None, ip: str = ""
     ) -> Answer | None:
         """One try, to a controller and on to whom it names."""
-        ip = ip or self.pick()
+        ip = ip or self.pick(without=self._failed)
+        self._failed = ip
         silence_s = SILENCE_S
         if self.random.random() < self.impatience:
             silence_s = self.random.uniform(0.002, 0.05)
@@ -128,6 +131,7 @@
             if self.world.lost_contact_s(ip) > CONTACT_S:
                 self.world.judge.counts[f"answers {answer.status} of a controller without a majority"] += 1
             if answer.status != 307:
+                self._failed = ip if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR else ""
                 return answer
             ip = answer.headers["location"].removeprefix("http://").partition(":")[0]
         return None
