Orders to backends are named in the replicated record: a successor orders others at once

Change: intents (backend, stage) in the epoch's record, chosen by a majority before an order is written, taken over by every later record, dropped no sooner than 3.8 s after. A successor leaves alone only whom the record names, asks those for their reports after 1 s, and orders any other backend about 1 s after its lease. A record of a version without intents makes all wait, as before.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -24,7 +24,7 @@
     Value,
 )
 from cranebank.control.election import RETIRED_PAUSE_S
-from cranebank.control.epochs import ip_of
+from cranebank.control.epochs import OrderIntent, ip_of
 from cranebank.control.primary import ASK_S, Primary
 from cranebank.control.replica import DISK_AGAIN_S, LEAVING_FRESH_S
 from cranebank.invariants import InvariantBroken
@@ -60,8 +60,17 @@
             members=record.members if record is not None else (),
             revision=self._value.revision,
             term=record.term if record is not None else -1,
+            intents=self._named_intents(),
         )
 
+    def _named_intents(self) -> tuple[OrderIntent, ...] | None:
+        """Return the intents that every successor will know of: a record that is proposed may be chosen already."""
+        record, proposal = self._acceptor.chosen, self._proposal
+        if record is None or record.intents is None or proposal is None or self._leadership is None:
+            return record.intents if record is not None else None
+        coming = (proposal.record or proposal.own).intents or ()
+        return tuple(intent for intent in record.intents if intent in coming)
+
     # Events.
 
     def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
@@ -86,6 +95,9 @@
             self._write(event)
         elif isinstance(event, ev.Located):
             self._locate(event)
+        elif isinstance(event, ev.SetIntents):
+            if self._leadership is not None:
+                self._leadership.wanted_intents = event.intents
         else:
             self._is_retired = True
             if not self._must_lead_on():
@@ -169,7 +181,11 @@
             self._start_writes(leadership)
         self._send_stores(leadership, record)
         if self._proposal is None and self.holds(now):
-            changed = self._changed_copies(leadership, record) or self._changed_members(record)
+            changed = (
+                self._changed_copies(leadership, record)
+                or self._changed_members(record)
+                or self._changed_intents(leadership, record)
+            )
             if changed is not None:
                 self._propose(changed)
 
--- a/cranebank/control/custody_types.py
+++ b/cranebank/control/custody_types.py
@@ -9,7 +9,7 @@
 
 from cranebank.control import events as ev
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
-from cranebank.control.epochs import HeldLease
+from cranebank.control.epochs import HeldLease, OrderIntent
 
 FILE = "custody"
 """Name of the file in the data folder."""
@@ -93,6 +93,7 @@
         self.last_sent: dict[str, tuple[int, float]] = {}
         self.committed: Value | None = None
         self.change: PendingChange | None = None
+        self.wanted_intents: tuple[OrderIntent, ...] | None = None  # None: the record's stay as they are
 
     def forget_others(self, members: Iterable[str]) -> None:
         """Drop what is known of replicas that are members no longer."""
--- a/cranebank/control/election.py
+++ b/cranebank/control/election.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from cranebank.control import events as ev
 from cranebank.control.custody_types import State
 from cranebank.control.epochs import Ballot, EpochRecord, Proposal, choose_by_zone
@@ -42,7 +44,8 @@
         assert record is not None
         epoch = record.epoch + 1
         self._change(State.CANDIDATE, "no primary")
-        self._propose(EpochRecord(epoch, epoch, self._id, record.copies or self._first_copies(record), record.members))
+        copies = record.copies or self._first_copies(record)
+        self._propose(msgspec.structs.replace(record, epoch=epoch, term=epoch, primary=self._id, copies=copies))
 
     def _first_copies(self, record: EpochRecord) -> tuple[str, ...]:
         """Before the first primary nothing was ever taken, so every member holds all: one alone might not come back."""
--- a/cranebank/control/epochs.py
+++ b/cranebank/control/epochs.py
@@ -20,19 +20,28 @@
 REPLICAS_KEPT = 1024  # addresses of replicas that are remembered, beyond all that a group ever has at a time
 
 
+class OrderIntent(msgspec.Struct, frozen=True):
+    """A primary may order this backend to this stage, or has done so lately."""
+
+    backend: str
+    stage: str
+
+
 class EpochRecord(msgspec.Struct, frozen=True):
-    """Who is primary, who holds the data and who votes. `term` is the epoch at which the primary took over."""
+    """Who is primary, who holds the data and who votes. `term` is the epoch at which the primary took over. `intents`
+    are the orders to backends that a primary may have sent lately, None where a version that records none wrote it."""
 
     epoch: int
     term: int
     primary: str
     copies: tuple[str, ...]
     members: tuple[str, ...]
+    intents: tuple[OrderIntent, ...] | None = None
 
 
 def initial_record(seeds: Iterable[str]) -> EpochRecord:
     """Return the record that everybody derives from the settings of the first start."""
-    return EpochRecord(0, 0, "", (), tuple(sorted(set(seeds))))
+    return EpochRecord(0, 0, "", (), tuple(sorted(set(seeds))), ())
 
 
 @lru_cache(maxsize=REPLICAS_KEPT)
--- a/cranebank/control/events.py
+++ b/cranebank/control/events.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
-from cranebank.control.epochs import Ballot, EpochRecord
+from cranebank.control.epochs import Ballot, EpochRecord, OrderIntent
 
 # Messages between controllers. `sender` is the replica id of who sends.
 
@@ -187,11 +187,17 @@
     zone: str
 
 
+class SetIntents(msgspec.Struct, frozen=True):
+    """The orders to backends that the record is to name, if this is the primary. `Status.intents` tells when so."""
+
+    intents: tuple[OrderIntent, ...]
+
+
 class Retire(msgspec.Struct, frozen=True):
     """The process will end soon: give up the primary's part and don't stand again."""
 
 
-Event = Tick | Received | Persisted | DiskTrouble | LinkDown | Write | Located | Retire
+Event = Tick | Received | Persisted | DiskTrouble | LinkDown | Write | Located | SetIntents | Retire
 
 
 # Results of a write.
@@ -282,3 +288,4 @@
     members: tuple[str, ...]
     revision: int
     term: int = -1  # the epoch at which that primary took over
+    intents: tuple[OrderIntent, ...] | None = None  # that the newest record names, and one that is proposed, too
--- a/cranebank/control/primary.py
+++ b/cranebank/control/primary.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from cranebank.control import events as ev
 from cranebank.control.custody_types import Leadership
 from cranebank.control.election import RETIRED_PAUSE_S, Candidate
@@ -209,14 +211,13 @@
             return None  # it could not be completed, and until then nothing else can be changed
         return self._next(record, members=new)
 
+    def _changed_intents(self, leadership: Leadership, record: EpochRecord) -> EpochRecord | None:
+        """Return the record with the intents that are wanted, None when it has them."""
+        wanted = leadership.wanted_intents
+        if wanted is None or wanted == record.intents:
+            return None
+        return self._next(record, intents=wanted)
+
     @staticmethod
-    def _next(
-        record: EpochRecord, copies: tuple[str, ...] | None = None, members: tuple[str, ...] | None = None
-    ) -> EpochRecord:
-        return EpochRecord(
-            record.epoch + 1,
-            record.term,
-            record.primary,
-            record.copies if copies is None else copies,
-            record.members if members is None else members,
-        )
+    def _next(record: EpochRecord, **changes: object) -> EpochRecord:
+        return msgspec.structs.replace(record, epoch=record.epoch + 1, **changes)
--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -1,9 +1,9 @@
 """Keeps the stages of each service staffed by ordering backends to change theirs: a core free of I/O.
 
 Only the primary orders, under its lease, with its epoch as the fence. A fence that a backend refused is not used again.
-After a takeover it waits until no order of the former primary can arrive within the rule's lease time of its own first
-one. A backend has one order at a time, and so has a service. What became of an order that got no clear answer is learnt
-from the backend's report and heartbeats.
+An order is sent once the replicated record names it: a successor knows whom it must leave alone for a while, and looks
+after what became of it (``order_intents``). A backend has one order at a time. What became of an order that got no
+clear answer is learnt from the backend's report and heartbeats.
 
 docs/stage-orders.md says why it is done so. Times are a steady clock's seconds.
 """
@@ -17,6 +17,8 @@
 import msgspec
 from loguru import logger
 
+from cranebank.control.epochs import OrderIntent
+from cranebank.control.order_intents import OrderIntents
 from cranebank.control.stage_events import (
     Action,
     Answered,
@@ -50,6 +52,7 @@
 
 CONFIRM_S = 0.5  # for so long a need must have held: a replacement's first heartbeat may be on its way
 CONFIRM_LOAD_S = 2.0  # the same where a stage is only too busy: one that is released is replaced within a heartbeat
+RECORD_LIMIT_S = 2.0  # an order that the record does not name by then is given up
 CONNECT_LIMIT_S = 1.0  # an order whose connection took longer is abandoned: it was decided on by what was known then
 REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
 UNFIT_S = 5.0  # a backend that could not be reached is passed over for so long
@@ -61,11 +64,11 @@
 
 
 class BalancerSettings(msgspec.Struct, frozen=True):
-    """``owner`` is this controller's name in its orders; ``takeover_wait_s`` how long after a takeover it sends none;
-    ``beat_s`` the time between a backend's heartbeats."""
+    """``owner`` is this controller's name in its orders; ``turn_wait_s`` how long after a takeover it leaves alone whom
+    a former primary may have ordered; ``beat_s`` the time between a backend's heartbeats."""
 
     owner: str
-    takeover_wait_s: float
+    turn_wait_s: float
     beat_s: float
 
 
@@ -82,7 +85,7 @@
         self._needed: dict[str, tuple[Need, float]] = {}  # by service: what it needs, and since when
         self._unattended_since: dict[str, float] = {}
         self._term: int | None = None
-        self._orders_from = float("inf")
+        self._intents = OrderIntents(settings.turn_wait_s)
         self._last_fence = -1
         self._refused_fence = -1  # a backend has seen a higher one
         self._looked_at = float("-inf")
@@ -100,6 +103,10 @@
         """By service: what it needs, and since when."""
         return self._needed
 
+    def intents(self, now: float) -> tuple[OrderIntent, ...] | None:
+        """What the replicated record must name, while this controller is the primary; None: it stays as it is."""
+        return self._intents.wanted(now, self.orders)
+
     def held(self, now: float) -> dict[str, float]:
         """The backends that are about to change their stage and run nothing new, and for how much longer at most."""
         ends = {order.backend.id: order.began_at + order.overdue_s for order in self.orders}
@@ -154,6 +161,7 @@
             self._unattended_since.clear()
         self._looked_at = now
         self._follow_authority(now, look.authority)
+        self._follow_former(now, look)
         for order in self.orders:
             self._follow(now, order, look)
         self._forget(now, look.records)
@@ -167,15 +175,36 @@
             self._staff(now, look.services[name], stages, look)
 
     def _follow_authority(self, now: float, authority: Authority) -> None:
-        """A new term begins with a wait. In one and the same term no other controller has been primary."""
+        """In a new term the orders of former primaries count. In one and the same term nobody else has been primary."""
         if authority.holds_lease and authority.term != self._term:
             self._term = authority.term
-            self._orders_from = now + self._settings.takeover_wait_s
+            self._intents.begin_term(now, authority.recorded)
 
-    def _may_order(self, now: float, authority: Authority) -> bool:
+    def _may_order(self, authority: Authority) -> bool:
         if authority.fence <= self._refused_fence:
             return False
-        return authority.holds_lease and authority.term == self._term and now >= self._orders_from
+        return authority.holds_lease and authority.term == self._term
+
+    def _may_send(self, now: float, order: BackendOrder, authority: Authority) -> bool:
+        """Whether a successor would know of this order, and no order of a predecessor can be near."""
+        is_recorded = (authority.recorded or {}).get(order.backend.id) == order.stage
+        return is_recorded and self._may_order(authority) and self._intents.is_turn(now, order.backend.id)
+
+    def _follow_former(self, now: float, look: Look) -> None:
+        """Look after orders that a former primary may have sent: they may be under way, and their backends switch."""
+        if not look.authority.holds_lease or not look.is_registry_current:
+            return
+        ordered = {order.backend.id for order in self.orders}
+        for name in self._intents.unfollowed:
+            stage, record = self._intents.pop_unfollowed(name), look.records.get(name)
+            if record is None or record.phase != "ready" or record.stage == stage or name in ordered:
+                continue
+            service = look.services.get(record.target)
+            if service is None or stage not in set(Stage):
+                continue
+            order = BackendOrder(next(self._numbers), now, record, Stage(stage), service.switch_s)
+            self._orders[order.number] = order
+            self._change(now, order, OrderState.UNKNOWN)
 
     def _follow(self, now: float, order: BackendOrder, look: Look) -> None:
         """What the registry tells of an order's backend, and what time does."""
@@ -184,7 +213,9 @@
             self._end(now, order, "backend left")
         elif record.stage == order.stage and record.call_seq > order.backend.call_seq:
             self._end(now, order, "settled")
-        elif order.state is OrderState.CONNECTING and now - order.began_at > CONNECT_LIMIT_S:
+        elif order.state is OrderState.INTENDED:
+            self._follow_intended(now, order, look.authority)
+        elif order.state is OrderState.CONNECTING and now - order.changed_at > CONNECT_LIMIT_S:
             self._pass_over(now, order, UNFIT_S, "unreachable")
         elif order.state in AWAITED and now - order.changed_at >= order.overdue_s:
             self._change(now, order, OrderState.UNKNOWN)
@@ -196,6 +227,13 @@
             self._change(now, order, OrderState.REPORTING)
             self._actions.append(AskReport(order.number, record))
 
+    def _follow_intended(self, now: float, order: BackendOrder, authority: Authority) -> None:
+        if self._may_send(now, order, authority):
+            self._change(now, order, OrderState.CONNECTING)
+            self._actions.append(Connect(order.number, order.backend))
+        elif now - order.changed_at > RECORD_LIMIT_S:
+            self._end(now, order, "not recorded")
+
     def _end(self, now: float, order: BackendOrder, why: str) -> None:
         self.counts[why] += 1
         self._change(now, order, OrderState.OVER)
@@ -233,7 +271,7 @@
         if known is None or known[0] != need:
             known = self._needed[service.name] = need, now
         candidate = None
-        if self._may_order(now, look.authority) and self._may_have_another(now, service.name, stages, need):
+        if self._may_order(look.authority) and self._may_have_another(now, service.name, stages, need):
             candidate = self._candidate(now, stages.of(need.stage.other), look.heard_at)
         self._check_attended(now, service.name, candidate is None or not need.is_urgent)
         if candidate is not None and now - known[1] >= (CONFIRM_S if need.is_urgent else CONFIRM_LOAD_S):
@@ -247,7 +285,7 @@
         under_way = self._under_way(now, service)
         if need.is_urgent:
             return all(order.stage is not need.stage for order in under_way)
-        return len(under_way) < _most_ordered(stages)
+        return len(under_way) < _most_ordered(stages) and self._intents.has_room(now, self.orders)
 
     def _under_way(self, now: float, service: str) -> list[BackendOrder]:
         return [order for order in self.orders if order.backend.target == service and order.blocks(now)]
@@ -282,8 +320,8 @@
         self._require(now - since <= UNATTENDED_S, "a stage that is needed gets an order in time")
 
     def _candidate(self, now: float, backends: Iterable[Backend], heard_at: Mapping[str, float]) -> Backend | None:
-        """Who is to change its stage: heard lately and not passed over; rather one that left no order untaken, is warm,
-        and is of the zone that has the most of them."""
+        """Who is to change its stage: heard lately, not passed over, and not ordered by another holder just now; rather
+        one that left no order untaken, is warm, and is of the zone that has the most of them."""
         heard_since = now - HEARD_BEATS * self._settings.beat_s - HEARD_MARGIN_S
         ordered = {order.backend.id for order in self.orders}
         fit = [
@@ -292,6 +330,7 @@
             if heard_at.get(one.id, float("-inf")) >= heard_since
             and one.id not in ordered
             and one.id not in self._unfit_until
+            and self._intents.is_turn(now, one.id)
         ]
         zones = Counter(one.zone for one in fit)
 
@@ -304,7 +343,6 @@
         order = BackendOrder(next(self._numbers), now, backend, stage, service.switch_s)
         self._orders[order.number] = order
         logger.info("service {}: {} is to be {}", service.name, backend.id, stage)
-        self._actions.append(Connect(order.number, backend))
 
     # Sending.
 
@@ -312,7 +350,7 @@
         """The last look before an order is written."""
         if order.state is not OrderState.CONNECTING:
             return
-        if not self._may_order(now, authority) or now - order.began_at > CONNECT_LIMIT_S:
+        if not self._may_send(now, order, authority) or now - order.changed_at > CONNECT_LIMIT_S:
             self._end(now, order, "abandoned")
             return
         self._check_order(now, order, authority)
@@ -320,12 +358,16 @@
         body = Order(order.stage, self._settings.owner, authority.fence, expected=expected)
         self.counts["sent"] += 1
         order.fence = authority.fence
+        self._intents.sent(now, order)
         self._change(now, order, OrderState.SENT)
         self._actions.append(Transmit(order.number, body))
 
     def _check_order(self, now: float, order: BackendOrder, authority: Authority) -> None:
         others = [one for one in self.orders if one is not order]
-        self._require(authority.holds_lease and now >= self._orders_from, "orders are sent under the lease only")
+        self._require(authority.holds_lease, "orders are sent under the lease only")
+        self._require(
+            self._may_send(now, order, authority), "an order is recorded, and its backend free, when it is sent"
+        )
         self._require(authority.fence >= self._last_fence, "the fence never falls")
         self._require(all(one.backend.id != order.backend.id for one in others), "a backend has one order at a time")
         self._last_fence = max(self._last_fence, authority.fence)
--- a/cranebank/control/stage_events.py
+++ b/cranebank/control/stage_events.py
@@ -25,11 +25,13 @@
 
 class Authority(msgspec.Struct, frozen=True):
     """Whether this controller is the primary by a lease that runs now, the epoch at which it took over, and the newest
-    epoch, which is the fence of its orders."""
+    epoch, which is the fence of its orders. ``recorded``: the orders that the replicated record names, stage by
+    backend; None where it was written by a version that names none."""
 
     holds_lease: bool
     term: int = -1
     fence: int = -1
+    recorded: Mapping[str, str] | None = None
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/cranebank/control/stage_order.py
+++ b/cranebank/control/stage_order.py
@@ -14,7 +14,8 @@
 class OrderState(Enum):
     """Of the order to one backend; a backend without one is idle."""
 
-    CONNECTING = "connecting"  # nothing was sent
+    INTENDED = "intended"  # a successor does not know of it yet: nothing may be sent
+    CONNECTING = "connecting"  # the replicated record names it; nothing was sent
     SENT = "sent"  # no answer yet
     UNKNOWN = "unknown"  # it may have been taken
     REPORTING = "reporting"  # the backend is asked what became of it
@@ -23,6 +24,7 @@
 
 
 NEXT_STATES: Mapping[OrderState, frozenset[OrderState]] = {
+    OrderState.INTENDED: frozenset({OrderState.CONNECTING, OrderState.UNKNOWN, OrderState.OVER}),
     OrderState.CONNECTING: frozenset({OrderState.SENT, OrderState.OVER}),
     OrderState.SENT: frozenset({OrderState.SWITCHING, OrderState.UNKNOWN, OrderState.OVER}),
     OrderState.UNKNOWN: frozenset({OrderState.REPORTING, OrderState.OVER}),
@@ -44,7 +46,7 @@
 
     def __init__(self, number: int, now: float, backend: Backend, stage: Stage, switch_s: float) -> None:
         self.number, self.backend, self.stage, self.switch_s = number, backend, stage, switch_s
-        self.state = OrderState.CONNECTING
+        self.state = OrderState.INTENDED
         self.fence = -1  # that it was sent with
         self.began_at = self.changed_at = now
 
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -87,6 +87,7 @@
             self.registry,
             self._protocol.loads.total,
             self._tell_proxies,
+            lambda intents: self._driver.feed(events.SetIntents(intents)),
         )
         self._api = Server(OperatorApi(self).calls(), self.now)
         self._linked_at = now  # when another controller was last linked
--- a/cranebank/programs/stage_duty.py
+++ b/cranebank/programs/stage_duty.py
@@ -15,6 +15,7 @@
 
 from cranebank.background import BackgroundTasks
 from cranebank.control.consensus import ConsensusCore
+from cranebank.control.epochs import OrderIntent
 from cranebank.control.registry import LARGEST_COUNT, Registry
 from cranebank.control.stage_balancer import BalancerSettings, StageBalancer
 from cranebank.control.stage_events import (
@@ -46,9 +47,9 @@
 MS_PER_S = 1000.0
 
 
-def takeover_wait_s(settings: NodeSettings) -> float:
-    """How long a new primary sends no orders: the former one's last has then arrived or been reset for longer than the
-    rule's lease time."""
+def turn_wait_s(settings: NodeSettings) -> float:
+    """How long a new primary leaves alone whom a former one may have ordered: the last such order has then arrived or
+    been reset for longer than the rule's lease time."""
     return settings.bounds.lease_ms / MS_PER_S + ANSWER_S + MARGIN_S
 
 
@@ -112,13 +113,16 @@
         registry: Registry,
         loads: Callable[[float], Mapping[str, StageLoad]] = lambda now: {},
         hold_off: Callable[[HoldOff], None] = lambda message: None,
+        record_intents: Callable[[tuple[OrderIntent, ...]], None] = lambda intents: None,
     ) -> None:
-        """``loads`` tells what proxies ask of each service's stages; ``hold_off`` sends a message to all proxies."""
+        """``loads`` tells what proxies ask of each service's stages; ``hold_off`` sends a message to all proxies;
+        ``record_intents`` has the replicated record name these orders."""
+        self._record_intents = record_intents
         self._now, self._consensus, self._holds_lease, self._registry = now, consensus, holds_lease, registry
         self._loads, self._hold_off = loads, hold_off
         self._held: set[str] = set()  # backends that proxies were told to send nothing to
         self.balancer = StageBalancer(
-            BalancerSettings(settings.node_name, takeover_wait_s(settings), settings.beat_ms / MS_PER_S)
+            BalancerSettings(settings.node_name, turn_wait_s(settings), settings.beat_ms / MS_PER_S)
         )
         self._services: dict[str, Service] = {}
         self._revision = -1
@@ -144,10 +148,19 @@
         is_current = registry.is_current(now)
         loads = self._loads(now) if authority.holds_lease else {}
         self._feed(Look(authority, self._services, registry.records, registry.heard_at, is_current, loads))
+        if authority.holds_lease:
+            self._keep_recorded(authority, self.balancer.intents(now))
+
+    def _keep_recorded(self, authority: Authority, intents: tuple[OrderIntent, ...] | None) -> None:
+        if intents is not None and authority.recorded != {intent.backend: intent.stage for intent in intents}:
+            self._record_intents(intents)
 
     def _authority(self) -> Authority:
         status = self._consensus.status(self._now())
-        return Authority(self._holds_lease(), status.term, status.epoch)
+        recorded = None
+        if status.intents is not None:
+            recorded = {intent.backend: intent.stage for intent in status.intents}
+        return Authority(self._holds_lease(), status.term, status.epoch, recorded)
 
     def _read_configuration(self) -> None:
         current = self._consensus.current
