A confirmed drain or leave is on the disks of a majority before its 200

Cause: the controllers acknowledged ends of backends from memory; all of them losing power within the 0.4 s until the registry's next copy forgot one that had been confirmed (known again only by proxies or the next heartbeat). Change: ends have a record of their own on disk, written before they are acknowledged to the controller that told of them, or count as held here.

--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -217,6 +217,10 @@
             if record.phase in ENDING
         )
 
+    def endings(self) -> tuple[Backend, ...]:
+        """The records of all that drain or are gone, the last minute's."""
+        return tuple(record for record in self.records.values() if record.phase in ENDING)
+
     def everything(self) -> tuple[Backend, ...]:
         """All records, ends of the last minute too."""
         return tuple(self.records.values())
--- a/cranebank/control/replication.py
+++ b/cranebank/control/replication.py
@@ -1,8 +1,9 @@
 """Which other controllers have acknowledged this one's registry changes: the core, free of I/O.
 
 Changes that end a backend's service (a drain, a leave) are numbered. On every connection a number covers all changes
-that were sent before it, so an acknowledgement of a number confirms all lower ones too. What is confirmed by a majority
-of the members, this controller counted, is known to at least one controller of every later majority.
+that were sent before it, so an acknowledgement of a number confirms all lower ones too. A controller acknowledges what
+is on its disk, and so does this one to itself. What is confirmed by a majority of the members is known to at least one
+controller of every later majority, also after all of them have lost power.
 """
 
 from __future__ import annotations
@@ -14,10 +15,9 @@
     """Numbers of changes, who has acknowledged them, and who waits for a majority."""
 
     def __init__(self, own_ip: str) -> None:
-        self._own_ip = own_ip
-        self._acknowledged: dict[str, int] = {}
-        self._waiting: list[tuple[int, Callable[[], None]]] = []
         self.number = 1  # of the newest change; 0 on the wire asks for no acknowledgement
+        self._acknowledged = {own_ip: self.number}
+        self._waiting: list[tuple[int, Callable[[], None]]] = []
 
     def advance(self) -> int:
         """Number a change that is sent now."""
@@ -25,7 +25,7 @@
         return self.number
 
     def acknowledge(self, ip: str, number: int, members: Collection[str]) -> None:
-        """The controller at this address has taken all changes up to ``number``."""
+        """The controller at this address has all changes up to ``number`` on its disk."""
         self._acknowledged[ip] = max(number, self._acknowledged.get(ip, 0))
         reached = [entry for entry in self._waiting if self.is_confirmed(entry[0], members)]
         self._waiting = [entry for entry in self._waiting if entry not in reached]
@@ -38,7 +38,7 @@
 
     def is_confirmed(self, number: int, members: Collection[str]) -> bool:
         """Whether more than half of the members (by IP) have this change; nobody's consent is known without members."""
-        holders = sum(ip == self._own_ip or self._acknowledged.get(ip, 0) >= number for ip in members)
+        holders = sum(self._acknowledged.get(ip, 0) >= number for ip in members)
         return 2 * holders > len(members)
 
     def when_confirmed(self, number: int, on_confirmed: Callable[[], None]) -> None:
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -20,10 +20,9 @@
 from cranebank.control.custody import FILE, PUBLISHED, Custody, CustodySettings
 from cranebank.programs import ring as ring_module
 from cranebank.programs.controller import Controller
-from cranebank.programs.local_state import KNOWN, NoDisk, Storage
+from cranebank.programs.local_state import NoDisk, Storage, recalled_records
 from cranebank.programs.settings import NodeSettings, load
 from cranebank.storage.records import StorageError
-from cranebank.transport.messages import Backend
 
 __all__ = ["Controller", "losses", "make_controller", "run"]
 
@@ -80,8 +79,7 @@
         return made
 
     published = msgspec.msgpack.decode(stored[PUBLISHED], type=tuple[int, bytes]) if PUBLISHED in stored else None
-    recalled = msgspec.msgpack.decode(stored[KNOWN], type=tuple[Backend, ...]) if KNOWN in stored else ()
-    return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, recalled)
+    return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, recalled_records(stored))
 
 
 async def run(settings: NodeSettings, ring: ring_module.Ring | None = None) -> int:
--- a/cranebank/programs/local_state.py
+++ b/cranebank/programs/local_state.py
@@ -1,7 +1,8 @@
 """What a controller keeps on its own disk besides the consensus core's state: its registry and what it published.
 
-Nothing waits for these writes and nothing agreed depends on them: they only shorten the next start. A disk in trouble
-is reported in the log; the next write is another try.
+Only the ends of backends are waited for: they are confirmed once a majority of the controllers has them on its disks.
+Nothing agreed depends on the other writes, which shorten the next start. A disk in trouble is reported in the log; the
+next write is another try.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from cranebank.transport.messages import Backend
 
 KNOWN = "known"  # key of the registry's records
+ENDED = "ended"  # key of the records of backends that drain or are gone
 KEEP_S, KEEP_FEW, KEEP_MANY_S = 0.4, 500, 5.0  # between writes of the registry: with few records, and with more
 LAST_S = 0.5  # for the last write of a process that ends
 
@@ -61,7 +63,7 @@
 
     def keep_published(self, revision: int, document: bytes) -> None:
         """Keep the configuration that was published last, for the next start."""
-        self.start_task(self._keep(PUBLISHED, _encode((revision, document))))
+        self.start_task(self._try_to_keep(PUBLISHED, _encode((revision, document))))
 
     def keep_registry(self, now: float, records: Callable[[], tuple[Backend, ...]], count: int) -> None:
         """Keep the registry for the next start, now and then: after a loss of all power proxies need not wait a beat
@@ -70,7 +72,11 @@
         if not self.registry_changed or now - self._registry_kept_at < pause:
             return
         self._registry_kept_at, self.registry_changed = now, False
-        self.start_task(self._keep(KNOWN, _encode(records())))
+        self.start_task(self._try_to_keep(KNOWN, _encode(records())))
+
+    async def keep_endings(self, records: tuple[Backend, ...]) -> bool:
+        """Keep these ends for the next start; whether they last."""
+        return await self._keep(ENDED, _encode(records))
 
     async def close(self, records: tuple[Backend, ...]) -> None:
         """The last write; a disk that hangs holds up no end."""
@@ -80,8 +86,23 @@
                     await self._keep(KNOWN, _encode(records))
         await self._storage.close()
 
-    async def _keep(self, key: str, value: bytes) -> None:
+    async def _try_to_keep(self, key: str, value: bytes) -> None:
+        await self._keep(key, value)
+
+    async def _keep(self, key: str, value: bytes) -> bool:
         try:
             await self._storage.put({key: value})
         except StorageError as error:
             logger.warning("disk: {}", error)
+            return False
+        return True
+
+
+def recalled_records(stored: Mapping[str, bytes]) -> tuple[Backend, ...]:
+    """The registry's records of an earlier life, from what was read from the disk; the ends come last."""
+    return tuple(
+        record
+        for key in (KNOWN, ENDED)
+        if key in stored
+        for record in msgspec.msgpack.decode(stored[key], type=tuple[Backend, ...])
+    )
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -1,8 +1,8 @@
 """The registry of a controller on its links: publishing changes, and confirming that a backend drains or is gone.
 
-An end of a backend is confirmed to its caller only when a majority of the controllers has acknowledged it, this one
-counted: so no majority that forms later lacks it. The linked proxies are waited for as well, but not for longer than
-the caller's patience. Each connection to a controller begins with the whole registry.
+An end of a backend is confirmed to its caller only when it is on the disks of a majority of the controllers, this one
+counted: so no majority that forms later lacks it, whatever was killed or lost power. The linked proxies are waited for
+as well, but not for longer than the caller's patience. Each connection to a controller begins with the whole registry.
 
 Who was heard, and what changed, also goes to controllers that there is no connection to, by way of proxies: a backend
 whose heartbeats reach the other side of a partition only is alive all the same.
@@ -81,7 +81,10 @@
         if not acks.done:
             self._endings.update(dict.fromkeys(endings, acks))
         send_deliveries(self._delivery)
-        self._tell_all(RegistrySync(news, (), self._replication.advance() if endings else 0))
+        number = self._replication.advance() if endings else 0
+        self._tell_all(RegistrySync(news, (), number))
+        if number:
+            self._local_state.start_task(self._keep_own(number))
 
     def _tell_all(self, sync: RegistrySync) -> None:
         self._links.broadcast(sync)
@@ -92,10 +95,18 @@
             self._relay.send(ip, sync)
 
     def merge(self, link: Link, sync: RegistrySync) -> None:
-        """Take another controller's records, push what is news, and then acknowledge them."""
+        """Take another controller's records, push what is news, and acknowledge ends once they are on this disk."""
         self._take(link.peer, sync)
         if sync.number and self.registry.has_ended(sync.backends):
-            link.send(RegistryAck(sync.number))
+            self._local_state.start_task(self._keep_and_acknowledge(link, sync.number))
+
+    async def _keep_and_acknowledge(self, link: Link, number: int) -> None:
+        if await self._local_state.keep_endings(self.registry.endings()):
+            link.send(RegistryAck(number))
+
+    async def _keep_own(self, number: int) -> None:
+        if await self._local_state.keep_endings(self.registry.endings()):
+            self._replication.acknowledge(self._ip, number, self._member_ips())
 
     def merge_relayed(self, link: Link, source: str, sync: RegistrySync) -> None:
         """Take what a controller without a connection to this one has sent by way of the proxy on this link."""
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -13,7 +13,7 @@
 from cranebank.membership.backends import newer
 from cranebank.membership.fleet import FleetLinks
 from cranebank.programs.control import Controller, is_counted_in_machines, losses
-from cranebank.programs.local_state import KNOWN
+from cranebank.programs.local_state import recalled_records
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.transport.links import Link
 from cranebank.transport.messages import Backend, ConfigPush, Hello, Message, StageLoad
@@ -325,7 +325,7 @@
             Random(f"{self.seed} {machine.ip} {machine.lives}"),
             lambda: msgspec.structs.replace(settings, seed_addrs=self._seed_addrs(False)),
             msgspec.msgpack.decode(stored[PUBLISHED], type=tuple[int, bytes]) if PUBLISHED in stored else None,
-            msgspec.msgpack.decode(stored[KNOWN], type=tuple[Backend, ...]) if KNOWN in stored else (),
+            recalled_records(stored),
         )
         machine.loop.create_task(machine.controller.start())
 
--- a/tests/mutants_replication.py
+++ b/tests/mutants_replication.py
@@ -5,6 +5,30 @@
 from mutant import Mutant, Point
 
 REPLICATION_MUTANTS = (
+    Mutant(
+        Point.CUT_OFF,
+        "an end that another controller tells is acknowledged before it is on the disk",
+        "programs/registry_service.py",
+        "self._local_state.start_task(self._keep_and_acknowledge(link, sync.number))",
+        "link.send(RegistryAck(sync.number))",
+        "test_durable_endings.py",
+    ),
+    Mutant(
+        Point.CUT_OFF,
+        "an end counts as held here before it is on the disk",
+        "control/replication.py",
+        "self._acknowledged = {own_ip: self.number}",
+        "self._acknowledged = {own_ip: 1 << 60}",
+        "test_durable_endings.py",
+    ),
+    Mutant(
+        Point.CUT_OFF,
+        "an end that was kept is not read again at the next start",
+        "programs/local_state.py",
+        "for key in (KNOWN, ENDED)",
+        "for key in (KNOWN,)",
+        "test_durable_endings.py",
+    ),
     Mutant(
         Point.HUNDREDS_OF_CHANGES,
         "changes in a row keep a peer waiting that is behind",
