--- a/cranebank/control/stage_balancer.py
+++ b/cranebank/control/stage_balancer.py
@@ -19,6 +19,7 @@
 
 from cranebank.control.epochs import OrderIntent
 from cranebank.control.order_intents import OrderIntents
+from cranebank.control.stage_candidates import StageCandidates
 from cranebank.control.stage_events import (
     Action,
     Answered,
@@ -57,7 +58,6 @@
 REPORT_AFTER_S = 1.0  # a report may be some hundred milliseconds old: it is asked for so long after the order
 UNFIT_S = 5.0  # a backend that could not be reached is passed over for so long
 REFUSED_S = 30.0  # a backend that refused an order for good is passed over for so long
-HEARD_BEATS, HEARD_MARGIN_S = 2.0, 1.0  # only a backend heard within so many heartbeats, and this, is ordered
 STALL_S = 1.5  # after so long without a look, what was known before is old
 ORDERED_SHARE = 8  # one in so many of a service's ready backends may be under an order at once, and always one
 UNATTENDED_S = 5.0  # a stage that is needed is without an order no longer than this
@@ -80,8 +80,7 @@
         self._numbers = itertools.count(1)
         self._orders: dict[int, BackendOrder] = {}
         self._expected: dict[str, int] = {}  # orders taken by a backend, as it reported
-        self._not_taken: Counter[str] = Counter()  # orders that a backend did not take, as it reported
-        self._unfit_until: dict[str, float] = {}
+        self._candidates = StageCandidates(settings.beat_s)
         self._needed: dict[str, tuple[Need, float]] = {}  # by service: what it needs, and since when
         self._unattended_since: dict[str, float] = {}
         self._term: int | None = None
@@ -241,8 +240,7 @@
     def _forget(self, now: float, records: Mapping[str, Backend]) -> None:
         """Nothing is kept of backends that the registry has forgotten."""
         self._expected = {name: taken for name, taken in self._expected.items() if name in records}
-        self._not_taken = Counter({name: times for name, times in self._not_taken.items() if name in records})
-        self._unfit_until = {name: until for name, until in self._unfit_until.items() if until > now}
+        self._candidates.forget(now, records)
 
     def _forget_services(self, present: Set[str]) -> None:
         """What a service without backends or routes needed before is old when it is there again."""
@@ -320,24 +318,13 @@
         self._require(now - since <= UNATTENDED_S, "a stage that is needed gets an order in time")
 
     def _candidate(self, now: float, backends: Iterable[Backend], heard_at: Mapping[str, float]) -> Backend | None:
-        """Who is to change its stage: heard lately, not passed over, and not ordered by another holder just now; rather
-        one that left no order untaken, is warm, and is of the zone that has the most of them."""
-        heard_since = now - HEARD_BEATS * self._settings.beat_s - HEARD_MARGIN_S
+        """Who is to change its stage: nobody who is under an order, or was just ordered by another holder."""
         ordered = {order.backend.id for order in self.orders}
-        fit = [
-            one
-            for one in backends
-            if heard_at.get(one.id, float("-inf")) >= heard_since
-            and one.id not in ordered
-            and one.id not in self._unfit_until
-            and self._intents.is_turn(now, one.id)
-        ]
-        zones = Counter(one.zone for one in fit)
 
-        def cost(one: Backend) -> tuple[int, int, int, str]:
-            return self._not_taken[one.id], one.cold_left_ms, -zones[one.zone], one.id
+        def is_free(name: str) -> bool:
+            return name not in ordered and self._intents.is_turn(now, name)
 
-        return min(fit, key=cost, default=None)
+        return self._candidates.choose(now, backends, heard_at, is_free)
 
     def _begin(self, now: float, service: Service, backend: Backend, stage: Stage) -> None:
         order = BackendOrder(next(self._numbers), now, backend, stage, service.switch_s)
@@ -400,11 +387,11 @@
         if report.is_busy or report.stage == order.stage:
             self._change(now, order, OrderState.SWITCHING)
         else:
-            self._not_taken[order.backend.id] += 1
+            self._candidates.count_not_taken(order.backend.id)
             self._end(now, order, "not taken")
 
     def _pass_over(self, now: float, order: BackendOrder, seconds: float, why: str) -> None:
-        self._unfit_until[order.backend.id] = now + seconds
+        self._candidates.pass_over(order.backend.id, now + seconds)
         self._end(now, order, why)
 
 
--- a/tests/mutants_control.py
+++ b/tests/mutants_control.py
@@ -205,7 +205,7 @@
         Point.OTHER,
         "a backend that takes no order is ordered for ever",
         "control/stage_balancer.py",
-        "self._not_taken[order.backend.id] += 1",
+        "self._candidates.count_not_taken(order.backend.id)",
         "pass",
         "test_stage_balancer.py",
     ),
