--- a/tests/controlsim/judge.py
+++ b/tests/controlsim/judge.py
@@ -176,6 +176,12 @@
         else:
             self.counts["older configurations handed out beside a newer one"] += 1
 
+    def stood_still(self, proxy: object, seconds: float) -> None:
+        """A proxy's life stood still: what was sent to it before reaches it only now."""
+        if proxy in self._handed:
+            newest, since = self._handed[proxy]
+            self._handed[proxy] = newest, since + seconds
+
     # Backends.
 
     def ending(self, controller: str, backend: str, phase: str, lost_contact_s: float) -> None:
