--- a/tests/controlsim/__main__.py
+++ b/tests/controlsim/__main__.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from .scenarios import SCENARIOS, Played, play
+from .scenarios import SCENARIOS, Played, play, shrink
 
 SHOWN = 3  # stories of broken schedules
 HASH_SEED = "PYTHONHASHSEED"
@@ -24,6 +24,7 @@
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--go-on", default="", help="rules, with commas, whose breaches don't end a schedule")
     parser.add_argument("--story", type=int, help="print the story of this seed alone")
+    parser.add_argument("--shrink", type=int, help="leave out faults of this seed that its breach does not need")
     return parser.parse_args()
 
 
@@ -42,6 +43,11 @@
         played = play(arguments.point, arguments.story, go_on)
         _tell(played)
         return int(bool(played.breaches))
+    if arguments.shrink is not None:
+        played, left_out = shrink(arguments.point, arguments.shrink, go_on)
+        _tell(played)
+        print(f"faults that are needed: {sorted(set(range(played.faults)) - left_out)}; left out: {sorted(left_out)}")
+        return int(bool(played.breaches))
     begin = time.monotonic()
     seeds = range(arguments.first, arguments.first + arguments.schedules)
     counts: Counter[str] = Counter()
--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -42,27 +42,51 @@
     longest: dict[str, float]
     trace: list[str]
     shortest: dict[str, float]
+    faults: int = 0  # that took place or were left out
 
 
-def play(point: str, seed: int, go_on: frozenset[str] = frozenset()) -> Played:
-    """Play one schedule; breaches of the rules ``go_on`` don't end it."""
+def play(point: str, seed: int, go_on: frozenset[str] = frozenset(), left_out: frozenset[int] = frozenset()) -> Played:
+    """Play one schedule; breaches of the rules ``go_on`` don't end it, and the faults with the numbers ``left_out``
+    don't take place."""
     logger.disable("cranebank")
     try:
         violated = sum(invariants.violations().values())
         world = SCENARIOS[point].make(seed)
-        world.go_on = go_on
+        world.go_on, world.left_out = go_on, left_out
         judge = world.judge
         try:
             world.run()
             if sum(invariants.violations().values()) > violated:
                 judge.breach("invariant", f"violated: {dict(invariants.violations())}")
-            return Played(seed, judge.breaches, dict(judge.counts), judge.longest, list(judge.trace), judge.shortest)
+            trace = list(judge.trace)
+            return Played(seed, judge.breaches, dict(judge.counts), judge.longest, trace, judge.shortest, world.faults)
         finally:
             world.close()
     finally:
         logger.enable("cranebank")
 
 
+def shrink(point: str, seed: int, go_on: frozenset[str] = frozenset()) -> tuple[Played, frozenset[int]]:
+    """Leave out faults of a broken schedule, one after another, as long as one of its rules is still broken without.
+    Returns a schedule of which no fault more can be left out, and the numbers of those that it lacks."""
+    played, left_out = play(point, seed, go_on), frozenset[int]()
+    rules = _broken_rules(played)
+    if not rules:
+        return played, left_out
+    while True:
+        for number in sorted(set(range(played.faults)) - left_out, reverse=True):
+            tried = play(point, seed, go_on, left_out | {number})
+            if rules & _broken_rules(tried):
+                played, left_out = tried, left_out | {number}
+                break
+        else:
+            return played, left_out
+
+
+def _broken_rules(played: Played) -> set[str]:
+    return {breach.partition(":")[0] for breach in played.breaches}
+
+
 def _next_kind(world: World, what: str, kinds: tuple[str, ...]) -> str:
     """The kinds of a fault in turn, from a beginning that the seed gives, so that few schedules reach all."""
     done = sum(world.judge.counts[f"{what}: {kind}"] for kind in kinds)
@@ -117,6 +141,8 @@
 
 
 def _cut_off(world: World) -> None:
+    if not world.takes_place("cut off"):
+        return
     victim = _victim(world, world.seed % 2)
     if victim is None:
         return
@@ -145,6 +171,8 @@
 
 
 def _restart_proxy(world: World, proxy: Proxy) -> None:
+    if not world.takes_place("restart proxy"):
+        return
     _count(world, "proxies restarted beside one cut off")
     proxy.kill()
     world.scheduler.after(0.3, proxy.start)
@@ -189,6 +217,8 @@
 
 
 def _strike(world: World, victim: Machine) -> None:
+    if not world.takes_place("strike"):
+        return
     random = world.random
     kind = _next_kind(world, "struck", STRIKES)
     if kind == "freeze":
@@ -211,6 +241,8 @@
         return
 
     def strike() -> None:
+        if not world.takes_place("closing fault"):
+            return
         _count(world, f"closing fault: {kind}")
         present = [machine for machine in world.machines.values() if not machine.is_removed]
         able = [machine for machine in present if machine not in world.in_trouble()]
@@ -268,6 +300,8 @@
 
 
 def _lose(world: World, victim: Machine) -> None:
+    if not world.takes_place("lose"):
+        return
     random = world.random
     kind = _next_kind(world, "lost", LOSSES)
     if kind == "replaced":
@@ -343,6 +377,8 @@
 
 
 def _disturb_proxy(world: World) -> None:
+    if not world.takes_place("disturb proxy"):
+        return
     proxy, random = world.random.choice(world.proxies), world.random
     kind = _next_kind(world, "a proxy", PROXY_TROUBLES)
     if kind == "frozen":
@@ -353,6 +389,8 @@
 
 
 def _disturb(world: World) -> None:
+    if not world.takes_place("disturb"):
+        return
     random = world.random
     machine = random.choice(list(world.machines.values()))
     kind = random.choice(["reset", "silence"])
@@ -433,6 +471,8 @@
 
 def _disturb_order(world: World, backend: StagedBackend, machine: Machine) -> None:
     """Something happens while an order is on its way, or has just been taken."""
+    if not world.takes_place("disturb order"):
+        return
     if world.scheduler.now > STAGES_S - LAST_S:
         return
     random = world.random
@@ -451,6 +491,8 @@
 
 def _replace_holder(world: World, machine: Machine) -> None:
     """The holder stands still, or is down, for longer than a takeover takes: another one holds the lease then."""
+    if not world.takes_place("replace holder"):
+        return
     if machine in world.in_trouble() or len(world.in_trouble()) >= world.tolerance:
         return
     _count(world, "a holder struck after its order")
@@ -480,6 +522,8 @@
 
 
 def _partition(world: World) -> None:
+    if not world.takes_place("partition"):
+        return
     random, kind = world.random, PARTITIONS[world.seed % len(PARTITIONS)]
     _count(world, f"partition: {kind}")
     ips, seconds = list(world.machines), random.uniform(17.0, 21.0)
@@ -500,6 +544,8 @@
 
 def _meanwhile(world: World, victim: str, other: str) -> None:
     """One more fault while controllers are cut off from each other."""
+    if not world.takes_place("meanwhile"):
+        return
     random, kind = world.random, MEANWHILE[world.seed // len(PARTITIONS) % len(MEANWHILE)]
     _count(world, f"in a partition: {kind}")
     if kind == "freeze of another":
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -201,6 +201,8 @@
     ) -> None:
         self.seed, self.faults_s = seed, faults_s
         self.go_on: frozenset[str] = frozenset()  # breaches of these rules are told, and the run goes on
+        self.left_out: frozenset[int] = frozenset()  # faults, by their numbers, that don't take place
+        self.faults = 0  # so far, those that were left out counted
         self.random = Random(seed)
         self.scheduler = Scheduler()
         self.network = Network(self.scheduler, seed)
@@ -299,6 +301,14 @@
         if self.on_backend_called is not None:
             self.on_backend_called(backend, self.machines[ip])
 
+    def takes_place(self, fault: str) -> bool:
+        """Whether the next fault is to take place; each has a number, by which a schedule may leave it out."""
+        number, self.faults = self.faults, self.faults + 1
+        if number in self.left_out:
+            return False
+        self.judge.note(f"fault {number}: {fault}")
+        return True
+
     # Controllers.
 
     def start(self, machine: Machine, is_first_start: bool = False) -> None:
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -15,7 +15,7 @@
 from controlsim.judge import Change, Judge
 from controlsim.loop import Scheduler, process_loop
 from controlsim.network import Network
-from controlsim.scenarios import SCENARIOS, play
+from controlsim.scenarios import SCENARIOS, play, shrink
 
 from cranebank.control import call_table, events, primary, stage_balancer
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
@@ -241,6 +241,26 @@
     assert _found(point, rules, range(first, first + MOST_SCHEDULES), frozenset({"resend", "contact"}) - rules) != ""
 
 
+@pytest.mark.violates_invariants
+def test_a_broken_schedule_is_shrunk_to_the_faults_that_it_needs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a planted fault in place, no fault more can be left out, and the rule is still broken."""
+    _forgets_wipes(monkeypatch)
+    played = (play("losses", seed) for seed in range(MOST_SCHEDULES))
+    whole = next(one for one in played if one.breaches and one.faults >= 3)
+    shrunk, left_out = shrink("losses", whole.seed)
+    rules = {breach.partition(":")[0] for breach in whole.breaches}
+    assert rules & {breach.partition(":")[0] for breach in shrunk.breaches}
+    assert len(set(range(shrunk.faults)) - left_out) <= whole.faults
+    for number in set(range(shrunk.faults)) - left_out:
+        again = play("losses", whole.seed, left_out=left_out | {number})
+        assert not rules & {breach.partition(":")[0] for breach in again.breaches}
+
+
+def test_a_schedule_without_its_faults_is_calm() -> None:
+    played = play("losses", 1, left_out=frozenset(range(100)))
+    assert not played.breaches and not played.counts.get("takeovers") and played.faults > 0
+
+
 # The simulated network and loop themselves.
 
 
