--- a/tests/mutants_data_plane.py
+++ b/tests/mutants_data_plane.py
@@ -5,6 +5,30 @@
 from mutant import Mutant, Point
 
 DATA_PLANE_MUTANTS = (
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a client may ask for a stage of its own",
+        "dataplane/proxy.py",
+        '"x-target-instance", "x-stage", "kv-from"',
+        '"x-target-instance", "kv-from"',
+        "test_passed_on.py",
+    ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a call that is sent again has all of the client's time",
+        "dataplane/proxy.py",
+        "left = max(1, int((self.until - now) * 1e3))",
+        "left = 3000",
+        "test_passed_on.py",
+    ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "without a configuration a request has no route",
+        "dataplane/proxy.py",
+        'client.reply(NotRun("no configuration yet"), 0.2)',
+        "client.reply(NoRoute(), None)",
+        "test_passed_on.py",
+    ),
     Mutant(
         Point.CUT_OFF,
         "a lower revision is taken",
