--- a/tests/test_stage_duty.py
+++ b/tests/test_stage_duty.py
@@ -5,11 +5,12 @@
 import asyncio
 from typing import cast
 
+import msgspec
 import pytest
 
 from cranebank.control.consensus import ConsensusCore
 from cranebank.control.registry import Registry
-from cranebank.control.stage_events import Action, AskReport, Connect, Event, NotConnected, Reported, Unreported
+from cranebank.control.stage_events import Action, AskReport, Connect, Event, NotConnected, Order, Reported, Unreported
 from cranebank.programs import stage_duty
 from cranebank.programs.settings import NodeSettings
 from cranebank.programs.stage_duty import StageDuty
@@ -86,3 +87,18 @@
     backend = Backend("i-1", "s", address, "z", "prefill", 8, "ready", 1)
     assert asyncio.run(told_after(Connect(3, backend))) == [NotConnected(3)]
     assert asyncio.run(told_after(AskReport(3, backend))) == [Unreported(3)]
+
+
+def test_an_order_names_the_incarnation_that_it_is_for() -> None:
+    """The address may be another backend's by the time it arrives."""
+    backend = Backend("i-7", "s", "10.0.0.9:80", "z", "prefill", 4, "ready", 1)
+    head, _, body = stage_duty.order_request(backend, Order("decode", "node-1", 41, expected=2)).partition(b"\r\n\r\n")
+    assert head.startswith(b"POST /api/order HTTP/1.1\r\n")
+    assert b"X-Target-Instance: i-7" in head.split(b"\r\n")
+    assert msgspec.json.decode(body) == {
+        "order_kind": "stage",
+        "stage": "decode",
+        "owner": "node-1",
+        "fence_no": 41,
+        "expected": 2,
+    }
