--- a/tests/test_order_intents.py
+++ b/tests/test_order_intents.py
@@ -54,6 +54,19 @@
     assert intents(group, primary) == ()
 
 
+def test_an_intent_whose_removal_waits_behind_another_change_is_named_no_more() -> None:
+    """The removal comes right behind that change: a successor may not know of an order that is sent now."""
+    group = ready()
+    primary = group.primary
+    group.tell(primary, ev.SetIntents(ORDERED))
+    group.run(0.1)
+    node = group.nodes[primary]
+    assert node.record is not None
+    node._propose(node._next(node.record))  # a change of members or copies is under way
+    group.tell(primary, ev.SetIntents(()))
+    assert intents(group, primary) == ()
+
+
 def test_who_is_no_primary_records_nothing() -> None:
     group = ready()
     other = next(ip for ip in group.nodes if ip != group.primary)
