An intent whose removal waits behind another change of the record is named no more

Cause: a removal that was told while another change of the record was under way stayed wanted; the record still named the intent, the stage duty took it for recorded, and an order that relied on it would have been unknown to a successor (rule ONE). Ruled out: a second look at the record when the order is sent, since the removal may be chosen right after that look. Change: Custody._named_intents leaves out what Leadership.wanted_intents lacks; the duty then tells the core anew.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -64,12 +64,22 @@
         )
 
     def _named_intents(self) -> tuple[OrderIntent, ...] | None:
-        """Return the intents that every successor will know of: a record that is proposed may be chosen already."""
-        record, proposal = self._acceptor.chosen, self._proposal
-        if record is None or record.intents is None or proposal is None or self._leadership is None:
+        """Return the intents that every successor will know of.
+
+        A record that is proposed may be chosen already, and one without an intent that is wanted no more follows as
+        soon as another change of the record is over: an order that relied on such an intent would outlive it.
+        """
+        record, leadership = self._acceptor.chosen, self._leadership
+        if record is None or record.intents is None or leadership is None:
             return record.intents if record is not None else None
-        coming = (proposal.record or proposal.own).intents or ()
-        return tuple(intent for intent in record.intents if intent in coming)
+        staying = record.intents
+        if self._proposal is not None:
+            coming = (self._proposal.record or self._proposal.own).intents or ()
+            staying = tuple(intent for intent in staying if intent in coming)
+        wanted = leadership.wanted_intents
+        if wanted is not None:
+            staying = tuple(intent for intent in staying if intent in wanted)
+        return staying
 
     # Events.
 
