Tallies: the core of replicas that take adds and reads on either side of a split

A sum over distinct ids, merged by version vectors over origins; an origin is one life of a controller, so that a number which a loss of power took is never used for another add. Acknowledged once on the disks of as many replicas and failure domains as may be lost and one more, or of all that are reached. Old adds are folded once all members have them on disk. Weighed: keeping the origin over restarts (an add that was pushed before it was on the own disk would share its number with a later one after a loss of power), waiting for the own disk before the push (one sync more for each call).

--- /dev/null
+++ b/cranebank/control/tallies/replica.py
@@ -0,0 +1,301 @@
+"""One replica of the tallies: adds and what other replicas say go in, messages and writes come out.
+
+An add is owed to its caller once ``acknowledged_upto`` reaches its number: then it is on the disks of as many replicas,
+in as many failure domains, as may be lost and one more, or of all that are reached where those are fewer. Without a cut
+it so outlives what the deployment has to bear; replicas that meet again send each other what the other lacks.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection, Mapping
+
+import msgspec
+
+from cranebank.control.tallies.peers import Copy, Peer, PeerTable, confirmed_upto
+from cranebank.control.tallies.segments import Segments
+from cranebank.control.tallies.state import covers
+from cranebank.invariants import broken
+from cranebank.transport.messages import TallyAdd, TallyAdds, TallyBase, TallyVector
+
+CHUNK = 500
+"""Adds in a message, at most."""
+
+VECTOR_S = 0.5
+"""Between two vectors to each linked replica."""
+
+MOST_ADDS = 400_000
+MOST_BYTES = 20 << 20
+"""Of held adds, as `state.ADD_OVERHEAD_BYTES` counts them: the file is at most five times as large."""
+
+MOST_TALLIES = 10_000
+START_WAIT_S = 1.5
+"""After a start no total is told until all others have told theirs, or so long."""
+
+EMPTY_START_WAIT_S = 5.0
+"""The same, where the disk was lost."""
+
+JOIN_S = 0.5
+"""After a start, how long the known replicas count as reached."""
+
+RETAIN_S = 600.0
+"""How long an id is held at least after it has come: the same call counts again only later than this."""
+
+FOLD_S = 30.0
+
+Message = TallyAdds | TallyVector | TallyBase
+
+
+class ReplicaSettings(msgspec.Struct, frozen=True):
+    """Where a replica stands, and what has to be borne at once."""
+
+    replica: str  # drawn at each start: adds that a loss of power took are never mistaken for later ones
+    domain: str
+    copies: int = 1
+    domains: int = 1
+    is_first_start: bool = True
+
+
+class Placed(msgspec.Struct, frozen=True):
+    """The add that counts for a call."""
+
+    origin: str
+    number: int
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A bound is reached; nothing was done."""
+
+    bound: str
+    most: int
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """The state, for people and metrics."""
+
+    held: int
+    folded: int
+    tallies: int
+    origins: int
+    lag: Mapping[str, int]  # adds held here that a linked replica doesn't have on its disk
+
+
+class TallyReplica:
+    """One replica. ``pop_messages`` and ``take_writes`` tell what is to be done after each call."""
+
+    def __init__(self, settings: ReplicaSettings, stored: Mapping[str, bytes], now: float) -> None:
+        self._settings = settings
+        self._segments = Segments()
+        self._state = self._segments.restore(stored)
+        self._durable = self._state.applied
+        self._writing: tuple[dict[str, bytes], dict[str, int], set[str]] | None = None
+        self._peers = PeerTable()
+        self._members: Collection[str] = ()
+        self._known: Collection[str] | None = None  # not told yet
+        self._messages: list[tuple[str, Message]] = []
+        self._ack_owed: set[str] = set()
+        self._vectors_at = now
+        self._started_at = now
+        self._wait_s = 0.0
+        if not settings.is_first_start:
+            self._wait_s = EMPTY_START_WAIT_S if self._state.is_empty else START_WAIT_S
+        self._marks: deque[tuple[float, dict[str, int]]] = deque([(now, self._durable)])
+
+    # Calls.
+
+    def add(self, now: float, tally: str, call_id: str, amount: int) -> Placed | Refused:
+        """Add to a tally; a call that is known already adds nothing."""
+        state = self._state
+        known = state.find(call_id)
+        if known is not None:
+            return Placed(known.origin, known.number)
+        if len(state) >= MOST_ADDS:
+            return Refused("adds", MOST_ADDS)
+        if state.bytes_held >= MOST_BYTES:
+            return Refused("bytes", MOST_BYTES)
+        if state.tallies >= MOST_TALLIES and not state.knows(tally):
+            return Refused("tallies", MOST_TALLIES)
+        origin = self._settings.replica
+        add = TallyAdd(origin, state.applied_of(origin) + 1, tally, call_id, amount)
+        self._append(add)
+        for peer in self._peers.linked():
+            if peer.replica:
+                self._send_missing(now, peer)
+        return Placed(origin, add.number)
+
+    def total(self, now: float, tally: str) -> int | None:
+        """The total; None shortly after a start, when it may lack what this replica has acknowledged before."""
+        return self._state.total(tally) if self._is_ready(now) else None
+
+    def acknowledged_upto(self, now: float, origin: str) -> int:
+        """Up to which number the adds of an origin are durable on enough replicas."""
+        settings = self._settings
+        reached = self._peers.reached(now)
+        held = [Copy(peer.durable.get(origin, 0), peer.domain) for peer in reached]
+        held.append(Copy(self._durable.get(origin, 0), settings.domain))
+        count = len(held)
+        if now - self._started_at < JOIN_S:
+            count = max(count, len(self._known or ()) + 1)
+        domains = len({copy.domain for copy in held})
+        return confirmed_upto(held, min(settings.copies, count), min(settings.domains, domains))
+
+    def _is_ready(self, now: float) -> bool:
+        if now - self._started_at >= self._wait_s:
+            return True
+        peers = [self._peers.at(ip) for ip in self._known or ()]
+        if self._known is not None and all(peer.replica and peer.first is None for peer in peers):
+            self._wait_s = 0.0
+            return True
+        return False
+
+    # The other replicas.
+
+    def linked(self, now: float, ip: str) -> None:
+        """Messages can be sent there; what was sent before may be lost."""
+        peer = self._peers.at(ip)
+        peer.forget_sent()
+        peer.is_linked, peer.heard = True, now
+        self._send(ip, self._vector())
+
+    def unlinked(self, ip: str) -> None:
+        """No more messages can be sent there."""
+        peer = self._peers.at(ip)
+        peer.is_linked = False
+        peer.forget_sent()
+        self._ack_owed.discard(ip)
+
+    def receive(self, now: float, ip: str, message: Message) -> None:
+        """Another replica told something."""
+        peer = self._peers.at(ip)
+        peer.heard = max(peer.heard, now)
+        match message:
+            case TallyVector():
+                peer.told(now, message, self._state.applied)
+                self._send_missing(now, peer)
+            case TallyAdds(adds=adds):
+                self._take(ip, adds)
+            case TallyBase(folded=folded, totals=totals):
+                touched = self._state.take_base(folded, {tally: int(total) for tally, total in totals.items()})
+                if touched is not None:
+                    self._segments.folded(touched, self._state)
+                    self._ack_owed.add(ip)
+
+    def tick(self, now: float, heard: Mapping[str, float], members: Collection[str], known: Collection[str]) -> None:
+        """Time passes. ``heard``: when each linked replica was heard; ``members``: the others that have to have an add
+        before its id is forgotten; ``known``: all others that may be there."""
+        self._members, self._known = members, known
+        for ip, at in heard.items():
+            peer = self._peers.at(ip)
+            peer.heard = max(peer.heard, at)
+        if now - self._vectors_at >= VECTOR_S and not self._state.is_empty:
+            self._vectors_at = now
+            for peer in self._peers.linked():
+                self._send(peer.ip, self._vector())
+        if now - self._marks[-1][0] >= FOLD_S:
+            self._marks.append((now, self._state.applied))
+            self._peers.retire(now, members)
+            self._fold(now)
+
+    def pop_messages(self) -> list[tuple[str, Message]]:
+        """What is to be sent, and where to."""
+        messages, self._messages = self._messages, []
+        return messages
+
+    # The disk.
+
+    def take_writes(self) -> dict[str, bytes]:
+        """What is to be written now; then ``stored`` or ``refused`` is to be called before this is called again."""
+        if self._writing is not None or not self._segments.has_changes:
+            return {}
+        values = self._segments.take_changes(self._state)
+        self._writing = values, self._state.applied, self._ack_owed
+        self._ack_owed = set()
+        return values
+
+    def stored(self) -> None:
+        """What was taken to be written will last; who sent it is told."""
+        assert self._writing is not None
+        _, self._durable, owed = self._writing
+        self._writing = None
+        if not covers(self._state.applied, self._durable):
+            raise broken("what is on disk is held", f"{self._durable} of {self._state.applied}")
+        for ip in owed:
+            self._send(ip, self._vector())
+
+    def refused(self) -> None:
+        """What was taken to be written is to be written again."""
+        assert self._writing is not None
+        values, _, owed = self._writing
+        self._writing = None
+        self._segments.refused(values)
+        self._ack_owed |= owed
+
+    @property
+    def figures(self) -> Figures:
+        """The state, for people and metrics."""
+        state = self._state
+        applied = state.applied
+        lag = {
+            peer.ip: sum(max(0, number - peer.durable.get(origin, 0)) for origin, number in applied.items())
+            for peer in self._peers.linked()
+        }
+        return Figures(len(state), sum(state.folded.values()), state.tallies, len(applied), lag)
+
+    def check(self) -> None:
+        """Count everything anew; for tests, it takes long."""
+        self._state.check()
+
+    def _append(self, add: TallyAdd) -> None:
+        self._state.append(add, self._segments.append(add))
+
+    def _take(self, ip: str, adds: tuple[TallyAdd, ...]) -> None:
+        state = self._state
+        is_news = has_gap = False
+        for add in adds:
+            expected = state.applied_of(add.origin) + 1
+            if add.number == expected:
+                self._append(add)
+                is_news = True
+            has_gap = has_gap or add.number > expected
+        if is_news:
+            self._ack_owed.add(ip)
+        if has_gap or not is_news:
+            self._send(ip, self._vector(asks_again=has_gap))
+
+    def _send_missing(self, now: float, peer: Peer) -> None:
+        """Send what this replica lacks, and has not been sent lately."""
+        if not peer.is_linked:
+            return
+        state, expected = self._state, peer.expected(now)
+        if state.lacks_folded(expected):
+            if now - peer.base_sent >= VECTOR_S:
+                peer.base_sent = now
+                totals = {tally: str(total) for tally, total in state.folded_totals.items()}
+                self._send(peer.ip, TallyBase(self._settings.replica, state.folded, totals))
+            return
+        adds = state.lacking(expected, CHUNK)
+        for add in adds:
+            peer.sending(now, add.origin, add.number)
+        if adds:
+            self._send(peer.ip, TallyAdds(self._settings.replica, tuple(adds)))
+
+    def _send(self, ip: str, message: Message) -> None:
+        if self._peers.at(ip).is_linked:
+            self._messages.append((ip, message))
+
+    def _vector(self, asks_again: bool = False) -> TallyVector:
+        state, settings = self._state, self._settings
+        return TallyVector(settings.replica, settings.domain, state.applied, self._durable, state.folded, asks_again)
+
+    def _fold(self, now: float) -> None:
+        """Fold what was held for long and is on the disks of all."""
+        while len(self._marks) > 1 and now - self._marks[1][0] >= RETAIN_S:
+            self._marks.popleft()
+        since, old = self._marks[0]
+        if now - since < RETAIN_S:
+            return
+        on_all = self._peers.on_all(self._members, self._state.applied)
+        limits = {o: min(n, on_all.get(o, 0), self._durable.get(o, 0)) for o, n in old.items()}
+        touched = self._state.fold(limits)
+        if touched:
+            self._segments.folded(touched, self._state)
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -5,6 +5,8 @@
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
 RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
 proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff).
+Controllers send one another adds to tallies (TallyAdds), what they hold of them (TallyVector, which is also the
+acknowledgement), and what is folded to one that lacks it (TallyBase).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
@@ -208,6 +210,47 @@
     news: tuple[Backend, ...] = ()
 
 
+class TallyAdd(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One add to a tally. ``origin`` is one life of the controller that took it, and ``number`` rises by one within
+    it, from 1; ``id`` is the caller's, and counts once."""
+
+    origin: str
+    number: int
+    tally: str
+    id: str
+    amount: int
+
+
+class TallyAdds(msgspec.Struct, frozen=True, tag=18, array_like=True):
+    """Between controllers: adds that the receiver lacks, in order within each origin. ``replica``: the sender's life,
+    which names its origin too."""
+
+    replica: str
+    adds: tuple[TallyAdd, ...]
+
+
+class TallyVector(msgspec.Struct, frozen=True, tag=19, array_like=True):
+    """Between controllers: the highest number of each origin that the sender holds, all below it included:
+    ``applied`` in memory, ``durable`` on its disk, ``folded`` of which it holds only the sums. ``asks_again``: adds
+    came out of order and were dropped; what was sent before doesn't count as sent."""
+
+    replica: str
+    domain: str  # the sender's failure domain
+    applied: dict[str, int]
+    durable: dict[str, int]
+    folded: dict[str, int]
+    asks_again: bool = False
+
+
+class TallyBase(msgspec.Struct, frozen=True, tag=20, array_like=True):
+    """Between controllers, to one that lacks adds of which the sender holds only the sums. A total is a decimal number
+    as text: it may be longer than 64 bits."""
+
+    replica: str
+    folded: dict[str, int]
+    totals: dict[str, str]
+
+
 Message = (
     Hello
     | Welcome
@@ -226,4 +269,7 @@
     | Gossip
     | HoldOff
     | ReadingBegun
+    | TallyAdds
+    | TallyVector
+    | TallyBase
 )
--- /dev/null
+++ b/tests/tally_world.py
@@ -0,0 +1,163 @@
+"""Replicas of the tallies with simulated disks, links, cuts, deaths and time, for the tests of the core."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from cranebank.control.tallies.replica import Message, Placed, ReplicaSettings, TallyReplica
+
+TALLY = "t"
+SETTLE_S = 6.0
+TICK_S = 0.1
+
+
+class Machine:
+    """A replica, its disk, and what its callers were told in this life."""
+
+    def __init__(self, name: str, copies: int) -> None:
+        self.name, self.copies, self.life = name, copies, 0
+        self.disk: dict[str, bytes] = {}
+        self.writing: dict[str, bytes] = {}
+        self.waiting: dict[str, Placed] = {}
+        self.acknowledged: set[str] = set()
+
+    def start(self, now: float) -> None:
+        """Begin a life with what is on the disk."""
+        self.life += 1
+        settings = ReplicaSettings(f"{self.name}{self.life}", self.name, self.copies, 1, self.life == 1)
+        self.replica = TallyReplica(settings, self.disk, now)
+        self.writing, self.waiting, self.acknowledged = {}, {}, set()
+
+
+class World:
+    """Machines that are linked, each to each, but where that is cut."""
+
+    def __init__(self, names: str, copies: int) -> None:
+        self.now = 0.0
+        self.machines = {name: Machine(name, copies) for name in names}
+        self.cuts: set[frozenset[str]] = set()
+        self.queues: dict[tuple[str, str], deque[Message]] = {}
+        self.sent: dict[str, int] = {}
+        """Amount by id of all adds that may count."""
+        self.owed: set[str] = set()
+        for machine in self.machines.values():
+            machine.start(self.now)
+        for one in names:
+            for other in names:
+                if one < other:
+                    self.link(one, other)
+
+    def others(self, name: str) -> list[str]:
+        """All machines but this one."""
+        return [other for other in self.machines if other != name]
+
+    def is_linked(self, one: str, other: str) -> bool:
+        """Whether a connection stands."""
+        return frozenset((one, other)) not in self.cuts
+
+    def link(self, one: str, other: str) -> None:
+        """A new connection, if it isn't cut."""
+        self.queues[one, other], self.queues[other, one] = deque(), deque()
+        if self.is_linked(one, other):
+            self.machines[one].replica.linked(self.now, other)
+            self.machines[other].replica.linked(self.now, one)
+            self.collect(one)
+            self.collect(other)
+
+    def unlink(self, one: str, other: str) -> None:
+        """The connection is over, with what was under way on it."""
+        self.queues[one, other], self.queues[other, one] = deque(), deque()
+        self.machines[one].replica.unlinked(other)
+        self.machines[other].replica.unlinked(one)
+
+    def collect(self, name: str) -> None:
+        """Do what a replica asks for, and note which callers are answered."""
+        machine = self.machines[name]
+        for other, message in machine.replica.pop_messages():
+            self.queues[name, other].append(message)
+        if not machine.writing:
+            machine.writing = machine.replica.take_writes()
+        for call, placed in list(machine.waiting.items()):
+            if machine.replica.acknowledged_upto(self.now, placed.origin) >= placed.number:
+                del machine.waiting[call]
+                machine.acknowledged.add(call)
+                self.owed.add(call)
+        machine.replica.check()
+        self.check(machine)
+
+    def check(self, machine: Machine) -> None:
+        """No total is too high, and none lacks what the same life has acknowledged."""
+        total = machine.replica._state.total(TALLY)
+        assert sum(self.sent[call] for call in machine.acknowledged) <= total <= sum(self.sent.values())
+
+    def add(self, name: str, call: str, amount: int) -> None:
+        """A call at a machine."""
+        self.sent.setdefault(call, amount)
+        placed = self.machines[name].replica.add(self.now, TALLY, call, self.sent[call])
+        assert isinstance(placed, Placed)
+        self.machines[name].waiting[call] = placed
+        self.collect(name)
+
+    def deliver(self, source: str, target: str) -> None:
+        """The next message on a connection."""
+        if self.queues[source, target]:
+            self.machines[target].replica.receive(self.now, source, self.queues[source, target].popleft())
+            self.collect(target)
+
+    def store(self, name: str, is_refused: bool = False) -> None:
+        """A write ends."""
+        machine = self.machines[name]
+        if not machine.writing:
+            return
+        if is_refused:
+            machine.replica.refused()
+        else:
+            machine.disk = {**machine.disk, **machine.writing}
+            machine.replica.stored()
+        machine.writing = {}
+        self.collect(name)
+
+    def cut(self, one: str, other: str) -> None:
+        """Two machines don't reach each other from now on."""
+        if one != other and self.is_linked(one, other):
+            self.unlink(one, other)
+            self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Everybody reaches everybody."""
+        for one, other in [sorted(cut) for cut in self.cuts]:
+            self.cuts.discard(frozenset((one, other)))
+            self.link(one, other)
+
+    def restart(self, name: str, is_wiped: bool = False) -> None:
+        """A machine loses power and returns, with or without its disk."""
+        for other in self.others(name):
+            self.unlink(name, other)
+        if is_wiped:
+            self.machines[name].disk = {}
+        self.machines[name].start(self.now)
+        for other in self.others(name):
+            self.link(name, other)
+
+    def tick(self, seconds: float) -> None:
+        """Time passes."""
+        self.now += seconds
+        for name in self.machines:
+            heard = {other: self.now for other in self.others(name) if self.is_linked(name, other)}
+            self.machines[name].replica.tick(self.now, heard, self.others(name), self.others(name))
+            self.collect(name)
+
+    def settle(self) -> None:
+        """All messages arrive and all disks work for a while."""
+        for _ in range(round(SETTLE_S / TICK_S)):
+            self.tick(TICK_S)
+            for _ in range(4):
+                for pair in list(self.queues):
+                    while self.queues[pair]:
+                        self.deliver(*pair)
+                for name in self.machines:
+                    self.store(name)
+
+    def totals(self) -> set[int | None]:
+        """What the machines tell."""
+        return {machine.replica.total(self.now, TALLY) for machine in self.machines.values()}
