--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -22,6 +22,8 @@
 from cranebank.programs.controller import Controller
 from cranebank.programs.local_state import NoDisk, Storage, recalled_records
 from cranebank.programs.settings import NodeSettings, load
+from cranebank.programs.tally_service import FILE as TALLY_FILE
+from cranebank.programs.tally_service import TallyDisk
 from cranebank.storage.records import StorageError
 
 __all__ = ["Controller", "losses", "make_controller", "run"]
@@ -29,7 +31,7 @@
 DISK_RETRY_S = 0.3
 
 
-async def _open(settings: NodeSettings) -> tuple[Mapping[str, bytes], Storage, bool]:
+async def _open(settings: NodeSettings, name: str) -> tuple[Mapping[str, bytes], Storage, bool]:
     """What was read from the disk, the disk, and whether it was damaged; a disk in trouble is tried again."""
     if settings.data_dir is None:
         return {}, NoDisk(), False
@@ -37,7 +39,7 @@
 
     while True:
         try:
-            store, damage = open_store(Path(settings.data_dir), FILE)
+            store, damage = open_store(Path(settings.data_dir), name)
         except StorageError as error:
             logger.error("{}", error)
             await asyncio.sleep(DISK_RETRY_S)
@@ -60,7 +62,8 @@
 
 async def make_controller(settings: NodeSettings, reload: Callable[[], NodeSettings]) -> Controller:
     """A controller with its disk opened."""
-    stored, storage, is_damaged = await _open(settings)
+    stored, storage, is_damaged = await _open(settings, FILE)
+    stored_tallies, tally_storage, _ = await _open(settings, TALLY_FILE)
 
     def make_consensus(now: float, random: Random) -> ConsensusCore:
         made: ConsensusCore = Custody(
@@ -79,7 +82,9 @@
         return made
 
     published = msgspec.msgpack.decode(stored[PUBLISHED], type=tuple[int, bytes]) if PUBLISHED in stored else None
-    return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, recalled_records(stored))
+    tally_disk = TallyDisk(stored_tallies, tally_storage)
+    recalled = recalled_records(stored)
+    return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, recalled, tally_disk)
 
 
 async def run(settings: NodeSettings, ring: ring_module.Ring | None = None) -> int:
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -17,17 +17,20 @@
 from cranebank.control import events
 from cranebank.control.consensus import ConsensusCore
 from cranebank.control.delivery import Delivery, PendingAcks
+from cranebank.control.epochs import ip_of
 from cranebank.control.operator_api import OperatorApi
 from cranebank.control.registry import Registry
+from cranebank.control.tally_api import TallyApi
 from cranebank.control.web import Server
 from cranebank.programs.consensus_driver import ConsensusDriver
 from cranebank.programs.controller_links import ControllerLinks, send_deliveries
 from cranebank.programs.controller_protocol import ControllerProtocol
 from cranebank.programs.controller_status import overview
-from cranebank.programs.local_state import LAST_S, LocalState, Storage
+from cranebank.programs.local_state import LAST_S, LocalState, NoDisk, Storage
 from cranebank.programs.registry_service import RegistryService, wait_for_acks
 from cranebank.programs.settings import NodeSettings, SettingsError
 from cranebank.programs.stage_duty import StageDuty
+from cranebank.programs.tally_service import TallyDisk, TallyService
 from cranebank.transport.links import PULSE_S, Link, listen
 from cranebank.transport.messages import Backend, ConfigAck, Message
 
@@ -52,9 +55,10 @@
         reload: Callable[[], NodeSettings],
         published: tuple[int, bytes] | None = None,
         recalled: tuple[Backend, ...] = (),
+        tally_disk: TallyDisk | None = None,
     ) -> None:
         """``make_consensus`` makes the consensus core; ``published`` is the configuration that was published last, and
-        ``recalled`` the registry, both of an earlier life, from the disk."""
+        ``recalled`` the registry, both of an earlier life, from the disk. Without ``tally_disk`` no add lasts."""
         self._loop = asyncio.get_running_loop()
         self._settings, self._reload = settings, reload
         life = random.getrandbits(48)
@@ -68,6 +72,7 @@
         self._registry_service = RegistryService(
             settings, self.now, self._consensus, self._links, self._delivery, self._local_state, recalled, random
         )
+        self.tallies = TallyService(settings, tally_disk or TallyDisk({}, NoDisk()), self.now, self._links, random)
         self._protocol = ControllerProtocol(
             settings,
             life,
@@ -77,6 +82,7 @@
             self._links,
             self._delivery,
             self._registry_service,
+            self.tallies,
             self._publish,
         )
         self.stage_duty = StageDuty(
@@ -89,7 +95,7 @@
             self._tell_proxies,
             lambda intents: self._driver.feed(events.SetIntents(intents)),
         )
-        self._api = Server(OperatorApi(self).calls(), self.now)
+        self._api = Server((*OperatorApi(self).calls(), *TallyApi(self.tallies).calls()), self.now)
         self._linked_at = now  # when another controller was last linked
         self._reloaded_at = now
         self._is_retiring = False
@@ -132,6 +138,7 @@
                 link.close()
         self._api.abort()
         await self._local_state.close(self.registry.everything())
+        await self.tallies.close()
         await asyncio.sleep(0)
 
     def _handover_s(self) -> float:
@@ -249,6 +256,7 @@
             self._protocol.known_controllers(),
             self._delivery,
             self.registry,
+            self.tallies,
         )
 
     @property
@@ -287,6 +295,12 @@
         self.publish_registry()
         self._delivery.tick(self.now())
         send_deliveries(self._delivery)
+        self._tick_tallies()
+
+    def _tick_tallies(self) -> None:
+        own = {self._settings.ip}
+        members = {ip_of(member) for member in self._consensus.status(self.now()).members}
+        self.tallies.tick(members - own, self._protocol.known_controllers() - own)
 
     def _registry_tick(self) -> None:
         self._timers[1:] = [self._loop.call_later(REGISTRY_S, self._registry_tick)]
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -17,6 +17,7 @@
 from cranebank.programs.controller_links import ControllerLinks, send_deliveries
 from cranebank.programs.registry_service import RegistryService
 from cranebank.programs.settings import NodeSettings
+from cranebank.programs.tally_service import TallyService
 from cranebank.transport.links import Link
 from cranebank.transport.messages import (
     ConfigAck,
@@ -29,6 +30,9 @@
     RegistryAck,
     RegistrySync,
     Relayed,
+    TallyAdds,
+    TallyBase,
+    TallyVector,
     Welcome,
 )
 
@@ -46,6 +50,7 @@
         links: ControllerLinks,
         delivery: Delivery,
         registry: RegistryService,
+        tallies: TallyService,
         publish: Callable[[int, bytes], None],
     ) -> None:
         """``publish`` takes a committed configuration that another controller passed on."""
@@ -53,6 +58,7 @@
         self._life, self._now = life, now
         self._consensus, self._driver, self._links = consensus, driver, links
         self._delivery, self._registry, self._publish = delivery, registry, publish
+        self._tallies = tallies
         self.loads = LoadTable()
 
     def link_up(self, link: Link) -> None:
@@ -65,12 +71,16 @@
         revision = self._delivery.revision
         link.send(Hello(settings.node_name, "controller", settings.ip, settings.zone, self._life, revision))
         link.send(self._registry.whole())
+        self._tallies.link_changed(link.peer)
 
     def link_down(self, link: Link) -> None:
         """A connection is over."""
         self._delivery.leave(link)
         self.loads.forget(link)
-        if self._links.remove(link) and self._registry.link_lost(link.peer) is None:
+        if not self._links.remove(link):
+            return
+        self._tallies.link_changed(link.peer)
+        if self._registry.link_lost(link.peer) is None:
             self._driver.feed(events.LinkDown(link.peer))
 
     def link_message(self, link: Link, message: Message) -> None:
@@ -93,6 +103,8 @@
                 self._registry.acknowledged(link.peer, number)
             case ConfigPush(revision, document):
                 self._publish(revision, document)
+            case TallyAdds() | TallyVector() | TallyBase():
+                self._tallies.receive(link.peer, message)
             case Hello():
                 self._greet(link, message)
             case _:
@@ -127,4 +139,5 @@
         link.send(self._registry.whole())
         controllers = tuple(sorted(self.known_controllers()))
         link.send(Welcome(self.settings.node_name, controllers, len(self._delivery.proxies)))
+        self._tallies.link_changed(link.peer)
         self.dial()
--- a/cranebank/programs/controller_status.py
+++ b/cranebank/programs/controller_status.py
@@ -8,6 +8,7 @@
 from cranebank.control import events
 from cranebank.control.delivery import Delivery
 from cranebank.control.registry import Registry
+from cranebank.programs.tally_service import TallyService
 
 
 def overview(
@@ -17,8 +18,10 @@
     controllers: Iterable[str],
     delivery: Delivery,
     registry: Registry,
+    tallies: TallyService,
 ) -> dict[str, Any]:
     """The state as a document; ``status`` is the consensus core's."""
+    figures, counts = tallies.figures, tallies.counts
     return {
         "node": node_name,
         "is_primary": is_primary,
@@ -37,4 +40,14 @@
             for peer in delivery.peers.values()
             if peer.slot >= 0
         ],
+        "tallies": {
+            "names": figures.tallies,
+            "held": figures.held,
+            "folded": figures.folded,
+            "waiting": counts.waiting,
+            "acknowledged": counts.acknowledged,
+            "refused": counts.refused,
+            "unclear": counts.unclear,
+            "lag": figures.lag,
+        },
     }
--- a/tests/test_tallies_program.py
+++ b/tests/test_tallies_program.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -13,6 +14,7 @@
 
 from cranebank.programs.control import make_controller
 from cranebank.programs.controller import Controller
+from cranebank.programs.settings import NodeSettings
 
 THREE = "127.0.11.3"
 ALL = (ONE, TWO, THREE)
@@ -21,6 +23,10 @@
 Ports = tuple[int, int]
 
 
+def _same(settings: NodeSettings) -> NodeSettings:
+    return settings
+
+
 @asynccontextmanager
 async def fleet(folder: Path, ports: Ports, ips: Sequence[str], is_first: bool) -> AsyncIterator[list[Controller]]:
     """Controllers that run, each with a disk of its own."""
@@ -32,7 +38,7 @@
             settings = msgspec.structs.replace(
                 settings_of(ip, ports, ALL), zone=f"zone-{ip}", data_dir=str(data), is_first_start=is_first
             )
-            controller = await make_controller(settings, lambda settings=settings: settings)
+            controller = await make_controller(settings, partial(_same, settings))
             await controller.start()
             ends.push_async_callback(controller.stop)
             made.append(controller)
