Tallies: acknowledgements name only what is news, and vectors rest while nothing changes

Each stored add went back as a vector of all origins, and each pair of controllers exchanged two vectors a second for good. Now an acknowledgement names the origins that the write brought forward; vectors of all origins go while anything changes, else every 2 s, and what a peer lacks is looked at each 0.5 s on both sides. Only vectors of all origins let ids be forgotten.

--- a/cranebank/control/tallies/peers.py
+++ b/cranebank/control/tallies/peers.py
@@ -11,7 +11,7 @@
 RESEND_S = 0.5
 """What was sent and isn't confirmed after so long is sent again."""
 
-REACHED_S = 0.85
+REACHED_S = 0.8
 """A replica that was heard within this time is reached."""
 
 RETIRE_S = 3600.0
@@ -51,6 +51,8 @@
         self.domain = ip
         self.applied: Mapping[str, int] = {}
         self.durable: Mapping[str, int] = {}
+        self._whole: tuple[Mapping[str, int], Mapping[str, int]] = ({}, {})
+        """What it held and what it had on disk when it told of all origins."""
         self.confirmed: Mapping[str, int] = {}
         """What it had on disk when it held nothing that isn't held here by now."""
         self.first: Mapping[str, int] | None = None
@@ -63,26 +65,37 @@
     def told(self, now: float, vector: TallyVector, own: Mapping[str, int]) -> None:
         """It told what it holds; ``own`` is what is held here."""
         if vector.replica != self.replica:
+            if vector.is_partial:
+                return
             self.forget_sent()
             self.replica, self.first = vector.replica, vector.applied
         if vector.asks_again:
             self.forget_sent()
+        self._confirm_sent(now, vector.applied)
+        self.domain = vector.domain
+        if vector.is_partial:
+            self.applied = {**self.applied, **vector.applied}
+            self.durable = {**self.durable, **vector.durable}
+            return
+        self.applied, self.durable = vector.applied, vector.durable
+        self._whole = vector.applied, vector.durable
+        self.compare(own)
+
+    def _confirm_sent(self, now: float, told: Mapping[str, int]) -> None:
         for origin, sent in list(self._sent.items()):
-            told = vector.applied.get(origin, 0)
-            if told >= sent.number:
+            number = told.get(origin, 0)
+            if number >= sent.number:
                 del self._sent[origin]
-            elif told > self.applied.get(origin, 0):
+            elif number > self.applied.get(origin, 0):
                 self._sent[origin] = Sent(sent.number, now)
-        self.domain, self.heard = vector.domain, max(self.heard, now)
-        self.applied, self.durable = vector.applied, vector.durable
-        self.compare(own)
 
     def compare(self, own: Mapping[str, int]) -> None:
         """Take note of what is held here by now."""
         if self.first is not None and covers(own, self.first):
             self.first = None
-        if covers(own, self.applied):
-            self.confirmed = self.durable
+        applied, durable = self._whole
+        if covers(own, applied):
+            self.confirmed = durable
 
     def forget_sent(self) -> None:
         """What was sent may be lost."""
--- a/cranebank/control/tallies/replica.py
+++ b/cranebank/control/tallies/replica.py
@@ -22,7 +22,10 @@
 """Adds in a message, at most."""
 
 VECTOR_S = 0.5
-"""Between two vectors to each linked replica."""
+"""Between two vectors to each linked replica, while anything changes."""
+
+IDLE_VECTOR_S = 2.0
+"""The same, while nothing changes."""
 
 MOST_ADDS = 400_000
 MOST_BYTES = 20 << 20
@@ -94,7 +97,8 @@
         self._known: Collection[str] | None = None  # not told yet
         self._messages: list[tuple[str, Message]] = []
         self._ack_owed: set[str] = set()
-        self._vectors_at = now
+        self._looked_at = self._vectors_at = now
+        self._vector_told: tuple[dict[str, int], dict[str, int]] | None = None
         self._started_at = now
         self._wait_s = 0.0
         if not settings.is_first_start:
@@ -119,8 +123,7 @@
         add = TallyAdd(origin, state.applied_of(origin) + 1, tally, call_id, amount)
         self._append(add)
         for peer in self._peers.linked():
-            if peer.replica:
-                self._send_missing(now, peer)
+            self._send_missing(now, peer)
         return Placed(origin, add.number)
 
     def total(self, now: float, tally: str) -> int | None:
@@ -187,15 +190,25 @@
         for ip, at in heard.items():
             peer = self._peers.at(ip)
             peer.heard = max(peer.heard, at)
-        if now - self._vectors_at >= VECTOR_S and not self._state.is_empty:
-            self._vectors_at = now
-            for peer in self._peers.linked():
-                self._send(peer.ip, self._vector())
+        if now - self._looked_at >= VECTOR_S and not self._state.is_empty:
+            self._looked_at = now
+            self._tell_all(now)
         if now - self._marks[-1][0] >= FOLD_S:
             self._marks.append((now, self._state.applied))
             self._peers.retire(now, members)
             self._fold(now)
 
+    def _tell_all(self, now: float) -> None:
+        """Send what others lack, and the vector if it has changed."""
+        told = self._state.applied, self._durable
+        is_due = told != self._vector_told or now - self._vectors_at >= IDLE_VECTOR_S
+        if is_due:
+            self._vectors_at, self._vector_told = now, told
+        for peer in self._peers.linked():
+            self._send_missing(now, peer)
+            if is_due:
+                self._send(peer.ip, self._vector())
+
     def pop_messages(self) -> list[tuple[str, Message]]:
         """What is to be sent, and where to."""
         messages, self._messages = self._messages, []
@@ -215,12 +228,16 @@
     def stored(self) -> None:
         """What was taken to be written will last; who sent it is told."""
         assert self._writing is not None
-        _, self._durable, owed = self._writing
-        self._writing = None
-        if not covers(self._state.applied, self._durable):
-            raise broken("what is on disk is held", f"{self._durable} of {self._state.applied}")
+        _, durable, owed = self._writing
+        before, self._durable, self._writing = self._durable, durable, None
+        applied = self._state.applied
+        if not covers(applied, durable):
+            raise broken("what is on disk is held", f"{durable} of {applied}")
+        news = {origin: number for origin, number in durable.items() if before.get(origin) != number}
+        held = {origin: applied[origin] for origin in news}
+        settings = self._settings
         for ip in owed:
-            self._send(ip, self._vector())
+            self._send(ip, TallyVector(settings.replica, settings.domain, held, news, {}, is_partial=True))
 
     def refused(self) -> None:
         """What was taken to be written is to be written again."""
@@ -264,7 +281,7 @@
 
     def _send_missing(self, now: float, peer: Peer) -> None:
         """Send what this replica lacks, and has not been sent lately."""
-        if not peer.is_linked:
+        if not peer.is_linked or not peer.replica:
             return
         state, expected = self._state, peer.expected(now)
         if state.lacks_folded(expected):
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -232,7 +232,8 @@
 class TallyVector(msgspec.Struct, frozen=True, tag=19, array_like=True):
     """Between controllers: the highest number of each origin that the sender holds, all below it included:
     ``applied`` in memory, ``durable`` on its disk, ``folded`` of which it holds only the sums. ``asks_again``: adds
-    came out of order and were dropped; what was sent before doesn't count as sent."""
+    came out of order and were dropped; what was sent before doesn't count as sent. ``is_partial``: of the origins that
+    it doesn't name nothing is told."""
 
     replica: str
     domain: str  # the sender's failure domain
@@ -240,6 +241,7 @@
     durable: dict[str, int]
     folded: dict[str, int]
     asks_again: bool = False
+    is_partial: bool = False
 
 
 class TallyBase(msgspec.Struct, frozen=True, tag=20, array_like=True):
