Tallies in the metrics and in `cranebank system show`; tests of bad input, dead disks and lone controllers

Adds held and folded, lives of controllers, calls that wait and how they ended, and what linked controllers lack.

Result: tests/test_tallies_program.py, tests/test_metrics.py and tests/test_system_commands.py pass.

--- a/cranebank/programs/command.py
+++ b/cranebank/programs/command.py
@@ -48,6 +48,20 @@
     lag: int = 0
 
 
+class TallyStatus(msgspec.Struct, frozen=True):
+    """The tallies of a controller: adds whose ids it holds, those folded into sums, and the adds that each linked
+    controller lacks on its disk."""
+
+    names: int = 0
+    held: int = 0
+    folded: int = 0
+    waiting: int = 0
+    acknowledged: int = 0
+    refused: int = 0
+    unclear: int = 0
+    lag: Mapping[str, int] = {}
+
+
 class Status(msgspec.Struct, frozen=True):
     """What a controller answers to System.Status."""
 
@@ -61,6 +75,7 @@
     controllers: tuple[str, ...] = ()
     backends: tuple[BackendStatus, ...] = ()
     proxies: tuple[ProxyStatus, ...] = ()
+    tallies: TallyStatus = TallyStatus()
 
 
 def edge(*, metrics_port: int = 0, without: str = "") -> int:
@@ -284,6 +299,7 @@
         f"copies        {', '.join(status.copies) or '-'}",
         f"controllers   {', '.join(status.controllers) or '-'}",
         f"configuration {status.revision}",
+        *_describe_tallies(status.tallies),
         "",
     ]
     phases: dict[str, Counter[str]] = {}
@@ -304,6 +320,16 @@
     return lines
 
 
+def _describe_tallies(tallies: TallyStatus) -> list[str]:
+    if not tallies.names:
+        return []
+    lag = ", ".join(f"{ip} lacks {count}" for ip, count in sorted(tallies.lag.items()) if count)
+    return [
+        f"tallies       {tallies.names} names, {tallies.held} adds held, {tallies.folded} folded, "
+        f"{tallies.waiting} calls wait, {tallies.unclear} ended unclear" + (f"; {lag}" if lag else "")
+    ]
+
+
 def _table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
     """Text to the left, figures to the right."""
     cells = [list(head), *([str(cell) for cell in row] for row in rows)]
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -25,6 +25,7 @@
     from cranebank.control.registry import Registry
     from cranebank.dataplane.proxy import Proxy
     from cranebank.membership.fleet import FleetLinks
+    from cranebank.programs.tally_service import TallyService
     from cranebank.transport.messages import Backend
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -67,6 +68,10 @@
     def stage_loads(self) -> Mapping[str, float]:
         """What proxies ask of each stage of all services, in erlangs."""
 
+    @property
+    def tallies(self) -> TallyService:
+        """The tallies that it keeps."""
+
     def overview(self) -> Mapping[str, Any]:
         """What System.Status answers."""
 
@@ -220,10 +225,38 @@
             label="result",
             values={result: controller.writes.get(kind, 0) for result, kind in RESULTS.items()},
         ),
+        *_of_tallies(prefix, controller.tallies),
         _invariant_violations(prefix),
     ]
 
 
+def _of_tallies(prefix: str, tallies: TallyService) -> list[Metric]:
+    figures, counts = tallies.figures, tallies.counts
+
+    def gauge(name: str, text: str, value: int) -> Metric:
+        return Metric(f"{prefix}tally_{name}", "gauge", text, value)
+
+    return [
+        gauge("names", "Tallies that were ever added to.", figures.tallies),
+        gauge("adds_held", "Adds to tallies whose ids are held.", figures.held),
+        gauge("adds_folded", "Adds to tallies that are known by their sums only.", figures.folded),
+        gauge("origins", "Lives of controllers that have taken adds to tallies.", figures.origins),
+        gauge("calls_waiting", "Adds to tallies that wait to be durable on enough controllers.", counts.waiting),
+        gauge(
+            "lag",
+            "Most adds held here that a linked controller doesn't have on its disk.",
+            max(figures.lag.values(), default=0),
+        ),
+        Metric(
+            f"{prefix}tally_calls_total",
+            "counter",
+            "Adds to tallies, by how they ended; unclear: not known to be durable in time.",
+            label="result",
+            values={"acknowledged": counts.acknowledged, "refused": counts.refused, "unclear": counts.unclear},
+        ),
+    ]
+
+
 def _invariant_violations(prefix: str) -> Metric:
     return Metric(
         f"{prefix}invariant_violations_total",
--- a/tests/test_tallies_program.py
+++ b/tests/test_tallies_program.py
@@ -4,17 +4,23 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 from pathlib import Path
+from random import Random
 
 import msgspec
-from test_control_program import ONE, TWO, Answer, caller, play, settings_of
+import pytest
+from lone_consensus import LoneConsensus
+from test_control_program import CALLER_S, ONE, TWO, Answer, caller, play, settings_of
 
 from cranebank.programs.control import make_controller
 from cranebank.programs.controller import Controller
+from cranebank.programs.local_state import NoDisk, Storage
 from cranebank.programs.settings import NodeSettings
+from cranebank.programs.tally_service import TallyDisk
+from cranebank.storage.records import DiskRefused
 
 THREE = "127.0.11.3"
 ALL = (ONE, TWO, THREE)
@@ -80,3 +86,102 @@
                 await until_total(ports, ip, "t", 15)
 
     play(story, 40.0)
+
+
+class HangingDisk:
+    """A disk that refuses or holds up all writes."""
+
+    def __init__(self, refuses: bool) -> None:
+        self.refuses = refuses
+
+    async def put(self, values: Mapping[str, bytes]) -> None:
+        if self.refuses:
+            raise DiskRefused(OSError("no"))
+        await asyncio.Event().wait()
+
+    async def close(self) -> None:
+        """Nothing to do."""
+
+
+@asynccontextmanager
+async def lone(ports: Ports, disk: Storage) -> AsyncIterator[Controller]:
+    """A controller without others, with this disk for its tallies."""
+    settings = settings_of(ONE, ports)
+    made = Controller(
+        msgspec.structs.replace(settings, is_first_start=True),
+        lambda now, random: LoneConsensus(ONE, {}, None),
+        NoDisk(),
+        Random(1),
+        lambda: settings,
+        tally_disk=TallyDisk({}, disk),
+    )
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+@pytest.mark.parametrize("refuses", [True, False])
+def test_an_add_that_is_on_no_disk_is_not_acknowledged_nor_refused(refuses: bool) -> None:
+    async def story(ports: Ports) -> None:
+        async with lone(ports, HangingDisk(refuses)):
+            begun = asyncio.get_running_loop().time()
+            assert (await amend(ports, ONE, "t", "1", 1))[0] == 504
+            assert asyncio.get_running_loop().time() - begun < CALLER_S
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    ("body", "key"),
+    [
+        (b'{"id":"1"}', "actor"),
+        (b'{"actor":1}', "id"),
+        (b'{"id":"","actor":1}', "id"),
+        (b'{"id":"%s","actor":1}' % (b"x" * 65), "id"),
+        (b'{"id":"1","actor":1.5}', "actor"),
+        (b'{"id":"1","actor":true}', "actor"),
+        (b'{"id":"1","actor":9007199254740992}', "actor"),
+        (b'{"id":"1","actor":1e400}', "actor"),
+        (b'{"id":7,"actor":1}', "id"),
+        (b"[]", ""),
+        (b"{", ""),
+        (b'{"id":"\xff","actor":1}', ""),
+    ],
+)
+def test_bad_input_is_named_and_adds_nothing(body: bytes, key: str) -> None:
+    async def story(ports: Ports) -> None:
+        async with lone(ports, NoDisk()), caller(ports) as client:
+            status, _, answer = await client.call("POST", "/api/Tallies.Amend/t", body)
+            assert (status, json.loads(answer)["key"]) == (400, key)
+            assert await total(ports, ONE, "t") == 0
+            assert (await amend(ports, ONE, "t", "1", -3))[0] == 200
+            assert await total(ports, ONE, "t") == -3
+
+    play(story)
+
+
+def test_a_controller_without_any_other_takes_adds_and_they_are_whole_after_it_meets_the_others(tmp_path: Path) -> None:
+    async def story(ports: Ports) -> None:
+        async with fleet(tmp_path, ports, (ONE,), is_first=True):
+            assert (await amend(ports, ONE, "t", "1", 1))[0] == 200
+        async with fleet(tmp_path, ports, (TWO,), is_first=True):
+            assert (await amend(ports, TWO, "t", "2", 2))[0] == 200
+            assert (await amend(ports, TWO, "t", "1", 1))[0] == 200
+        async with fleet(tmp_path, ports, ALL, is_first=False):
+            for ip in ALL:
+                await until_total(ports, ip, "t", 3)
+
+    play(story, 40.0)
+
+
+def test_adds_that_come_together_are_all_acknowledged(tmp_path: Path) -> None:
+    async def story(ports: Ports) -> None:
+        async with fleet(tmp_path, ports, ALL, is_first=True) as made:
+            await amend(ports, ONE, "t", "first", 1)
+            answers = await asyncio.gather(*(amend(ports, ALL[n % 3], f"t{n % 7}", str(n), n) for n in range(200)))
+            assert {status for status, _, _ in answers} == {200}
+            assert sum(controller.tallies.counts.acknowledged for controller in made) == 201
+
+    play(story, 40.0)
