Tallies: members are looked up twice a second, and a process that ends writes what it holds

Who votes and who is known was worked out at each tick of 50 ms. At the end of a process a write that ended after the file was closed would have begun another one.

--- a/benchmarks/tallies.py
+++ b/benchmarks/tallies.py
@@ -58,7 +58,8 @@
             self.replicas[name].add(self.now, f"t{self.calls % TALLIES}", f"{self.calls:016x}", self.calls % 9)
         for name, other in zip(NAMES, reversed(NAMES), strict=True):
             heard = {other: float(self.now)} if self.is_linked else {}
-            self.replicas[name].tick(self.now, heard, (other,), (other,))
+            self.replicas[name].know((other,), (other,))
+            self.replicas[name].tick(self.now, heard)
         while self.exchange(*NAMES) or self.exchange(*reversed(NAMES)):
             pass
 
--- a/cranebank/control/tallies/replica.py
+++ b/cranebank/control/tallies/replica.py
@@ -183,10 +183,13 @@
                     self._segments.folded(touched, self._state)
                     self._ack_owed.add(ip)
 
-    def tick(self, now: float, heard: Mapping[str, float], members: Collection[str], known: Collection[str]) -> None:
-        """Time passes. ``heard``: when each linked replica was heard; ``members``: the others that have to have an add
-        before its id is forgotten; ``known``: all others that may be there."""
+    def know(self, members: Collection[str], known: Collection[str]) -> None:
+        """``members``: the others that have to have an add before its id is forgotten; ``known``: all others that may
+        be there."""
         self._members, self._known = members, known
+
+    def tick(self, now: float, heard: Mapping[str, float]) -> None:
+        """Time passes. ``heard``: when each linked replica was heard."""
         for ip, at in heard.items():
             peer = self._peers.at(ip)
             peer.heard = max(peer.heard, at)
@@ -195,7 +198,7 @@
             self._tell_all(now)
         if now - self._marks[-1][0] >= FOLD_S:
             self._marks.append((now, self._state.applied))
-            self._peers.retire(now, members)
+            self._peers.retire(now, self._members)
             self._fold(now)
 
     def _tell_all(self, now: float) -> None:
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -295,17 +295,15 @@
         self.publish_registry()
         self._delivery.tick(self.now())
         send_deliveries(self._delivery)
-        self._tick_tallies()
-
-    def _tick_tallies(self) -> None:
-        own = {self._settings.ip}
-        members = {ip_of(member) for member in self._consensus.status(self.now()).members}
-        self.tallies.tick(members - own, self._protocol.known_controllers() - own)
+        self.tallies.tick()
 
     def _registry_tick(self) -> None:
         self._timers[1:] = [self._loop.call_later(REGISTRY_S, self._registry_tick)]
         now = self.now()
         self._look_for_controllers(now)
+        own = {self._settings.ip}
+        members = {ip_of(member) for member in self._consensus.status(now).members}
+        self.tallies.know(members - own, self._protocol.known_controllers() - own)
         self._registry_service.tick(now)
         self.publish_registry()
         self._local_state.keep_registry(now, self.registry.everything, len(self.registry.records))
--- a/cranebank/programs/tally_service.py
+++ b/cranebank/programs/tally_service.py
@@ -28,6 +28,7 @@
 WAIT_S = 0.9
 MOST_WAITING = 2000
 DISK_RETRY_S = 0.2
+CLOSE_LOOK_S = 0.01
 
 
 class Counts(msgspec.Struct):
@@ -63,7 +64,8 @@
         self._waiting: dict[str, list[_Waiting]] = {}
         self._order = itertools.count()
         self._tasks = BackgroundTasks()
-        self._is_writing = False
+        self._known: Collection[str] = ()
+        self._is_writing = self._is_closed = False
         self.counts = Counts()
 
     async def amend(self, tally: str, call_id: str, amount: int) -> bool | Refused:
@@ -98,11 +100,15 @@
         self._replica.receive(self._now(), ip, message)
         self._proceed()
 
-    def tick(self, members: Collection[str], known: Collection[str]) -> None:
-        """Time passes. ``members`` and ``known``: the IPs of the other controllers that vote, and of all others."""
-        links = [self._links.to(ip) for ip in known]
-        heard = {link.peer: link.heard for link in links if link is not None}
-        self._replica.tick(self._now(), heard, members, known)
+    def know(self, members: Collection[str], known: Collection[str]) -> None:
+        """The IPs of the other controllers that vote, and of all others."""
+        self._known = known
+        self._replica.know(members, known)
+
+    def tick(self) -> None:
+        """Time passes."""
+        links = [self._links.to(ip) for ip in self._known]
+        self._replica.tick(self._now(), {link.peer: link.heard for link in links if link is not None})
         self._proceed()
 
     @property
@@ -111,10 +117,14 @@
         return self._replica.figures
 
     async def close(self) -> None:
-        """No more is written; a disk that hangs holds up no end."""
+        """The last write; a disk that hangs holds up no end."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LAST_S):
+                while self._is_writing:
+                    await asyncio.sleep(CLOSE_LOOK_S)
+                self._is_closed = True
                 await self._storage.close()
+        self._is_closed = True
         self._tasks.cancel()
 
     def _proceed(self) -> None:
@@ -123,7 +133,7 @@
             link = self._links.to(ip)
             if link is not None:
                 link.send(message)
-        if not self._is_writing:
+        if not self._is_writing and not self._is_closed:
             values = self._replica.take_writes()
             if values:
                 self._is_writing = True
--- a/tests/tally_world.py
+++ b/tests/tally_world.py
@@ -21,11 +21,12 @@
         self.waiting: dict[str, Placed] = {}
         self.acknowledged: set[str] = set()
 
-    def start(self, now: float) -> None:
+    def start(self, now: float, others: list[str]) -> None:
         """Begin a life with what is on the disk."""
         self.life += 1
         settings = ReplicaSettings(f"{self.name}{self.life}", self.name, self.copies, 1, self.life == 1)
         self.replica = TallyReplica(settings, self.disk, now)
+        self.replica.know(others, others)
         self.writing, self.waiting, self.acknowledged = {}, {}, set()
 
 
@@ -41,7 +42,7 @@
         """Amount by id of all adds that may count."""
         self.owed: set[str] = set()
         for machine in self.machines.values():
-            machine.start(self.now)
+            machine.start(self.now, self.others(machine.name))
         for one in names:
             for other in names:
                 if one < other:
@@ -142,7 +143,7 @@
             self.unlink(name, other)
         if is_wiped:
             self.machines[name].disk = {}
-        self.machines[name].start(self.now)
+        self.machines[name].start(self.now, self.others(name))
         for other in self.others(name):
             self.link(name, other)
 
@@ -151,7 +152,7 @@
         self.now += seconds
         for name in self.machines:
             heard = {other: self.now for other in self.others(name) if self.is_linked(name, other)}
-            self.machines[name].replica.tick(self.now, heard, self.others(name), self.others(name))
+            self.machines[name].replica.tick(self.now, heard)
             self.collect(name)
 
     def settle(self) -> None:
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -121,7 +121,7 @@
 
 def _calm(copies: int = 1, known: tuple[str, ...] = (), is_first: bool = True) -> TallyReplica:
     made = TallyReplica(ReplicaSettings("me", "z", copies, 1, is_first), {}, 0.0)
-    made.tick(0.0, {}, known, known)
+    made.know(known, known)
     return made
 
 
@@ -245,7 +245,7 @@
             made.add(0.0, TALLY, str(number), number)
             write(made, store, stored)
         for turn in range(1, int(RETAIN_S / FOLD_S) + 3):
-            made.tick(turn * FOLD_S, {}, (), ())
+            made.tick(turn * FOLD_S, {})
         made.add(700.0, TALLY, "4", 4)
         write(made, store, stored)
 
