Evacuated zones in the epoch record, changed by the primary under its lease

An evacuation has to survive whatever a configuration survives. Weighed: as part of the replicated value (a second order beside the revision in every comparison), as part of the configuration (operators read it back as they sent it). Taken: the epoch record, which a majority holds durably and every takeover copies. Changes wait in a bounded queue of the primary; all that wait go into one record, and each is answered when the chosen record has it or a later change of its zone, with no proposal under way and under the lease.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -61,6 +61,8 @@
             revision=self._value.revision,
             term=record.term if record is not None else -1,
             intents=self._named_intents(),
+            evacuated=record.evacuated if record is not None else (),
+            evacuation_number=record.evacuation_number if record is not None else 0,
         )
 
     def _named_intents(self) -> tuple[OrderIntent, ...] | None:
@@ -103,6 +105,8 @@
                     del self._leadership.last_sent[replica]
         elif isinstance(event, ev.Write):
             self._write(event)
+        elif isinstance(event, ev.Evacuate):
+            self._evacuate(event)
         elif isinstance(event, ev.Located):
             self._locate(event)
         elif isinstance(event, ev.SetIntents):
@@ -189,11 +193,13 @@
             if self._is_committable(leadership, record):
                 self._commit(leadership)
             self._start_writes(leadership)
+            self._answer_evacuations(leadership, record)
         self._send_stores(leadership, record)
         if self._proposal is None and self.holds(now):
             changed = (
                 self._changed_copies(leadership, record)
                 or self._changed_members(record)
+                or self._changed_evacuations(leadership, record)
                 or self._changed_intents(leadership, record)
             )
             if changed is not None:
@@ -206,18 +212,29 @@
 
     # Writes.
 
+    def _not_primary(self) -> ev.NotPrimary:
+        record = self._acceptor.chosen
+        primary = record.primary if record is not None else ""
+        return ev.NotPrimary(ip_of(primary) if primary not in ("", self._id) else None)
+
+    def _evacuate(self, event: ev.Evacuate) -> None:
+        if self._leadership is None:
+            self._actions.append(ev.Answer(event.request, self._not_primary()))
+        elif not self._leadership.evacuations.add(event, self._now + WRITE_S):
+            self._actions.append(ev.Answer(event.request, ev.Busy()))
+
     def _write(self, write: ev.Write) -> None:
         if self._leadership is None:
-            record = self._acceptor.chosen
-            primary = record.primary if record is not None else ""
-            known = ip_of(primary) if primary not in ("", self._id) else None
-            self._actions.append(ev.Answer(write.request, ev.NotPrimary(known)))
+            self._actions.append(ev.Answer(write.request, self._not_primary()))
         elif len(self._queue) >= QUEUE:
             self._actions.append(ev.Answer(write.request, ev.Busy()))
         else:
             self._queue.append((write, self._now + WRITE_S))
 
     def _answer_late(self) -> None:
+        if self._leadership is not None:
+            for request, result in self._leadership.evacuations.take_late(self._now):
+                self._actions.append(ev.Answer(request, result))
         change = self._leadership.change if self._leadership is not None else None
         if change is not None and not change.is_answered and self._now >= change.deadline:
             change.is_answered = True
--- a/cranebank/control/custody_types.py
+++ b/cranebank/control/custody_types.py
@@ -10,6 +10,7 @@
 from cranebank.control import events as ev
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
 from cranebank.control.epochs import HeldLease, OrderIntent
+from cranebank.control.evacuation_queue import EvacuationQueue
 
 FILE = "custody"
 """Name of the file in the data folder."""
@@ -94,6 +95,7 @@
         self.committed: Value | None = None
         self.change: PendingChange | None = None
         self.wanted_intents: tuple[OrderIntent, ...] | None = None  # None: the record's stay as they are
+        self.evacuations = EvacuationQueue()
 
     def forget_others(self, members: Iterable[str]) -> None:
         """Drop what is known of replicas that are members no longer."""
--- a/cranebank/control/epochs.py
+++ b/cranebank/control/epochs.py
@@ -29,7 +29,9 @@
 
 class EpochRecord(msgspec.Struct, frozen=True):
     """Who is primary, who holds the data and who votes. `term` is the epoch at which the primary took over. `intents`
-    are the orders to backends that a primary may have sent lately, None where a version that records none wrote it."""
+    are the orders to backends that a primary may have sent lately, None where a version that records none wrote it.
+    ``evacuated`` are the zones to whose backends nothing more is sent, sorted; ``evacuation_number`` rises with each
+    change of them."""
 
     epoch: int
     term: int
@@ -37,6 +39,8 @@
     copies: tuple[str, ...]
     members: tuple[str, ...]
     intents: tuple[OrderIntent, ...] | None = None
+    evacuated: tuple[str, ...] = ()
+    evacuation_number: int = 0
 
 
 def initial_record(seeds: Iterable[str]) -> EpochRecord:
--- a/cranebank/control/events.py
+++ b/cranebank/control/events.py
@@ -193,14 +193,22 @@
     intents: tuple[OrderIntent, ...]
 
 
+class Evacuate(msgspec.Struct, frozen=True):
+    """Evacuate a zone, or take it back: the record is to say so. Answered as a write is."""
+
+    request: int
+    zone: str
+    is_start: bool
+
+
 class Retire(msgspec.Struct, frozen=True):
     """The process will end soon: give up the primary's part and don't stand again."""
 
 
-Event = Tick | Received | Persisted | DiskTrouble | LinkDown | Write | Located | SetIntents | Retire
+Event = Tick | Received | Persisted | DiskTrouble | LinkDown | Write | Located | SetIntents | Evacuate | Retire
 
 
-# Results of a write.
+# Results of a write or an evacuation.
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -248,7 +256,8 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """The result of a write; one for each. To be answered only if `holds` still says so, except for refusals."""
+    """The result of a write or an evacuation; one for each. To be answered only if `holds` still says so, except for
+    refusals."""
 
     request: int
     result: Result
@@ -289,3 +298,5 @@
     revision: int
     term: int = -1  # the epoch at which that primary took over
     intents: tuple[OrderIntent, ...] | None = None  # that the newest record names, and one that is proposed, too
+    evacuated: tuple[str, ...] = ()  # zones that the newest record known to be chosen names
+    evacuation_number: int = 0  # of that record
--- a/cranebank/control/primary.py
+++ b/cranebank/control/primary.py
@@ -211,6 +211,21 @@
             return None  # it could not be completed, and until then nothing else can be changed
         return self._next(record, members=new)
 
+    def _answer_evacuations(self, leadership: Leadership, record: EpochRecord) -> None:
+        """Answer the changes that the chosen record has. To be called only under the lease: then it is the newest, but
+        for one that is proposed here and may be chosen already."""
+        if self._proposal is None:
+            for request in leadership.evacuations.take_done(record.evacuated):
+                self._actions.append(ev.Answer(request, ev.Accepted()))
+
+    def _changed_evacuations(self, leadership: Leadership, record: EpochRecord) -> EpochRecord | None:
+        """Return the record with all changes of evacuated zones that wait, None when it has them."""
+        zones = leadership.evacuations.zones_after(record.evacuated)
+        if zones == record.evacuated:
+            return None
+        leadership.evacuations.mark_proposed()
+        return self._next(record, evacuated=zones, evacuation_number=record.evacuation_number + 1)
+
     def _changed_intents(self, leadership: Leadership, record: EpochRecord) -> EpochRecord | None:
         """Return the record with the intents that are wanted, None when it has them."""
         wanted = leadership.wanted_intents
--- a/cranebank/control/replica.py
+++ b/cranebank/control/replica.py
@@ -167,6 +167,9 @@
         if leadership is not None and leadership.change is not None and not leadership.change.is_answered:
             # It is on this disk already and a later primary may adopt it.
             self._actions.append(ev.Answer(leadership.change.request, ev.Unknown()))
+        if leadership is not None:
+            for request, result in leadership.evacuations.take_all():
+                self._actions.append(ev.Answer(request, result))
         for write, _ in self._queue:
             self._actions.append(ev.Answer(write.request, ev.NotPrimary(None)))
         self._queue.clear()
--- a/tests/lone_consensus.py
+++ b/tests/lone_consensus.py
@@ -21,6 +21,8 @@
         self.members: tuple[str, ...] = (ip,)
         self.calls: dict[bytes, int] = {}
         self.forgotten_below = 0
+        self.evacuated: tuple[str, ...] = ()
+        self.evacuation_number = 0
         if "revision" in stored:
             self.current = int(stored["revision"]), stored["document"], stored["digest"]
             self.calls[stored["digest"]] = int(stored["revision"])
@@ -67,6 +69,8 @@
             (self.ip,),
             self.members,
             revision,
+            evacuated=self.evacuated,
+            evacuation_number=self.evacuation_number,
         )
 
     def handle(self, now: float, event: events.Event) -> list[events.Action]:
@@ -77,6 +81,11 @@
                 return [events.Became(1)]
             case events.Write():
                 return self._write(event)
+            case events.Evacuate(request, zone, is_start):
+                zones = {*self.evacuated, zone} if is_start else {*self.evacuated} - {zone}
+                if tuple(sorted(zones)) != self.evacuated:
+                    self.evacuated, self.evacuation_number = tuple(sorted(zones)), self.evacuation_number + 1
+                return [events.Answer(request, events.Accepted())]
             case events.Persisted(token):
                 return self._persisted(token)
             case events.Retire():
