Evacuation.Start and Evacuation.Finish, and their delivery to proxies

The calls are taken by the primary as changes of the configuration are: 307 or 503 elsewhere, 200 only when the record with it is chosen, under the lease, after at most 0.4 s of waiting for linked proxies; 504 where it may be chosen yet; 400 for a zone that neither the settings nor a backend name. Every controller tells all linked proxies what the newest record that it knows says, numbered, and whoever links later ahead of the backends. Nothing is sent while no zone was ever evacuated.

--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -13,7 +13,7 @@
 
 from bitarray import bitarray
 
-from cranebank.transport.messages import Backend, ConfigPush, Message, Push, Welcome
+from cranebank.transport.messages import Backend, ConfigPush, Evacuations, Message, Push, Welcome
 
 BACKUP_S = 0.3  # how long others than the primary wait for its push to show
 CONTROLLER_S = 0.5  # how long a controller has to learn of a configuration through the custody
@@ -67,6 +67,7 @@
         self.due = due  # when others than the primary may send it a configuration
         self.number = self.acknowledged = 0
         self.sent = 0  # revision sent on this link
+        self.evacuation_number = 0  # of the evacuated zones that it has acknowledged
 
 
 class Delivery:
@@ -81,6 +82,8 @@
         self._free: list[int] = []
         self._backend_acks: list[PendingAcks] = []
         self._revision_acks: list[PendingAcks] = []
+        self._evacuation_acks: list[PendingAcks] = []
+        self.evacuations = Evacuations(0, ())  # the newest that are known here; 0: none were ever
         self._out: list[tuple[Hashable, Message]] = []
         self._controllers: tuple[str, ...] = ()
         self._stale_welcome = False
@@ -119,6 +122,8 @@
         if is_proxy:
             self._stale_welcome = True
             self._welcome(link, peer, sorted(self.proxies))
+            if self.evacuations.number:  # ahead of the backends: it sends to nobody there in between
+                self._out.append((link, self.evacuations))
             self._push(link, peer, tuple(records))
         self._configure(now, link, peer)
         return older
@@ -128,7 +133,7 @@
         peer = self.peers.pop(link, None)
         if peer is None or peer.slot < 0:
             return
-        for acks in (*self._backend_acks, *self._revision_acks):
+        for acks in (*self._backend_acks, *self._revision_acks, *self._evacuation_acks):
             acks.disconnect(peer.slot)
         self._sweep()
         self._free.append(peer.slot)
@@ -185,6 +190,30 @@
             {peer.slot: revision for peer in self.peers.values() if peer.slot >= 0 and peer.revision < revision},
         )
 
+    def know_evacuations(self, number: int, zones: tuple[str, ...]) -> None:
+        """The newest evacuations known to be chosen; every linked proxy is told when they are news."""
+        if number > self.evacuations.number:
+            self.evacuations = Evacuations(number, zones)
+            self.tell_proxies(self.evacuations)
+
+    def acknowledged_evacuations(self, link: Hashable, number: int) -> None:
+        """The evacuations of this number, or of a later one, bind at the end of this link."""
+        peer = self.peers.get(link)
+        if peer is None or number <= peer.evacuation_number:
+            return
+        peer.evacuation_number = number
+        for acks in self._evacuation_acks:
+            acks.acknowledge(peer.slot, number)
+        self._sweep()
+
+    def await_evacuations(self) -> PendingAcks:
+        """All linked proxies' acknowledgements of the newest evacuations known here."""
+        number = self.evacuations.number
+        return self._await(
+            self._evacuation_acks,
+            {peer.slot: number for peer in self.peers.values() if peer.slot >= 0 and peer.evacuation_number < number},
+        )
+
     def know_controllers(self, ips: Iterable[str]) -> None:
         """The controllers' IPs, all that are known."""
         controllers = tuple(sorted(ips))
@@ -219,6 +248,7 @@
     def _sweep(self) -> None:
         self._backend_acks = [acks for acks in self._backend_acks if not acks.done]
         self._revision_acks = [acks for acks in self._revision_acks if not acks.done]
+        self._evacuation_acks = [acks for acks in self._evacuation_acks if not acks.done]
 
     def _push(self, link: Hashable, peer: Peer, records: tuple[Backend, ...]) -> int:
         peer.number += 1
--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -29,9 +29,12 @@
 
 CONFIGURATION_BYTES = 9 << 20
 BEAT_BYTES = 64 << 10
+EVACUATION_BYTES = 1 << 10  # none is asked for; what comes is not looked at
 REVISION_DIGITS = 18
 WRITE_S = 4.0  # the custody answers by itself before
 REVISION_ACK_S = 0.4  # how long a 200 waits for the proxies
+EVACUATION_ACK_S = 0.4  # how long the answer to an evacuation waits for the proxies
+MOST_EVACUATED = 256  # zones: each message that asks for the lease names them
 ENDING_S = 0.6  # how long a drain or a leave waits for a majority and the proxies: callers wait for one second
 RETRY_S = "0.2"
 
@@ -88,6 +91,18 @@
     def await_revision(self, revision: int) -> PendingAcks:
         """Acknowledgements of the linked proxies' having a revision in force."""
 
+    def knows_zone(self, zone: str) -> bool:
+        """Whether the settings or a known backend name this zone, or it is evacuated."""
+
+    def evacuated(self) -> tuple[str, ...]:
+        """The zones that the newest record known here names as evacuated."""
+
+    async def evacuate(self, zone: str, is_start: bool) -> events.Result:
+        """Evacuate a zone, or take it back; the consensus core's result."""
+
+    def await_evacuations(self) -> PendingAcks:
+        """Acknowledgements of the linked proxies' having the newest evacuations in force."""
+
     def is_isolated(self) -> bool:
         """Whether neither another controller nor a proxy has been heard for a while: nobody hears what is taken."""
 
@@ -117,6 +132,8 @@
             Call("POST", "/api/Configuration.Replace", CONFIGURATION_BYTES, self.replace),
             Call("POST", "/api/Configuration.Amend", CONFIGURATION_BYTES, self.amend),
             Call("GET", "/api/Configuration.Read", 0, self.read),
+            Call("POST", "/api/Evacuation.Start/{id}", EVACUATION_BYTES, self.start_evacuation),
+            Call("POST", "/api/Evacuation.Finish/{id}", EVACUATION_BYTES, self.finish_evacuation),
             Call("POST", "/api/Servers.Heartbeat/{id}", BEAT_BYTES, self.heartbeat),
             Call("POST", "/api/Servers.Leave/{id}", BEAT_BYTES, self.leave),
             Call("GET", "/api/System.Status", 0, self.status),
@@ -139,6 +156,32 @@
             return refusal(503, "no_configuration", headers=_RETRY)
         return Response(200, current[1])
 
+    async def start_evacuation(self, request: Request) -> Response:
+        """Nothing more is to be sent to the backends of a zone."""
+        if self._plane.holds() and len({*self._plane.evacuated(), request.argument}) > MOST_EVACUATED:
+            return refusal(503, "too_many_zones", "zone", f"at most {MOST_EVACUATED} evacuated", headers=_RETRY)
+        return await self._evacuate(request, True)
+
+    async def finish_evacuation(self, request: Request) -> Response:
+        """The backends of a zone are taken back."""
+        return await self._evacuate(request, False)
+
+    async def _evacuate(self, request: Request, is_start: bool) -> Response:
+        if not self._plane.holds():
+            return self._redirect(request)
+        if not self._plane.knows_zone(request.argument):
+            return refusal(400, "unknown_zone", "zone", "a zone of the settings or of a backend")
+        match await self._plane.evacuate(request.argument, is_start):
+            case events.Accepted():
+                await self._plane.wait_for_acks(self._plane.await_evacuations(), EVACUATION_ACK_S)
+                return self._under_lease(request, _OK)
+            case events.NotPrimary():
+                return self._redirect(request)
+            case events.Busy():
+                return refusal(503, "busy", headers=_RETRY)
+            case _:
+                return refusal(504, "unknown")  # it may be chosen yet
+
     async def heartbeat(self, request: Request) -> Response:
         """A backend says how it is."""
         try:
--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -102,21 +102,30 @@
 
     async def write(self, base: int, revision: int, document: bytes, digest: bytes) -> events.Result:
         """Hand a write to the core and wait for its result."""
+        result = await self._ask(lambda request: events.Write(request, base, revision, document, digest))
+        kind = type(result).__name__
+        self.results[kind] = self.results.get(kind, 0) + 1
+        return result
+
+    async def evacuate(self, zone: str, is_start: bool) -> events.Result:
+        """Hand a change of the evacuated zones to the core and wait for its result."""
+        return await self._ask(lambda request: events.Evacuate(request, zone, is_start))
+
+    async def _ask(self, event: Callable[[int], events.Event]) -> events.Result:
+        """Feed the event of a new request; its result, unknown where none comes in time."""
         self._requests += 1
         request = self._requests
         future: asyncio.Future[events.Result] = asyncio.get_running_loop().create_future()
         self._writes[request] = future
         result: events.Result = events.Unknown()
         try:
-            self.feed(events.Write(request, base, revision, document, digest))
+            self.feed(event(request))
             async with asyncio.timeout(WRITE_S):
                 result = await future
         except TimeoutError:
             pass
         finally:
             self._writes.pop(request, None)
-        kind = type(result).__name__
-        self.results[kind] = self.results.get(kind, 0) + 1
         return result
 
     def _do(self, action: events.Action) -> None:
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -89,6 +89,7 @@
             self._tell_proxies,
             lambda intents: self._driver.feed(events.SetIntents(intents)),
         )
+        self._tell_evacuations()
         self._api = Server(OperatorApi(self).calls(), self.now)
         self._linked_at = now  # when another controller was last linked
         self._reloaded_at = now
@@ -209,6 +210,26 @@
         """Acknowledgements of the linked proxies' having a revision in force."""
         return self._delivery.await_revision(revision)
 
+    def knows_zone(self, zone: str) -> bool:
+        """Whether the settings or a known backend name this zone, or it is evacuated."""
+        if zone == self._settings.zone or zone in self._settings.zones or zone in self.evacuated():
+            return True
+        return any(record.zone == zone for record in self.registry.records.values())
+
+    def evacuated(self) -> tuple[str, ...]:
+        """The zones that the newest record known here names as evacuated."""
+        return self._consensus.status(self.now()).evacuated
+
+    async def evacuate(self, zone: str, is_start: bool) -> events.Result:
+        """Evacuate a zone, or take it back; the consensus core's result. Linked proxies are told of it then."""
+        result = await self._driver.evacuate(zone, is_start)
+        self._tell_evacuations()
+        return result
+
+    def await_evacuations(self) -> PendingAcks:
+        """Acknowledgements of the linked proxies' having the newest evacuations in force."""
+        return self._delivery.await_evacuations()
+
     async def wait_for_acks(self, acks: PendingAcks, seconds: float) -> None:
         """Wait for these acknowledgements, no longer than this."""
         await wait_for_acks(acks, seconds)
@@ -268,6 +289,12 @@
         self._delivery.tell_proxies(message)
         send_deliveries(self._delivery)
 
+    def _tell_evacuations(self) -> None:
+        """Tell linked proxies what the newest record known here says of evacuated zones, if that is news."""
+        status = self._consensus.status(self.now())
+        self._delivery.know_evacuations(status.evacuation_number, status.evacuated)
+        send_deliveries(self._delivery)
+
     def leadership_changed(self, is_primary: bool) -> None:
         """This controller acts as primary from now on, or does so no longer."""
         self._delivery.set_primary(self.now(), is_primary)
@@ -286,7 +313,7 @@
         self._driver.feed(events.Tick())
         self.publish_registry()
         self._delivery.tick(self.now())
-        send_deliveries(self._delivery)
+        self._tell_evacuations()
 
     def _registry_tick(self) -> None:
         self._timers[1:] = [self._loop.call_later(REGISTRY_S, self._registry_tick)]
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -22,6 +22,7 @@
     ConfigAck,
     ConfigPush,
     Custodial,
+    EvacuationsAck,
     Hello,
     Message,
     Pulse,
@@ -85,6 +86,8 @@
                 self.loads.report(self._now(), link, message.loads)
             case ConfigAck(revision):
                 self._delivery.observe_revision(link, revision)
+            case EvacuationsAck(number):
+                self._delivery.acknowledged_evacuations(link, number)
             case RegistrySync():
                 self._registry.merge(link, message)
             case Relayed(source, sync):
--- a/cranebank/programs/controller_status.py
+++ b/cranebank/programs/controller_status.py
@@ -28,6 +28,8 @@
         "copies": status.copies,
         "controllers": sorted(controllers),
         "revision": delivery.revision,
+        "evacuated": status.evacuated,
+        "evacuation_number": status.evacuation_number,
         "backends": [
             {"id": record.id, "target": record.target, "address": record.address, "phase": record.phase}
             for record in registry.everything()
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -4,7 +4,8 @@
 changed backends (Push, acknowledged by number) and configurations (ConfigPush, acknowledged by ConfigAck). Between
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
 RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
-proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff).
+proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff);
+every controller tells them the zones that are evacuated (Evacuations, acknowledged by EvacuationsAck).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
@@ -111,6 +112,20 @@
     seconds: float
 
 
+class Evacuations(msgspec.Struct, frozen=True, tag=21, array_like=True):
+    """To proxies, before the backends: the zones to whose backends nothing more is sent. A higher ``number`` is newer;
+    answered by EvacuationsAck. Between proxies it comes ahead of a fetched configuration, unanswered."""
+
+    number: int
+    zones: tuple[str, ...]
+
+
+class EvacuationsAck(msgspec.Struct, frozen=True, tag=22, array_like=True):
+    """The evacuations of this number, or of a later one, bind from now on."""
+
+    number: int
+
+
 class Custodial(msgspec.Struct, frozen=True, tag=8, array_like=True):
     """A message of the custody's core, as msgpack."""
 
@@ -226,4 +241,6 @@
     | Gossip
     | HoldOff
     | ReadingBegun
+    | Evacuations
+    | EvacuationsAck
 )
