No stage order and no report goes to a backend of an evacuated zone

The balancer is shown only the records outside evacuated zones; the zone is looked at once more when the connection stands, right before anything is written. The stand-in for the consensus core in the tests is now LoneConsensus, which tells evacuated zones, instead of none: the checks are the same.

--- a/cranebank/programs/stage_duty.py
+++ b/cranebank/programs/stage_duty.py
@@ -147,10 +147,21 @@
         registry = self._registry
         is_current = registry.is_current(now)
         loads = self._loads(now) if authority.holds_lease else {}
-        self._feed(Look(authority, self._services, registry.records, registry.heard_at, is_current, loads))
+        records = self._outside_evacuated_zones(registry.records)
+        self._feed(Look(authority, self._services, records, registry.heard_at, is_current, loads))
         if authority.holds_lease:
             self._keep_recorded(authority, self.balancer.intents(now))
 
+    def _evacuated(self) -> frozenset[str]:
+        return frozenset(self._consensus.status(self._now()).evacuated)
+
+    def _outside_evacuated_zones(self, records: Mapping[str, Backend]) -> Mapping[str, Backend]:
+        """Those that may be sent anything; the balancer knows of no others."""
+        evacuated = self._evacuated()
+        if not evacuated:
+            return records
+        return {name: record for name, record in records.items() if record.zone not in evacuated}
+
     def _keep_recorded(self, authority: Authority, intents: tuple[OrderIntent, ...] | None) -> None:
         if intents is not None and authority.recorded != {intent.backend: intent.stage for intent in intents}:
             self._record_intents(intents)
@@ -199,7 +210,10 @@
             return
         try:
             connection.reset_on_close(True)
-            # From the look at the lease to the writing of the order nothing is awaited.
+            # From the look at the zone and the lease to the writing of the order nothing is awaited.
+            if backend.zone in self._evacuated():
+                self._feed(NotConnected(number))
+                return
             actions = self.balancer.handle(self._now(), Connected(number, self._authority()))
             transmit = next((action for action in actions if isinstance(action, Transmit)), None)
             if transmit is not None:
@@ -223,6 +237,9 @@
             self._feed(Unreported(number))
             return
         try:
+            if backend.zone in self._evacuated():
+                self._feed(Unreported(number))
+                return
             headers = {"Host": backend.address, "X-Target-Instance": backend.id}
             answer = await connection.ask(request_bytes("GET", "/api/report", headers), ANSWER_S)
         finally:
--- a/tests/test_stage_duty.py
+++ b/tests/test_stage_duty.py
@@ -3,14 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast
 
 import msgspec
 import pytest
+from lone_consensus import LoneConsensus
 
-from cranebank.control.consensus import ConsensusCore
+from cranebank.control import events
 from cranebank.control.registry import Registry
-from cranebank.control.stage_events import Action, AskReport, Connect, Event, NotConnected, Order, Reported, Unreported
+from cranebank.control.stage_events import (
+    Action,
+    AskReport,
+    Connect,
+    Connected,
+    Event,
+    Look,
+    NotConnected,
+    Order,
+    Reported,
+    Transmit,
+    Unreported,
+)
 from cranebank.programs import stage_duty
 from cranebank.programs.settings import NodeSettings
 from cranebank.programs.stage_duty import StageDuty
@@ -25,13 +37,18 @@
 
     def __init__(self, body: bytes) -> None:
         self._body = body
+        self.asked: list[bytes] = []
 
     async def ask(self, request: bytes, seconds: float) -> Answer:
+        self.asked.append(request)
         return Answer(200, body=self._body, whole=True)
 
     def close(self) -> None:
         pass
 
+    def reset_on_close(self, is_on: bool) -> None:
+        pass
+
 
 class RecordingBalancer:
     """Keeps what it is told."""
@@ -41,23 +58,24 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.told.append(event)
-        return []
+        return [Transmit(event.number, Order("decode", "n", 1, expected=1))] if isinstance(event, Connected) else []
 
     def held(self, now: float) -> dict[str, float]:
         return {}
 
 
-async def told_after(action: Action) -> list[Event]:
-    """What the balancer is told once this action is done."""
-    duty = StageDuty(
-        NodeSettings("n", "10.0.0.1", "z", (7000, 7009), ()),
-        lambda: 0.0,
-        cast(ConsensusCore, None),
-        lambda: True,
-        Registry(0.0, 1.0),
-    )
+def duty_of(consensus: LoneConsensus) -> tuple[StageDuty, RecordingBalancer]:
+    """A duty whose balancer records what it is told."""
+    settings = NodeSettings("n", "10.0.0.1", "z", (7000, 7009), ())
+    duty = StageDuty(settings, lambda: 0.0, consensus, lambda: True, Registry(0.0, 1.0))
     balancer = RecordingBalancer()
     duty.balancer = balancer  # type: ignore[assignment]
+    return duty, balancer
+
+
+async def told_after(action: Action) -> list[Event]:
+    """What the balancer is told once this action is done."""
+    duty, balancer = duty_of(LoneConsensus("10.0.0.1", {}))
     duty._do(action)
     await asyncio.gather(*duty._tasks._tasks, return_exceptions=True)
     return balancer.told
@@ -82,6 +100,39 @@
     assert asyncio.run(told_after(AskReport(3, BACKEND))) == [event]
 
 
+@pytest.mark.parametrize(
+    ("action", "event"), [(Connect(3, BACKEND), NotConnected(3)), (AskReport(3, BACKEND), Unreported(3))]
+)
+def test_nothing_is_sent_to_a_zone_that_is_evacuated_while_the_connection_is_made(
+    action: Action, event: Event, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    consensus, connection = LoneConsensus("10.0.0.1", {}), Connection(b'{"stage": "decode"}')
+
+    async def connect(address: str, seconds: float, most_bytes: int) -> Connection:
+        consensus.handle(0.0, events.Evacuate(1, BACKEND.zone, True))
+        return connection
+
+    async def story() -> None:
+        monkeypatch.setattr(stage_duty, "connect", connect)
+        duty, balancer = duty_of(consensus)
+        duty._do(action)
+        await asyncio.gather(*duty._tasks._tasks)
+        assert balancer.told == [event] and connection.asked == []
+
+    asyncio.run(story())
+
+
+def test_the_balancer_sees_no_backend_of_an_evacuated_zone() -> None:
+    consensus = LoneConsensus("10.0.0.1", {})
+    duty, balancer = duty_of(consensus)
+    duty._registry.merge(0.0, [BACKEND, msgspec.structs.replace(BACKEND, id="i-2", zone="y")])
+    consensus.handle(0.0, events.Evacuate(1, "y", True))
+    balancer.intents = lambda now: None  # type: ignore[attr-defined]
+    duty._look()
+    (look,) = balancer.told
+    assert isinstance(look, Look) and set(look.records) == {"i-1"}
+
+
 @pytest.mark.parametrize("address", ["..:80", "10.0.0.9:\u00b2", "nowhere"])
 def test_an_address_that_is_none_cannot_be_connected_to(address: str) -> None:
     backend = Backend("i-1", "s", address, "z", "prefill", 8, "ready", 1)
