Proxies send nothing to the backends of evacuated zones

Backends of evacuated zones are kept apart from the ready lists, so the ordinary path costs nothing; may_take is false for them, which the dial path looks at right before sending. Requests already there run to their end. A proxy keeps the newest number for its life, takes no older one, and tells whoever fetches a configuration from it ahead of all else.

--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -34,6 +34,8 @@
         self._away: set[str] = set()  # those that failed lately or are held off
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
+        self._evacuated_zones: frozenset[str] = frozenset()
+        self._evacuated: dict[str, Seen] = {}  # those there that would be ready or suspects
 
     def merge(self, records: Iterable[Backend], now: float = 0.0) -> list[str]:
         """Take records of any source; return the ids of backends that are over."""
@@ -83,15 +85,24 @@
             del self._holders[ended.backend.address]
 
     def _list(self, seen: Seen, now: float) -> None:
-        backend, place = seen.backend, _place(seen.backend)
+        backend = seen.backend
         if backend.phase == "ready":
-            self._ready.setdefault(place, []).append(seen)
             self._take_address(seen)
         elif backend.phase == "lost":
             seen.lost_at = now
             seen.is_replaced = self._holders.get(backend.address, backend.id) != backend.id
-            if not seen.is_replaced:
-                self._suspects.add(place, seen)
+        self._enter(seen)
+
+    def _enter(self, seen: Seen) -> None:
+        backend, place = seen.backend, _place(seen.backend)
+        is_suspect = backend.phase == "lost" and not seen.is_replaced
+        if backend.zone in self._evacuated_zones:
+            if backend.phase == "ready" or is_suspect:
+                self._evacuated[backend.id] = seen
+        elif backend.phase == "ready":
+            self._ready.setdefault(place, []).append(seen)
+        elif is_suspect:
+            self._suspects.add(place, seen)
         self.version += 1
 
     def _take_address(self, seen: Seen) -> None:
@@ -102,11 +113,14 @@
         seen.is_replaced = False
         if before is not None and before is not seen and before.backend.phase == "lost":
             before.is_replaced = True
+            self._evacuated.pop(before.backend.id, None)
             self._suspects.remove(_place(before.backend), before.backend.id)
 
     def _unlist(self, seen: Seen) -> None:
         place = _place(seen.backend)
-        if seen.backend.phase == "ready":
+        if self._evacuated.pop(seen.backend.id, None) is not None:
+            pass
+        elif seen.backend.phase == "ready":
             self._ready[place].remove(seen)
             if not self._ready[place]:
                 del self._ready[place]
@@ -114,20 +128,40 @@
             self._suspects.remove(place, seen.backend.id)
         self.version += 1
 
+    def evacuate(self, now: float, zones: frozenset[str]) -> None:
+        """From now on nothing is sent to backends of these zones; those of all others are taken back."""
+        returned = self._evacuated_zones - zones
+        moved = [seen for seen in self.seen.values() if seen.backend.zone in self._evacuated_zones ^ zones]
+        for seen in moved:
+            self._unlist(seen)
+        self._evacuated_zones = zones
+        for seen in moved:
+            self._enter(seen)
+        if returned:
+            self.returned(now, returned)
+
+    def returned(self, now: float, zones: frozenset[str]) -> None:
+        """These zones are evacuated no longer: their backends are listed again."""
+        self.version += 1
+
+    def is_evacuated(self, backend: Backend) -> bool:
+        """Whether nothing is to be sent there: its zone is evacuated."""
+        return backend.zone in self._evacuated_zones
+
     def known(self) -> tuple[Backend, ...]:
         """Everything to tell a controller that has forgotten."""
         return tuple(self.records.values())
 
     def may_take(self, backend: str) -> bool:
-        """Whether a request may be sent there now: neither draining nor over."""
+        """Whether a request may be sent there now: neither draining nor over, nor in an evacuated zone."""
         record = self.records.get(backend)
-        return record is not None and record.phase in {"ready", "lost"}
+        return record is not None and record.phase in {"ready", "lost"} and not self.is_evacuated(record)
 
     def ready(self, now: float, service: str, stage: str, without: Set[str] = frozenset()) -> list[Seen]:
         """Whom to send to; the list is not to be changed. Those that failed us lately stand back, unless all did.
 
         Invariant: it is empty only where no backend of the service and stage is ready, nor lost and not backed off,
-        ``without`` left out.
+        ``without`` and those of evacuated zones left out.
         """
         place = (service, stage)
         listed = self._ready.get(place, [])
@@ -155,9 +189,10 @@
         ):
             note("nobody is passed over where a backend may be tried", f"{place}")
 
-    @staticmethod
-    def _may_be_tried(now: float, seen: Seen) -> bool:
+    def _may_be_tried(self, now: float, seen: Seen) -> bool:
         phase = seen.backend.phase
+        if self.is_evacuated(seen.backend):
+            return False
         return phase == "ready" or (phase == "lost" and is_last_resort(now, seen))
 
     def has_any(self, service: str, stage: str) -> bool:
@@ -173,8 +208,8 @@
         return frozenset(self._ready)
 
     def any_ready(self) -> bool:
-        """Whether there is anybody to send to, suspects counted."""
-        return any(self._ready.values()) or bool(self._suspects)
+        """Whether there is anybody to send to, suspects and those of evacuated zones counted."""
+        return any(self._ready.values()) or bool(self._suspects) or bool(self._evacuated)
 
     def failed(self, now: float, backend: str) -> None:
         """A call ended without a word, or the backend couldn't be reached."""
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -133,7 +133,7 @@
                 case Reply(error, retry_after):
                     self.client.reply(error, retry_after)
                 case Free(backend, handle):
-                    self.proxy.pool.free(backend, handle)
+                    self.proxy.free(backend, handle)
         if out:
             self.client.write(b"".join(out))
         if self.exchange.over:
@@ -240,6 +240,8 @@
         self.front = Front(self, self.limits)
         self._open: dict[ClientConnection, Open] = {}
         self._stages = StageWatch()
+        self.evacuation_number = 0  # of the newest evacuations known; 0: none were ever
+        self.evacuated: frozenset[str] = frozenset()
 
     def limits(self) -> ClientLimits:
         """The clients' limits in force."""
@@ -282,6 +284,18 @@
             self.shared.cache.forget(over)
         self._stages.observe(now, candidates.staffed(), candidates.records.values())
 
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Send nothing more to backends of these zones, unless newer evacuations are known; the number in force."""
+        if number > self.evacuation_number:
+            self.evacuation_number, self.evacuated = number, frozenset(zones)
+            self.shared.candidates.evacuate(asyncio.get_running_loop().time(), self.evacuated)
+        return self.evacuation_number
+
+    def free(self, backend: Backend, handle: str) -> None:
+        """Free the memory of a reading that nobody takes; in an evacuated zone its time runs out instead."""
+        if not self.shared.candidates.is_evacuated(backend):
+            self.pool.free(backend, handle)
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
         self.shared.candidates.hold_off(asyncio.get_running_loop().time(), backend, seconds)
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -13,6 +13,8 @@
     Backend,
     ConfigAck,
     ConfigPush,
+    Evacuations,
+    EvacuationsAck,
     Hello,
     HoldOff,
     Message,
@@ -48,6 +50,9 @@
     def told_proxies(self, count: int) -> None:
         """The told number of proxies."""
 
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Send nothing more to backends of these zones, unless newer evacuations are known; the number in force."""
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
 
@@ -141,6 +146,8 @@
                 self.name(controllers)
             case Pulse(revision, is_current, epoch):
                 self._hear_controller(revision, is_current, epoch)
+            case Evacuations(number, zones):
+                link.send(EvacuationsAck(self._plane.evacuate(number, zones)))
             case HoldOff(backend, seconds):
                 self._plane.hold_off(backend, seconds)
             case RelayTo(destination, sync):
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -26,6 +26,7 @@
 from cranebank.transport.messages import (
     Backend,
     ConfigPush,
+    Evacuations,
     Fetch,
     Gossip,
     Message,
@@ -61,6 +62,12 @@
     def learn(self, backends: Iterable[Backend]) -> None:
         """Take records of backends."""
 
+    def evacuations(self) -> tuple[int, tuple[str, ...]]:
+        """The number of the evacuations in force, 0 where none were ever, and their zones."""
+
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Send nothing more to backends of these zones, unless newer evacuations are known; the number in force."""
+
     def known(self) -> tuple[Backend, ...]:
         """All records."""
 
@@ -287,12 +294,17 @@
             link.close()
 
     def link_message(self, link: Link, message: Message) -> None:
-        """Fetch, or its answer: the configuration if ours is newer, then the backends."""
+        """Fetch, or its answer: evacuated zones, the configuration if ours is newer, then the backends."""
         match message:
             case Fetch(revision) if not link.dialled:
+                number, zones = self._plane.evacuations()
+                if number:  # ahead of all that lets the asker send
+                    link.send(Evacuations(number, zones))
                 if self._plane.revision > revision:
                     link.send(ConfigPush(self._plane.revision, self._plane.document))
                 link.send(Push(0, self._plane.known()))
+            case Evacuations(number, zones) if link.dialled:
+                self._plane.evacuate(number, zones)
             case ConfigPush(_, document) if link.dialled:
                 self._plane.configure(document)
             case Push(_, backends) if link.dialled:
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -98,6 +98,14 @@
         """All records."""
         return self._proxy.shared.candidates.known()
 
+    def evacuations(self) -> tuple[int, tuple[str, ...]]:
+        """The number of the evacuations in force, 0 where none were ever, and their zones."""
+        return self._proxy.evacuation_number, tuple(sorted(self._proxy.evacuated))
+
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Send nothing more to backends of these zones, unless newer evacuations are known; the number in force."""
+        return self._proxy.evacuate(number, zones)
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
         self._proxy.hold_off(backend, seconds)
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -75,6 +75,8 @@
         self.records: dict[str, Backend] = {}
         self.held: dict[str, float] = {}
         self.loads = tell_loads
+        self.evacuation_number = 0
+        self.evacuated: frozenset[str] = frozenset()
 
     def configure(self, document: bytes) -> bool:
         """Take a configuration, as the data plane does."""
@@ -94,6 +96,12 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Take evacuated zones, as the data plane does."""
+        if number > self.evacuation_number:
+            self.evacuation_number, self.evacuated = number, frozenset(zones)
+        return self.evacuation_number
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Nothing is sent to this backend for so long; 0: it is again."""
         self.held[backend] = seconds
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,367 @@
+"""Evacuation of a zone: from the operator's call to proxies that send nothing more there, and back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_control_cut_off import IPS, three
+from test_control_program import ONE, PROXY, REPLACE, caller, controller, play, proxy
+from test_delivery import backend, join, made
+from test_flat_over_changes import DataPlane
+from test_proxy import ANSWER, REQUEST, ask
+from test_proxy import DOCUMENT as ROUTED
+from test_proxy import play as play_proxy
+
+from cranebank.dataplane.candidates import Candidates
+from cranebank.dataplane.legs import Connection, Pool
+from cranebank.dataplane.proxy import Proxy, RetryRule
+from cranebank.invariants import violations
+from cranebank.membership.fleet import FleetLinks
+from cranebank.transport.messages import Backend, Evacuations, EvacuationsAck, Hello, Message, Push
+
+START, FINISH = "/api/Evacuation.Start/", "/api/Evacuation.Finish/"
+ACKNOWLEDGED_S = 1.0  # in calm, the operators' pages
+ZONES = ("y", "z")  # the latter is that of the controllers, too
+
+
+def told(messages: list[tuple[object, Message]]) -> list[tuple[object, int]]:
+    return [(link, message.number) for link, message in messages if isinstance(message, Evacuations)]
+
+
+# What controllers tell proxies.
+
+
+def test_proxies_are_told_once_and_who_comes_later_ahead_of_the_backends() -> None:
+    delivery = made(2)
+    delivery.know_evacuations(0, ())
+    assert delivery.pop_messages() == [], "nothing was ever evacuated"
+    delivery.know_evacuations(3, ("x",))
+    delivery.know_evacuations(3, ("x",))
+    delivery.know_evacuations(2, ("y",))
+    assert told(delivery.pop_messages()) == [(0, 3), (1, 3)]
+    join(delivery, 1, 2, records=(backend("a"),))
+    kinds = [type(message) for _, message in delivery.pop_messages()]
+    assert kinds.index(Evacuations) < kinds.index(Push)
+
+
+def test_an_evacuation_waits_for_those_that_have_not_acknowledged_it_and_are_linked() -> None:
+    delivery = made(3)
+    assert delivery.await_evacuations().done
+    delivery.know_evacuations(1, ("x",))
+    delivery.acknowledged_evacuations(0, 1)
+    acks = delivery.await_evacuations()
+    assert acks.missing == 2
+    delivery.acknowledged_evacuations(1, 0)
+    assert acks.missing == 2
+    delivery.acknowledged_evacuations(1, 2)
+    delivery.leave(2)
+    assert acks.done
+
+
+# What proxies send to.
+
+steps_of_backends = st.lists(
+    st.tuples(
+        st.integers(0, 4),
+        st.sampled_from(["ready", "ready", "draining", "lost", "gone"]),
+        st.sets(st.sampled_from(ZONES)),
+    ),
+    max_size=25,
+)
+
+
+def placed(number: int, phase: str, call_seq: int) -> Backend:
+    """Two zones; the last two share an address."""
+    return Backend(f"b{number}", "s", f"10.0.0.{min(number, 3)}:1", ZONES[number % 2], "decode", 4, phase, call_seq)
+
+
+@given(steps_of_backends)
+def test_nothing_of_an_evacuated_zone_is_offered_and_all_are_back_when_it_is_taken_back(
+    steps: list[tuple[int, str, set[str]]],
+) -> None:
+    evacuating, plain = Candidates(), Candidates()
+    for now, (number, phase, zones) in enumerate(steps):
+        for candidates in (evacuating, plain):
+            candidates.merge([placed(number, phase, now + 1)], float(now))
+        evacuating.evacuate(now, frozenset(zones))
+        offered = [seen.backend for seen in evacuating.ready(now, "s", "decode")]
+        assert not any(record.zone in zones or not evacuating.may_take(record.id) for record in offered)
+        ready = {seen.backend.id for seen in plain.ready(now, "s", "decode") if seen.backend.phase == "ready"}
+        assert {one.id for one in offered} >= {name for name in ready if plain.records[name].zone not in zones}
+        assert evacuating.any_ready() == plain.any_ready()
+    evacuating.evacuate(99, frozenset())
+    for candidates in (evacuating, plain):
+        candidates.returned(99, frozenset())
+    assert {one.backend.id for one in evacuating.ready(99, "s", "decode")} == {
+        one.backend.id for one in plain.ready(99, "s", "decode")
+    }
+    assert not violations()
+
+
+def test_caches_of_the_listed_backends_notice_an_evacuation() -> None:
+    candidates = Candidates()
+    candidates.merge([placed(number, "ready", 1) for number in range(4)])
+    listed, version = candidates.ready(0.0, "s", "decode"), candidates.version
+    candidates.evacuate(0.0, frozenset("z"))
+    assert candidates.version > version or candidates.ready(0.0, "s", "decode") is not listed
+    version = candidates.version
+    candidates.evacuate(0.0, frozenset())
+    assert candidates.version > version
+
+
+def test_older_evacuations_change_nothing_at_a_proxy() -> None:
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        assert made.evacuate(2, ["z"]) == 2
+        assert made.evacuate(1, []) == made.evacuate(2, []) == 2
+        assert made.evacuated == {"z"}
+
+    play_proxy(story)
+
+
+def test_a_request_for_a_service_of_an_evacuated_zone_alone_is_refused_and_served_again_after_the_finish() -> None:
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        assert EVENT_OF_BACKEND in await ask(address)
+        made.evacuate(1, ["z"])
+        sent = made.counters["makes"]
+        assert await status(address) == 503
+        assert made.ready and made.counters["makes"] == sent
+        made.evacuate(2, [])
+        assert EVENT_OF_BACKEND in await ask(address)
+
+    play_proxy(story)
+
+
+async def status(address: tuple[str, int]) -> int:
+    """Of the answer to a request."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(REQUEST)
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return int(head.split()[1])
+
+
+EVENT_OF_BACKEND = ANSWER.partition(b"\r\n\r\n")[2].splitlines()[1]
+
+
+def test_a_request_whose_backend_is_evacuated_while_it_is_dialled_never_reaches_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    written: list[bytes] = []
+    dial, call = Pool.dial, Connection.call
+
+    async def evacuated_meanwhile(self: Pool, backend: Backend) -> Connection:
+        found = await dial(self, backend)
+        PROXIES[-1].evacuate(1, [backend.zone])
+        return found
+
+    def noted(self: Connection, *args: object) -> None:
+        written.append(b"a request")
+        call(self, *args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(Pool, "dial", evacuated_meanwhile)
+    monkeypatch.setattr(Connection, "call", noted)
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        PROXIES.append(made)
+        assert await status(address) == 503
+        assert written == []
+
+    play_proxy(story)
+
+
+PROXIES: list[Proxy] = []
+
+
+def test_no_memory_is_freed_at_a_backend_of_an_evacuated_zone(monkeypatch: pytest.MonkeyPatch) -> None:
+    freed: list[str] = []
+    monkeypatch.setattr(Pool, "free", lambda self, backend, handle: freed.append(handle))
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        (record,) = made.shared.candidates.known()
+        made.free(record, "first")
+        made.evacuate(1, ["z"])
+        made.free(record, "second")
+        assert freed == ["first"]
+
+    play_proxy(story)
+
+
+# The operator's call, and links.
+
+
+def test_an_evacuation_is_acknowledged_when_proxies_have_it_and_again_when_it_is_sent_again(tmp_path: Path) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), proxy(ports) as edge, caller(ports) as client:
+            answering = asyncio.create_task(client.call("POST", START + "z"))
+            assert await edge.next(Evacuations) == Evacuations(1, ("z",))
+            assert not answering.done()
+            edge.send(EvacuationsAck(1))
+            assert (await answering)[0] == 200
+            assert (await client.call("POST", START + "z"))[0] == 200
+            overview = json.loads((await client.call("GET", "/api/System.Status"))[2])
+            assert (overview["evacuated"], overview["evacuation_number"]) == (["z"], 1)
+            edge.send(EvacuationsAck(2))
+            assert (await client.call("POST", FINISH + "z"))[0] == 200
+            assert await edge.next(Evacuations) == Evacuations(2, ())
+
+    play(story)
+
+
+def test_a_silent_proxy_holds_up_no_acknowledgement(tmp_path: Path) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports), proxy(ports), caller(ports) as client:
+            async with asyncio.timeout(ACKNOWLEDGED_S):
+                assert (await client.call("POST", START + "z"))[0] == 200
+
+    play(story)
+
+
+def test_a_zone_that_nobody_names_is_refused_and_one_of_a_backend_is_not(tmp_path: Path) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as made, caller(ports) as client:
+            status, _, fault = await client.call("POST", START + "nowhere")
+            assert (status, json.loads(fault)["key"]) == (400, "zone")
+            made.registry.merge(0.0, [Backend("i", "s", "10.0.0.9:80", "nowhere", "", 1, "ready", 1)])
+            assert (await client.call("POST", START + "nowhere"))[0] == 200
+        async with controller(tmp_path, ports), caller(ports) as client:
+            assert (await client.call("GET", START + "z"))[0] == 405
+
+    play(story)
+
+
+def test_who_is_no_primary_confirms_no_evacuation(tmp_path: Path) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports, leader="127.0.11.77"), caller(ports) as client:
+            for path in (START + "z", FINISH + "z", START + "nowhere"):
+                status, headers, _ = await client.call("POST", path)
+                assert (status, headers["retry-after"]) == (503, "0.2")
+
+    play(story)
+
+
+class Sink:
+    """Backends, one in each zone, which count what they are sent."""
+
+    def __init__(self) -> None:
+        self.requests = dict.fromkeys(ZONES, 0)
+        self.records: list[Backend] = []
+        self._servers: list[asyncio.Server] = []
+
+    async def start(self) -> None:
+        for zone in ZONES:
+            server = await asyncio.start_server(self._serving(zone), "127.0.0.1", 0)
+            self._servers.append(server)
+            address = "{}:{}".format(*server.sockets[0].getsockname())
+            self.records.append(Backend(zone, "svc", address, zone, "decode", 4, "ready", 1))
+
+    def _serving(self, zone: str) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.read(1 << 16):
+                self.requests[zone] += 1
+                writer.write(ANSWER)
+
+        return serve
+
+    def stop(self) -> None:
+        for server in self._servers:
+            server.close()
+
+
+@asynccontextmanager
+async def serving(sink: Sink) -> AsyncIterator[tuple[Proxy, tuple[str, int]]]:
+    """A proxy before the sink, not linked yet."""
+    loop = asyncio.get_running_loop()
+    await sink.start()
+    made = Proxy(RetryRule(0.2, 50.0, 10.0, True), Random(1), loop.time())
+    made.learn(sink.records)
+    front = await loop.create_server(made.front, "127.0.0.1", 0)
+    try:
+        yield made, front.sockets[0].getsockname()
+    finally:
+        front.close()
+        sink.stop()
+
+
+def linked(made: Proxy, ports: tuple[int, int], ips: tuple[str, ...]) -> FleetLinks:
+    hello = Hello("edge-1", "proxy", PROXY, "z", 1, made.revision, ())
+    links = FleetLinks(DataPlane(made), lambda: hello, PROXY, ports[0])
+    links.name(ips)
+    return links
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+async def requests_reach(sink: Sink, address: tuple[str, int], count: int = 20) -> set[str]:
+    """The zones whose backends so many requests reach."""
+    before = dict(sink.requests)
+    for _ in range(count):
+        assert EVENT_OF_BACKEND in await ask(address)
+    return {zone for zone in ZONES if sink.requests[zone] > before[zone]}
+
+
+def test_a_proxy_that_was_cut_off_during_an_evacuation_sends_nothing_there_once_it_is_back(tmp_path: Path) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        sink = Sink()
+        async with controller(tmp_path, ports), serving(sink) as (made, address):
+            made.configure(ROUTED)
+            assert await requests_reach(sink, address) == set(ZONES)
+            async with caller(ports) as client:
+                assert (await client.call("POST", START + "z"))[0] == 200
+                assert await requests_reach(sink, address) == set(ZONES), "it is cut off"
+                links = linked(made, ports, (ONE,))
+                await until(lambda: made.evacuation_number == 1)
+                assert await requests_reach(sink, address) == {"y"}
+                links.stop()
+                assert await requests_reach(sink, address) == {"y"}, "cut off, it goes on with what it knows"
+                assert (await client.call("POST", FINISH + "z"))[0] == 200
+                links = linked(made, ports, (ONE,))
+                await until(lambda: made.evacuation_number == 2)
+                assert await requests_reach(sink, address) == set(ZONES)
+                links.stop()
+
+    play(story)
+
+
+def test_an_acknowledged_evacuation_outlives_the_death_of_the_primary_and_of_all_processes(tmp_path: Path) -> None:
+    """Real processes: the primary is killed right behind the answer, and later all at once."""
+
+    async def story(ports: tuple[int, int]) -> None:
+        sink = Sink()
+        async with three(tmp_path, ports) as controllers, serving(sink) as (made, address):
+            links = linked(made, ports, IPS)
+            assert (await controllers.follow("POST", REPLACE, ROUTED, 0))[0][0] == 200
+            await until(lambda: made.revision == 3)
+            loop = asyncio.get_running_loop()
+            since = loop.time()
+            answer, primary = await controllers.follow("POST", START + "z")
+            assert answer[0] == 200 and loop.time() - since < ACKNOWLEDGED_S
+            assert await requests_reach(sink, address) == {"y"}
+            await controllers.kill(primary)
+            rest = tuple(ip for ip in IPS if ip != primary)
+            assert (await controllers.follow("POST", START + "z", ips=rest))[0][0] == 200
+            for ip in rest:
+                await controllers.kill(ip)
+            links.stop()
+            made.evacuate(made.evacuation_number + 1, ())  # stands for a restart of the proxy, which knows of none
+            made.evacuation_number = 0
+            await asyncio.gather(*(controllers.start(ip, is_first_start=False) for ip in IPS))
+            links = linked(made, ports, IPS)
+            await until(lambda: made.evacuation_number == 1)
+            assert await requests_reach(sink, address) == {"y"}
+            assert (await controllers.follow("POST", FINISH + "z"))[0][0] == 200
+            await until(lambda: made.evacuation_number == 2)
+            assert await requests_reach(sink, address) == set(ZONES)
+            links.stop()
+
+    play(story, 40.0)
--- a/tests/test_flat_over_changes.py
+++ b/tests/test_flat_over_changes.py
@@ -94,6 +94,10 @@
         """The told number of proxies."""
         self._proxy.shared.choices.draws.proxies = max(1, count)
 
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Nothing is sent to these zones."""
+        return self._proxy.evacuate(number, zones)
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Nothing is sent to this backend for so long."""
         self._proxy.hold_off(backend, seconds)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -53,6 +53,10 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        """Not wanted."""
+        return number
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Not wanted."""
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -32,6 +32,7 @@
         self.notes: list[Note] = []
         self.readings: list[ReadingBegun] = []
         self.tellers = 0
+        self.evacuated: tuple[int, tuple[str, ...]] = (0, ())
         self.changed = asyncio.Event()
 
     def configure(self, document: bytes) -> bool:
@@ -48,6 +49,13 @@
         self.candidates.merge(backends)
         self.changed.set()
 
+    def evacuations(self) -> tuple[int, tuple[str, ...]]:
+        return self.evacuated
+
+    def evacuate(self, number: int, zones: Iterable[str]) -> int:
+        self.evacuated = max(self.evacuated, (number, tuple(zones)))
+        return self.evacuated[0]
+
     def known(self) -> tuple[Backend, ...]:
         return self.candidates.known()
 
@@ -144,6 +152,16 @@
     play(story)
 
 
+def test_who_fetches_a_configuration_learns_of_evacuated_zones_before_it() -> None:
+    async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
+        b.evacuated = (3, ("z",))
+        b.configure(b"4 routes")
+        await a.until(lambda: bool(a.evacuated[0] or a.revision))
+        assert a.evacuated == (3, ("z",)), "a proxy that has just started could send there"
+
+    play(story)
+
+
 def test_a_reading_is_told_at_once_to_all_that_are_named_and_no_more_than_so_many_a_second() -> None:
     async def story(a: Plane, b: Plane, first: Neighbours, second: Neighbours) -> None:
         await a.until(lambda: a.tellers == 1)
