A newcomer is admitted however often the record changes

Cause: its ask to join, every 0.3 s, counts only where it shows the newest epoch, and only members were told of a chosen record at once; by the next ask the record had changed again. Intents of orders could do the same, more slowly.

--- a/tests/test_evacuation_record.py
+++ b/tests/test_evacuation_record.py
@@ -209,3 +209,14 @@
     assert queue.take_late(0.9) == []
     assert queue.take_late(2.0) == [(1, ev.Unknown()), (2, ev.Busy())]
     assert queue.zones_after(()) == ()
+
+
+def test_a_newcomer_is_admitted_however_often_the_record_changes() -> None:
+    group = Group(SEEDS, tolerance=2)
+    group.run(1.0)
+    for ip in ("10.0.0.4", "10.0.0.5"):
+        group.start(ip, is_first_start=True)
+    for request in range(100):
+        evacuate(group, request, "a", is_start=request % 2 == 0)
+        group.run(0.02)
+    assert len(group.nodes[group.primary].status(group.now).members) == 5
