--- a/tests/mutants_stages.py
+++ b/tests/mutants_stages.py
@@ -161,8 +161,8 @@
         Point.LIVENESS,
         "an order counts as recorded while the record that drops it may be chosen",
         "control/custody.py",
-        "for intent in record.intents if intent in coming)",
-        "for intent in record.intents)",
+        "for intent in staying if intent in coming)",
+        "for intent in staying)",
         "test_order_intents.py",
     ),
     Mutant(
