--- a/cranebank/control/replica.py
+++ b/cranebank/control/replica.py
@@ -167,6 +167,9 @@
         if leadership is not None and leadership.change is not None and not leadership.change.is_answered:
             # It is on this disk already and a later primary may adopt it.
             self._actions.append(ev.Answer(leadership.change.request, ev.Unknown()))
+        if leadership is not None:
+            for request, result in leadership.evacuations.take_all():
+                self._actions.append(ev.Answer(request, result))
         for write, _ in self._queue:
             self._actions.append(ev.Answer(write.request, ev.NotPrimary(None)))
         self._queue.clear()
@@ -238,6 +241,10 @@
     def _is_away(self, replica: str) -> bool:
         return replica != self._id and (replica in self._down or self._silence_s(replica) > SILENT_S)
 
+    def _heard_lately(self) -> set[str]:
+        """Return the replicas that were heard within the time for which an ask to be admitted counts."""
+        return {replica for replica, at in self._heard.items() if self._now - at < JOIN_FRESH_S}
+
     def _is_leaving(self, replica: str) -> bool:
         return self._now - self._leaving.get(replica, float("-inf")) < LEAVING_FRESH_S
 
