Controllers tell what turns cold, and lease permits for requests to it

A backend that turned cold under its id was no news: cold_left_ms was copied and compared by nobody. Each controller now keeps until when a backend is cold on its own clock, pushes it as news where that is later than known by over 0.1 s, and tells what is left as of the telling; a record from a disk, or a proxy's old figure, makes nothing cold. Only services that name warmup_per_s are looked at.

Permits: each controller leases its share of floor(min(warmup_per_s, bound)) to proxies drawn by lot. A lease ends by the proxy's own clock, as its last heartbeat told it: so no late message, frozen proxy or restarted controller can have two leases of one permit run at once. Handing out once per cold period, without that, was ruled out: where two controllers or proxies see a period end at different times, or a message waits in a frozen proxy, permits of two periods are in force together. The rest of the division goes out only where all that count are known: with views of two others the property test found 24 requests in one second where 23 are allowed.

--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -146,6 +146,12 @@
         """Send to every proxy that is linked; nothing is acknowledged."""
         self._out += [(link, message) for link, peer in self.peers.items() if peer.slot >= 0]
 
+    def tell(self, link: Hashable, message: Message) -> None:
+        """Send to one proxy, behind what was pushed to it before; nothing is acknowledged."""
+        peer = self.peers.get(link)
+        if peer is not None and peer.slot >= 0:
+            self._out.append((link, message))
+
     def acknowledged(self, link: Hashable, number: int) -> None:
         """All pushes on this link up to ``number`` bind there."""
         peer = self.peers.get(link)
--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-from cranebank.membership.backends import differs, newer
+from cranebank.control.warm_up import ColdBackend
+from cranebank.membership.backends import differs, newer, replace_cold_left
+from cranebank.membership.warm_up import Limits
 from cranebank.transport.messages import Backend
 
 ENDING = frozenset({"draining", "gone"})  # phases that are never taken back
@@ -21,6 +23,8 @@
 LARGEST_COUNT = 2**63 - 1  # of a heartbeat's whole numbers: all of them go out in messages, which hold no larger ones
 LARGEST_FIGURE = 2.0**40
 LARGEST_PORT = 65_535
+COLD_NEWS_S = 0.1  # a backend that is cold for so much longer than was known is news
+MS_PER_S = 1000.0
 REJOIN_S = 2.5  # after a time without most other controllers: until their news of who was heard has come again
 
 
@@ -97,6 +101,8 @@
         self._ended: dict[str, float] = {}  # when gone or lost, in order
         self._at: dict[str, str] = {}  # address: id of who was last said to have it
         self._news: dict[str, Backend] = {}
+        self.limits: Limits = {}  # of the services whose cold backends bear few requests
+        self._cold_until: dict[str, float] = {}  # of backends of these services
         self.wrong_losses = 0  # reports of heartbeats from before their backend was held for lost here
 
     def heartbeat(self, now: float, backend_id: str, body: bytes) -> Backend:
@@ -203,6 +209,32 @@
         enough since this one started, and since it last was without them."""
         return self._in_touch and now >= self._quiet_until
 
+    def zone_returned(self, now: float, zone: str) -> None:
+        """A zone is taken back from an evacuation: its backends may have turned cold shortly before."""
+        for record in self.records.values():
+            limit = self.limits.get(record.target)
+            if limit is not None and record.zone == zone and record.phase in LIVING:
+                self._keep_cold(now, record.id, now + limit.cold_s)
+
+    def cold(self, now: float) -> list[ColdBackend]:
+        """The backends that are cold, of services with a limit."""
+        self._cold_until = {backend_id: until for backend_id, until in self._cold_until.items() if until > now}
+        return [
+            ColdBackend(backend_id, limit, until)
+            for backend_id, until in self._cold_until.items()
+            if (record := self.records.get(backend_id)) is not None
+            and record.phase == "ready"
+            and (limit := self.limits.get(record.target)) is not None
+        ]
+
+    def as_of(self, now: float, records: Iterable[Backend]) -> tuple[Backend, ...]:
+        """Records as they are to be told now: how long a backend is cold still is kept apart from its record."""
+        if not self._cold_until:
+            return tuple(records)
+        return tuple(
+            replace_cold_left(record, max(0.0, self._cold_until.get(record.id, now) - now)) for record in records
+        )
+
     def changes(self) -> tuple[Backend, ...]:
         """The records that are news since last asked."""
         news = tuple(self._news.values())
@@ -240,6 +272,23 @@
     def _apply(self, now: float, record: Backend) -> bool:
         """The one function that changes a record."""
         old = self.records.get(record.id)
+        is_taken = self._replace(now, old, replace_cold_left(record, 0.0))
+        if record.cold_left_ms > 0 and (old is None or record.call_seq >= old.call_seq):
+            self._observe_cold(now, record)
+        return is_taken
+
+    def _observe_cold(self, now: float, record: Backend) -> None:
+        known = self.records.get(record.id)
+        if known is not None and known.phase in LIVING and known.target in self.limits:
+            self._keep_cold(now, record.id, now + record.cold_left_ms / MS_PER_S)
+
+    def _keep_cold(self, now: float, backend_id: str, until: float) -> None:
+        if until > max(now, self._cold_until.get(backend_id, now)) + COLD_NEWS_S:
+            self._cold_until[backend_id] = until
+            self._news[backend_id] = self.records[backend_id]
+
+    def _replace(self, now: float, old: Backend | None, record: Backend) -> bool:
+        """Put the record in the place of the old one, unless that is the newer."""
         if not newer(self._as_heard(old) if old is not None and record.phase == "lost" else old, record):
             return False
         if old is not None and not record.address:  # an end told by a controller that knew the id alone
@@ -270,5 +319,6 @@
             if len(self._ended) <= TOMBSTONES_MOST and now - self._ended[oldest] < TOMBSTONE_S:
                 return
             del self._ended[oldest]
+            self._cold_until.pop(oldest, None)
             self.records.pop(oldest, None)
             self._news.pop(oldest, None)
--- a/cranebank/membership/backends.py
+++ b/cranebank/membership/backends.py
@@ -30,6 +30,12 @@
     return _RANK[new.phase] > _RANK[old.phase]
 
 
+def replace_cold_left(record: Backend, left_s: float) -> Backend:
+    """The record with another time for which its backend is cold still."""
+    left_ms = round(left_s * 1000)
+    return record if record.cold_left_ms == left_ms else msgspec.structs.replace(record, cold_left_ms=left_ms)
+
+
 def differs(old: Backend | None, new: Backend) -> bool:
     """Whether anything but the count of calls changed: only then is it news for others."""
     return old is None or msgspec.structs.replace(old, call_seq=new.call_seq, cold_left_ms=new.cold_left_ms) != new
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -70,6 +70,7 @@
         """A connection is over."""
         self._delivery.leave(link)
         self.loads.forget(link)
+        self._registry.forget_clock(link)
         if self._links.remove(link) and self._registry.link_lost(link.peer) is None:
             self._driver.feed(events.LinkDown(link.peer))
 
@@ -83,6 +84,7 @@
             case Pulse(revision):
                 self._delivery.observe_revision(link, revision)
                 self.loads.report(self._now(), link, message.loads)
+                self._registry.report_clock(link, message.clock)
             case ConfigAck(revision):
                 self._delivery.observe_revision(link, revision)
             case RegistrySync():
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from random import Random
 
+import msgspec
 from loguru import logger
 
 from cranebank.control.consensus import ConsensusCore
@@ -21,6 +22,8 @@
 from cranebank.control.epochs import ip_of
 from cranebank.control.registry import ENDING, Registry
 from cranebank.control.replication import RegistryReplication
+from cranebank.control.warm_up import Bound, PermitIssuer
+from cranebank.membership.warm_up import read_limits
 from cranebank.programs.controller_links import ControllerLinks, send_deliveries
 from cranebank.programs.local_state import LocalState
 from cranebank.programs.registry_relay import RegistryRelay
@@ -57,6 +60,12 @@
         self.registry.restore(began, recalled)
         self._replication = RegistryReplication(settings.ip)
         self._relay = RegistryRelay(delivery, random)
+        self._seed_ips = settings.seed_ips
+        bounds = settings.bounds
+        self._permits = PermitIssuer(
+            began, random, settings.ip, settings.tolerance.machines, Bound(bounds.cold_over, bounds.cold_slack)
+        )
+        self._limits_revision = 0  # of the configuration whose limits are known
         self._endings: dict[str, PendingAcks] = {}
         self._published_at = began - BATCH_S
         self._synced_at = 0.0
@@ -68,18 +77,26 @@
         now = self._now()
         if not at_once and now - self._published_at < BATCH_S:
             return
-        news = self.registry.changes()
+        self._read_limits()
+        news = self.registry.as_of(now, self.registry.changes())
         if not news:
             return
         for record in news:
             logger.info(
-                "backend {} ({} of {}, {}): {}", record.id, record.stage, record.target, record.zone, record.phase
+                "backend {} ({} of {}, {}): {}{}",
+                record.id,
+                record.stage,
+                record.target,
+                record.zone,
+                record.phase,
+                f", cold for {record.cold_left_ms} ms" if record.cold_left_ms else "",
             )
         self._published_at, self._local_state.registry_changed = now, True
         acks = self._delivery.push_backends(news)
         endings = [record.id for record in news if record.phase in ENDING]
         if not acks.done:
             self._endings.update(dict.fromkeys(endings, acks))
+        self._hand_out_permits(now)
         send_deliveries(self._delivery)
         number = self._replication.advance() if endings else 0
         self._tell_all(RegistrySync(news, (), number))
@@ -118,7 +135,7 @@
         self.registry.merge(now, sync.backends)
         asks = self.registry.heard(now, sync.heard)
         self.publish()
-        answers = self.registry.records_of(sync.asks)
+        answers = self.registry.as_of(now, self.registry.records_of(sync.asks))
         if asks or answers:
             self._tell(source, RegistrySync(answers, asks=asks))
 
@@ -135,11 +152,46 @@
         now = self._now()
         stray = self.registry.greet(now, records, all(self._hears(now, ip) for ip in self._member_ips()))
         self.publish()
-        return (*self.registry.everything(), *stray)
+        return (*self.registry.as_of(now, self.registry.everything()), *stray)
 
     def whole(self) -> RegistrySync:
         """All records: what a connection to a controller begins with."""
-        return RegistrySync(self.registry.everything(), (), self._replication.number)
+        records = self.registry.as_of(self._now(), self.registry.everything())
+        return RegistrySync(records, (), self._replication.number)
+
+    def zone_returned(self, zone: str) -> None:
+        """A zone is taken back from an evacuation: its backends count as cold, and permits for them go out."""
+        self._read_limits()
+        self.registry.zone_returned(self._now(), zone)
+        self.publish()
+
+    def report_clock(self, link: Hashable, clock: float) -> None:
+        """The proxy on this link told its clock; 0: it did not."""
+        if clock > 0:
+            self._permits.report_clock(self._now(), link, clock)
+
+    def forget_clock(self, link: Hashable) -> None:
+        """The link is over."""
+        self._permits.forget(link)
+
+    def _read_limits(self) -> None:
+        """Of the configuration that goes out to proxies."""
+        if self._delivery.revision == self._limits_revision:
+            return
+        self._limits_revision = self._delivery.revision
+        try:
+            self.registry.limits = read_limits(self._delivery.document)
+        except msgspec.MsgspecError as error:
+            logger.warning("limits of cold backends: {}", error)
+
+    def _hand_out_permits(self, now: float) -> None:
+        if not self.registry.limits:
+            return
+        cold = self.registry.cold(now)
+        if cold:
+            controllers = {self._ip, *self._seed_ips} | self._consensus.known_ips() | self._links.accepted_ips
+            for link, permits in self._permits.hand_out(now, cold, controllers):
+                self._delivery.tell(link, permits)
 
     def link_lost(self, ip: str) -> Link | None:
         """A connection to this controller is over. The one that is left, if any, is sent what may have been lost."""
@@ -185,6 +237,9 @@
             self._heard_by_others_at = now
         self.registry.expire(now, in_touch=self._hears_most(now) and now - self._looked_at < STOOD_S)
         self._looked_at = now
+        self._read_limits()
+        self._hand_out_permits(now)
+        send_deliveries(self._delivery)
         if now - self._synced_at >= SYNC_S:
             self._synced_at = now
             self.publish()  # what a heartbeat changed goes out ahead of its number: behind it, it would be old news
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -5,6 +5,7 @@
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
 RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
 proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff).
+Any controller leases permits to send to cold backends (WarmUpPermits).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
 Everybody sends Pulse when there is nothing else, so that silence means trouble.
 """
@@ -95,12 +96,13 @@
 class Pulse(msgspec.Struct, frozen=True, tag=7, array_like=True):
     """A heartbeat; ``revision`` of the configuration in force at the sender. From a controller also whether it
     knows, by contact with a majority within a lease's length, that this is the newest one, and the newest epoch. From
-    a proxy what it asks of backends, by service."""
+    a proxy what it asks of backends, by service, and its steady clock in seconds (0: not told)."""
 
     revision: int = 0
     is_current: bool = False
     epoch: int = 0
     loads: tuple[StageLoad, ...] = ()
+    clock: float = 0.0
 
 
 class HoldOff(msgspec.Struct, frozen=True, tag=16, array_like=True):
@@ -111,6 +113,15 @@
     seconds: float
 
 
+class WarmUpPermits(msgspec.Struct, frozen=True, tag=23, array_like=True):
+    """From a controller to a proxy, behind the push that tells that this backend is cold: so many permits to send to
+    it, until ``valid_until`` of the proxy's own clock."""
+
+    backend: str
+    permits: int
+    valid_until: float
+
+
 class Custodial(msgspec.Struct, frozen=True, tag=8, array_like=True):
     """A message of the custody's core, as msgpack."""
 
@@ -226,4 +237,5 @@
     | Gossip
     | HoldOff
     | ReadingBegun
+    | WarmUpPermits
 )
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,6 +13,7 @@
 
 from cranebank.control import registry as registry_module
 from cranebank.control.registry import REJOIN_S, TOMBSTONE_S, BadHeartbeat, Registry
+from cranebank.membership.warm_up import WarmUpLimit
 from cranebank.transport.frames import Decoder, encode
 from cranebank.transport.messages import Backend, Push
 
@@ -354,3 +355,63 @@
     assert phases(registry) == {"i-1": "ready", "i-2": "draining", "i-3": "ready"}
     assert not registry.expire(QUIET_S - 0.1)
     assert [found.id for found in registry.expire(LOST_S + 0.1)] == ["i-3"]
+
+
+COLD = {"s": WarmUpLimit(23.0, 3.0)}
+
+
+def test_a_backend_that_turns_cold_under_its_id_is_news_as_of_the_time_of_telling() -> None:
+    """And once only, while what its heartbeats say is no longer than what is known."""
+    registry = Registry(0, BEAT_S)
+    registry.limits = COLD
+    registry.heartbeat(1, "i", beat(1))
+    registry.changes()
+    registry.heartbeat(2, "i", beat(2, cold_left_ms=3000))
+    (told,) = registry.as_of(2.5, registry.changes())
+    assert told.cold_left_ms == 2500
+    registry.heartbeat(3.2, "i", beat(3, cold_left_ms=1850))
+    assert registry.changes() == ()
+    assert [record.cold_left_ms for record in registry.as_of(9, registry.everything())] == [0]
+    registry.heartbeat(10, "i", beat(4, cold_left_ms=3000))
+    assert [found.until for found in registry.cold(10)] == [13.0] and len(registry.changes()) == 1
+
+
+def test_a_record_that_is_known_already_may_tell_that_its_backend_is_cold() -> None:
+    """Another controller or proxy may be the first to know, and what it knows ends when it does there."""
+    here, there = Registry(0, BEAT_S), Registry(0, BEAT_S)
+    here.limits = there.limits = COLD
+    for registry in (here, there):
+        registry.heartbeat(1, "i", beat(1))
+        registry.changes()
+    here.heartbeat(2, "i", beat(1, cold_left_ms=3000))
+    there.merge(4, here.as_of(4, here.everything()))
+    assert [found.until for found in there.cold(4)] == [5.0]
+
+
+def test_without_a_limit_a_cold_backend_is_no_news() -> None:
+    registry = Registry(0, BEAT_S)
+    registry.heartbeat(1, "i", beat(1))
+    registry.changes()
+    registry.heartbeat(2, "i", beat(2, cold_left_ms=3000))
+    registry.zone_returned(2, "z")
+    assert registry.changes() == () and registry.cold(2) == []
+    assert registry.as_of(2, registry.everything()) == registry.everything()
+
+
+def test_a_restored_record_counts_as_warm() -> None:
+    """How long ago it was written isn't known."""
+    before, after = Registry(0, BEAT_S), Registry(0, BEAT_S)
+    before.limits = after.limits = COLD
+    before.heartbeat(1, "i", beat(1, cold_left_ms=3000))
+    after.restore(0, before.everything())
+    assert after.cold(0) == []
+
+
+def test_the_backends_of_a_zone_that_is_taken_back_count_as_cold() -> None:
+    registry = Registry(0, BEAT_S)
+    registry.limits = COLD
+    registry.heartbeat(1, "i", beat(1))
+    registry.heartbeat(1, "j", beat(1, address="10.0.0.8:80", zone="other"))
+    registry.changes()
+    registry.zone_returned(5, "z")
+    assert [(record.id, record.cold_left_ms) for record in registry.as_of(5, registry.changes())] == [("i", 3000)]
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -11,11 +11,15 @@
 from cranebank.control.consensus import ConsensusCore
 from cranebank.control.delivery import Delivery
 from cranebank.control.events import Status
+from cranebank.control.warm_up import CLOCK_OLD_S
+from cranebank.membership.warm_up import LEASE_MOST_S, RELEASE_S
 from cranebank.programs.controller_links import ControllerLinks
 from cranebank.programs.local_state import LocalState, NoDisk
 from cranebank.programs.registry_service import BATCH_S, SYNC_S, RegistryService
 from cranebank.programs.settings import NodeSettings
-from cranebank.transport.messages import RegistrySync
+from cranebank.transport.frames import Decoder
+from cranebank.transport.links import Link, Owner
+from cranebank.transport.messages import Message, Push, RegistrySync, WarmUpPermits
 
 HERE, THERE = IPS = ("10.0.0.1", "10.0.0.2")
 
@@ -23,13 +27,30 @@
 class Consensus:
     """A core that knows who the members are."""
 
+    def known_ips(self) -> set[str]:
+        return set(IPS)
+
     def status(self, now: float) -> Status:
         return Status("1", "follower", 1, "", "", False, (), IPS, 0)
 
 
+class Recorder(Link):
+    """A connection to a proxy; keeps what is sent."""
+
+    def __init__(self) -> None:
+        super().__init__(cast(Owner, None), False)
+        self.sent: list[Message] = []
+
+    def send_frame(self, frame: bytes) -> bool:
+        self.sent += Decoder().feed(frame)
+        return True
+
+
 class Links:
     """One connection, which keeps the order of what is sent."""
 
+    accepted_ips: frozenset[str] = frozenset()
+
     def __init__(self) -> None:
         self.sent: list[RegistrySync] = []
 
@@ -43,14 +64,14 @@
         return []
 
 
-def service_of(ip: str, now: Callable[[], float], links: Links) -> RegistryService:
+def service_of(ip: str, now: Callable[[], float], links: Links, delivery: Delivery | None = None) -> RegistryService:
     settings = NodeSettings(ip, ip, "z", (7000, 7009), ())
     return RegistryService(
         settings,
         now,
         cast(ConsensusCore, Consensus()),
         cast(ControllerLinks, links),
-        Delivery(ip, Random(1), lambda _now, _revision: True),
+        delivery or Delivery(ip, Random(1), lambda _now, _revision: True),
         LocalState(NoDisk(), 0.0),
         (),
         Random(2),
@@ -76,3 +97,20 @@
         there.registry.merge(clock, sync.backends)
         there.registry.heard(clock, sync.heard)
     assert there.registry.records["i"] == here.registry.records["i"]
+
+
+def test_the_permits_for_a_cold_backend_go_out_behind_the_push_that_tells_of_it() -> None:
+    """To a proxy that has told its clock."""
+    clock = 0.0
+    delivery, proxy = Delivery(HERE, Random(1), lambda _now, _revision: True), Recorder()
+    delivery.committed(0.0, 1, b'{"services":[{"name":"s","warmup_per_s":23,"cold_s":3}]}')
+    service = service_of(HERE, lambda: clock, Links(), delivery)
+    delivery.join(0.0, proxy, "p", "10.0.1.1", True, 1, ())
+    clock = LEASE_MOST_S + RELEASE_S
+    service.report_clock(proxy, 7.0)
+    service.registry.heartbeat(clock, "i", beat(1))
+    service.publish()
+    service.zone_returned("z")
+    told, permits = proxy.sent[-2:]
+    assert isinstance(told, Push) and told.backends[0].cold_left_ms == 3000
+    assert permits == WarmUpPermits("i", 7, 7.0 + 3.0 + CLOCK_OLD_S)
--- /dev/null
+++ b/tests/test_warm_up.py
@@ -0,0 +1,225 @@
+"""Permits for requests to a cold backend: what all controllers lease, and all proxies send, in any second."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranebank.control.warm_up import Bound, ColdBackend, PermitIssuer
+from cranebank.dataplane.cold_backends import ColdBackends
+from cranebank.membership.warm_up import LEASE_MOST_S, PERMIT_S, RELEASE_S, SECOND_S, WarmUpLimit, read_limits
+from cranebank.transport.messages import Backend, WarmUpPermits
+
+LIMIT = WarmUpLimit(per_s=23.0, cold_s=3.0)
+BOUND = Bound(over=1.5, slack=5.0)
+QUIET_S = LEASE_MOST_S + RELEASE_S
+STEP_S = 0.05
+PULSE_S = 0.4
+DIAL_S = 0.3
+
+
+def ips(count: int) -> list[str]:
+    return [f"10.0.0.{number}" for number in range(1, count + 1)]
+
+
+def issuer(ip: str = "10.0.0.1", now: float = 0.0, tolerated: int = 2, seed: int = 1) -> PermitIssuer:
+    return PermitIssuer(now, Random(seed), ip, tolerated, BOUND)
+
+
+def cold(until: float) -> list[ColdBackend]:
+    return [ColdBackend("i", LIMIT, until)]
+
+
+@given(st.integers(1, 9), st.floats(0, 200), st.floats(0, 3), st.floats(0, 9))
+def test_the_shares_of_all_controllers_stay_within_the_bound(
+    count: int, per_s: float, over: float, slack: float
+) -> None:
+    """And nothing that may be sent is left over where all of them are there."""
+    known, limit = set(ips(count)), WarmUpLimit(per_s, 3.0)
+    shares = [PermitIssuer(0.0, Random(1), ip, 1, Bound(over, slack)).share(limit, known) for ip in known]
+    most = int(min(per_s, per_s * over + slack))
+    assert sum(shares) <= most and (count < 3 or sum(shares) == most)
+
+
+def test_a_controller_that_knows_no_other_takes_no_more_than_its_share() -> None:
+    assert issuer().share(LIMIT, set()) <= 23 // 5 + 1
+
+
+def test_permits_are_not_leased_twice_within_a_lease() -> None:
+    """Nor right after it: a request under the earlier lease may have been sent a moment ago."""
+    made = issuer()
+    made.report_clock(QUIET_S, "link", 100.0)
+    ((_, told),) = made.hand_out(QUIET_S, cold(QUIET_S + 3), set(ips(5)))
+    lease_s = told.valid_until - 100.0
+    for later in (0.1, lease_s, lease_s + RELEASE_S - 0.01):
+        made.report_clock(QUIET_S + later, "link", 100.0 + later)
+        assert not made.hand_out(QUIET_S + later, cold(QUIET_S + 30), set(ips(5)))
+    made.report_clock(QUIET_S + lease_s + RELEASE_S + 0.01, "link", 110.0)
+    assert made.hand_out(QUIET_S + lease_s + RELEASE_S + 0.01, cold(QUIET_S + 30), set(ips(5)))
+
+
+def test_a_controller_that_has_just_started_leases_nothing() -> None:
+    """Its earlier life may have leased its share a moment ago."""
+    made = issuer(now=50.0)
+    for now in (50.0, 50.0 + QUIET_S - 0.01):
+        made.report_clock(now, "link", 1.0)
+        assert not made.hand_out(now, cold(now + 3), set(ips(5)))
+
+
+def test_a_proxy_that_is_silent_gets_no_permits() -> None:
+    made = issuer()
+    made.report_clock(QUIET_S, "silent", 1.0)
+    made.report_clock(QUIET_S + 2, "heard", 1.0)
+    assert {link for link, _ in made.hand_out(QUIET_S + 2, cold(QUIET_S + 9), set())} == {"heard"}
+
+
+def test_permits_go_evenly_over_few_proxies() -> None:
+    made = issuer(tolerated=0)
+    for link in ("a", "b"):
+        made.report_clock(QUIET_S, link, 1.0)
+    out = made.hand_out(QUIET_S, cold(QUIET_S + 3), set())
+    assert sorted(message.permits for _, message in out) == [3, 4]
+
+
+def test_limits_are_read_from_a_configuration() -> None:
+    """Only of services that name one."""
+    document = (
+        b'{"services":[{"name":"a","warmup_per_s":23.0,"cold_s":3},'
+        b'{"name":"b","cold_s":3},{"name":"c","warmup_per_s":0}]}'
+    )
+    assert read_limits(document) == {"a": LIMIT}
+
+
+@dataclass
+class SimulatedProxy:
+    """It sends whenever it may, and writes a moment later."""
+
+    clock_offset: float
+    cold: ColdBackends
+    frozen_until: float = 0.0
+    inbox: list[WarmUpPermits | float] = field(default_factory=list)  # permits, and when the backend is cold until
+    dials: list[tuple[float, float]] = field(default_factory=list)  # when a dial is up, until when it may write
+
+    def step(self, now: float, random: Random) -> int:
+        """How many requests it writes at this time."""
+        if now < self.frozen_until:
+            return 0
+        clock = now + self.clock_offset
+        for message in self.inbox:
+            if isinstance(message, WarmUpPermits):
+                self.cold.grant(clock, message.backend, message.permits, message.valid_until)
+            else:
+                self.cold.told(clock, record(max(0.0, message)))
+        self.inbox.clear()
+        written = sum(up_at <= now and clock <= until for up_at, until in self.dials)
+        self.dials = [dial for dial in self.dials if dial[0] > now]
+        self.cold.drop_over(clock)
+        while self.cold.is_told(clock, record(0)):
+            until = self.cold.use_permit(clock, record(0))
+            if until is None:
+                break
+            self.dials.append((now + random.uniform(0, DIAL_S), until))
+        return written
+
+
+def record(cold_left_s: float) -> Backend:
+    return Backend("i", "svc", "10.0.9.9:1", "z", "decode", 12, "ready", 1, int(cold_left_s * 1000))
+
+
+def proxy(random: Random) -> SimulatedProxy:
+    made = SimulatedProxy(random.uniform(-50, 50), ColdBackends())
+    made.cold.limits = {"svc": LIMIT}
+    return made
+
+
+class Fleet:
+    """Controllers and proxies with cuts, freezes, restarts, and a backend that turns cold again and again."""
+
+    def __init__(self, seed: int, controllers: int, proxies: int) -> None:
+        self.random = Random(seed)
+        self.ips = ips(controllers)
+        self.tolerated = (controllers - 1) // 2
+        self.issuers = {ip: issuer(ip, -QUIET_S, self.tolerated, seed) for ip in self.ips}
+        self.proxies = [proxy(self.random) for _ in range(proxies)]
+        self.cut: set[tuple[str, int]] = set()
+        self.cold_until = 0.0
+        self.knows_until = dict.fromkeys(self.ips, 0.0)
+        self.written: list[float] = []
+
+    def run(self, seconds: float) -> None:
+        for step in range(int(seconds / STEP_S)):
+            self.step(step, step * STEP_S)
+
+    def step(self, step: int, now: float) -> None:
+        self.disturb(now)
+        if self.random.random() < 0.02:
+            self.cold_until = max(self.cold_until, now + LIMIT.cold_s)
+        for ip, made in self.issuers.items():
+            if self.random.random() < 0.1:
+                self.knows_until[ip] = self.cold_until
+            self.control(step, now, ip, made)
+        for found in self.proxies:
+            self.written += [now] * found.step(now, self.random)
+
+    def control(self, step: int, now: float, ip: str, made: PermitIssuer) -> None:
+        left = self.knows_until[ip] - now
+        for number, found in enumerate(self.proxies):
+            if (ip, number) in self.cut:
+                continue
+            if step % round(PULSE_S / STEP_S) == number % 8 and now >= found.frozen_until:
+                made.report_clock(now, number, now + found.clock_offset - self.random.uniform(0, 0.3))
+            if left > 0 and self.random.random() < 0.2:
+                found.inbox.append(left)
+        known = set(self.random.sample(self.ips, self.random.choice([2, len(self.ips)])))
+        for link, message in made.hand_out(now, cold(self.knows_until[ip]), known):
+            assert isinstance(link, int)
+            self.proxies[link].inbox.append(message)
+
+    def disturb(self, now: float) -> None:
+        random = self.random
+        if random.random() < 0.03:
+            ip = random.choice(self.ips)
+            self.issuers[ip] = issuer(ip, now, self.tolerated, random.randrange(99))
+        for number in range(len(self.proxies)):
+            if random.random() < 0.002:
+                self.proxies[number] = proxy(random)
+                for made in self.issuers.values():
+                    made.forget(number)
+            if random.random() < 0.005:
+                self.proxies[number].frozen_until = now + random.uniform(0, 8)
+        if random.random() < 0.05:
+            self.cut = {
+                (random.choice(self.ips), number) for number in range(len(self.proxies)) if random.random() < 0.4
+            }
+
+    def busiest_second(self) -> int:
+        times = sorted(self.written)
+        return max((bisect_left(times, at + SECOND_S - 1e-9) - index for index, at in enumerate(times)), default=0)
+
+
+@settings(deadline=None, max_examples=12)
+@given(st.integers(0, 1 << 30), st.sampled_from([3, 5, 7]), st.integers(1, 400))
+def test_no_second_brings_a_cold_backend_more_than_it_bears_whatever_fails(
+    seed: int, controllers: int, proxies: int
+) -> None:
+    """Cuts, freezes, restarts of proxies and controllers, and cold periods that begin again."""
+    fleet = Fleet(seed, controllers, proxies)
+    fleet.run(20.0)
+    assert fleet.busiest_second() <= LIMIT.per_s
+
+
+@pytest.mark.parametrize("proxies", [1, 40, 400])
+def test_what_may_be_sent_to_a_cold_backend_is_used(proxies: int) -> None:
+    """In calm, three quarters of the permits of five controllers, four each at least, in every 1.35 s."""
+    fleet = Fleet(1, 5, proxies)
+    fleet.disturb = lambda now: None  # type: ignore[method-assign]
+    fleet.cold_until, fleet.knows_until = 20.0, dict.fromkeys(fleet.ips, 20.0)
+    fleet.run(4.0)
+    rounds = 2
+    counted = [at for at in fleet.written if 1.0 <= at < 1.0 + rounds * PERMIT_S]
+    assert len(counted) >= 0.75 * 5 * 4 * rounds
