What is sent to a cold backend is bounded over all proxies

Cause: no proxy knew that a backend was cold, nor could it know what the others send.

A backend of a service with warmup_per_s that is told to be cold is listed only while one of this proxy's permits is free; the permit is used as the call is handed out, reading or making, and the call is written within 0.34 s of that or not at all (a proxy that stood still during a dial withdraws it); the permit rests for 1.35 s. Where only cold ones without a permit are left the request is refused with 503. One that was not reached, or fell silent, may come back cold: others go first until a heartbeat has had time to tell. That all connections are in use is no such sign, and is told apart now. Candidates.returned(now, zones) is there for zones that are taken back. Without a limit nothing changes: no permits, no clock in heartbeats, the same lists.

--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Iterable, Set
 
+from cranebank.dataplane.cold_backends import ColdBackends
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.suspects import Place, Suspects, is_last_resort
-from cranebank.invariants import note
+from cranebank.invariants import broken, note
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend
 
@@ -14,6 +15,7 @@
 LOST_KEPT = 8192  # backends whose heartbeats ceased that are remembered: all of a large fleet may be lost at once
 CHECK_S = 0.1  # between two checks of an empty list against all backends
 AWAY_S = (0.5, 8.0)  # a backend that failed us is left alone for so long, at first and at most
+DOUBT_S = 1.5  # behind that one that was not reached may be cold: by then its next heartbeat has told
 
 
 def _place(backend: Backend) -> Place:
@@ -31,6 +33,7 @@
         self._holders: dict[str, str] = {}  # address: id of who was last known to serve there
         self.version = 0  # rises whenever the ready ones or the suspects of a service and stage change
         self._check_again_at = float("-inf")
+        self.cold = ColdBackends()
         self._away: set[str] = set()  # those that failed lately or are held off
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
@@ -39,6 +42,7 @@
         """Take records of any source; return the ids of backends that are over."""
         over: list[str] = []
         for record in records:
+            self._tell_cold(now, record)
             if record.id in self._gone or not newer(self.records.get(record.id), record):
                 continue
             if record.phase == "gone":
@@ -55,6 +59,13 @@
             self._forget(oldest)
         return over
 
+    def _tell_cold(self, now: float, record: Backend) -> None:
+        """Also a record that is known already may be the first to say that its backend is cold."""
+        known = self.records.get(record.id)
+        is_current = known is None or record.call_seq >= known.call_seq
+        if record.cold_left_ms > 0 and is_current and record.phase != "gone" and record.id not in self._gone:
+            self.cold.told(now, record)
+
     def _replace(self, record: Backend, now: float) -> None:
         self.records[record.id] = record
         known = self.seen.get(record.id)
@@ -75,6 +86,7 @@
         self.records.pop(backend, None)
         self._lost.pop(backend, None)
         self._away.discard(backend)
+        self.cold.forget(backend)
         ended = self.seen.pop(backend, None)
         if ended is None:
             return
@@ -114,20 +126,46 @@
             self._suspects.remove(place, seen.backend.id)
         self.version += 1
 
-    def known(self) -> tuple[Backend, ...]:
+    def known(self, now: float = 0.0) -> tuple[Backend, ...]:
         """Everything to tell a controller that has forgotten."""
-        return tuple(self.records.values())
+        return tuple(self.cold.as_of(now, record) for record in self.records.values())
 
     def may_take(self, backend: str) -> bool:
         """Whether a request may be sent there now: neither draining nor over."""
         record = self.records.get(backend)
         return record is not None and record.phase in {"ready", "lost"}
 
+    def may_begin(self, now: float, seen: Seen) -> bool:
+        """Whether a call to this backend may begin now: where it is cold, a permit is free."""
+        return self.may_take(seen.backend.id) and not (self.cold and self.cold.refuses(now, seen))
+
+    def begin_call(self, now: float, seen: Seen) -> float:
+        """A call to this backend goes out. Where it is cold: until when the call may be written, by a permit that is
+        now used; else 0."""
+        if not self.cold or not self.cold.is_told(now, seen.backend):
+            return 0.0
+        permitted_until = self.cold.use_permit(now, seen.backend)
+        if permitted_until is None:
+            raise broken("a cold backend is sent to under a permit", seen.backend.id)
+        return permitted_until
+
+    def may_write(self, now: float, backend: Backend, permitted_until: float) -> bool:
+        """Whether a call that began earlier may be written now: the backend has not turned cold since, or the call's
+        permit still holds."""
+        if not self.may_take(backend.id):
+            return False
+        return not self.cold or now <= permitted_until or not self.cold.is_told(now, backend)
+
+    def returned(self, now: float, zones: Set[str]) -> None:
+        """These zones are taken back from an evacuation."""
+        self.cold.returned(now, [record for record in self.records.values() if record.zone in zones])
+        self.version += 1
+
     def ready(self, now: float, service: str, stage: str, without: Set[str] = frozenset()) -> list[Seen]:
         """Whom to send to; the list is not to be changed. Those that failed us lately stand back, unless all did.
 
         Invariant: it is empty only where no backend of the service and stage is ready, nor lost and not backed off,
-        ``without`` left out.
+        ``without`` and those that are cold without a free permit left out.
         """
         place = (service, stage)
         listed = self._ready.get(place, [])
@@ -135,23 +173,31 @@
             listed = self._suspects.merged(now, place, listed)
         if self._away:
             self._away = {name for name in self._away if self.seen[name].stands_back(now)}
-        if without or self._away:
-            listed = [seen for seen in listed if seen.backend.id not in without]
+        if self.cold:
+            self.cold.drop_over(now)
+        if without or self._away or self.cold:
+            listed = self._usable(now, listed, without)
             listed = [seen for seen in listed if not seen.stands_back(now)] or listed
+        if self.cold:
+            listed = [seen for seen in listed if not self.cold.is_doubted(now, seen)] or listed
         if not listed:
-            listed = [seen for seen in self._suspects.last_resort(now, place) if seen.backend.id not in without]
+            listed = self._usable(now, self._suspects.last_resort(now, place), without)
         if not listed:
             self._check_empty(now, place, without)
         return listed
 
+    def _usable(self, now: float, listed: list[Seen], without: Set[str]) -> list[Seen]:
+        listed = [seen for seen in listed if seen.backend.id not in without]
+        return [seen for seen in listed if not self.cold.refuses(now, seen)] if self.cold else listed
+
     def _check_empty(self, now: float, place: Place, without: Set[str]) -> None:
         """Look at all backends, which may be thousands, once in a while."""
         if now < self._check_again_at:
             return
         self._check_again_at = now + CHECK_S
         if any(
-            _place(seen.backend) == place and seen.backend.id not in without and self._may_be_tried(now, seen)
-            for seen in self.seen.values()
+            _place(seen.backend) == place and self._may_be_tried(now, seen)
+            for seen in self._usable(now, list(self.seen.values()), without)
         ):
             note("nobody is passed over where a backend may be tried", f"{place}")
 
@@ -176,14 +222,18 @@
         """Whether there is anybody to send to, suspects counted."""
         return any(self._ready.values()) or bool(self._suspects)
 
-    def failed(self, now: float, backend: str) -> None:
-        """A call ended without a word, or the backend couldn't be reached."""
+    def failed(self, now: float, backend: str, may_be_down: bool = False) -> None:
+        """A call ended without a word, or the backend couldn't be reached. ``may_be_down``: so it may come back
+        cold."""
         seen = self.seen.get(backend)
-        if seen is None or seen.away_until > now:
+        if seen is None:
             return
-        seen.away_for = min(max(2 * seen.away_for, AWAY_S[0]), AWAY_S[1])
-        seen.away_until = now + seen.away_for
-        self._away.add(backend)
+        if seen.away_until <= now:
+            seen.away_for = min(max(2 * seen.away_for, AWAY_S[0]), AWAY_S[1])
+            seen.away_until = now + seen.away_for
+            self._away.add(backend)
+        if may_be_down:
+            self.cold.doubt(seen.backend, seen.away_until + DOUBT_S)
 
     def answered(self, now: float, backend: str) -> None:
         """An answer came."""
--- a/cranebank/dataplane/dispatch.py
+++ b/cranebank/dataplane/dispatch.py
@@ -123,13 +123,13 @@
         """The planned maker, or another where it may take nothing any more or has failed lately."""
         assert self._plan is not None
         maker = self._plan.maker
-        may_take = self._shared.candidates.may_take(maker.backend.id)
-        if may_take and not maker.stands_back(now):
+        may_begin = self._shared.candidates.may_begin(now, maker)
+        if may_begin and not maker.stands_back(now):
             return maker
         plan = self._choose(now, self.without | {maker.backend.id})
         if plan is not None:
             return plan.maker
-        return maker if may_take else None
+        return maker if may_begin else None
 
     def _read(self, now: float, reader: Seen, tokens: int) -> Call | None:
         """Send the request to a backend that reads its prompt only."""
@@ -200,6 +200,9 @@
         headers: tuple[tuple[str, str], ...],
         silent_s: float | None,
     ) -> tuple[Leg, Call]:
+        permitted_until = self._shared.candidates.begin_call(now, seen)
+        if permitted_until:
+            self._shared.count("cold_calls")
         leg = self._legs.open(now, seen, tokens, reads, silent_s)
         choices = self._shared.choices
         choices.draws.called(now, self._service, seen.backend.stage)
@@ -211,4 +214,4 @@
             share = READER_SHARE if reads else KEPT_SHARE
             self._shared.cache.touch(seen.backend.id, self._prompt.parts, self._engine.cache_tokens, share)
         self._shared.count("reads" if reads else "makes")
-        return leg, Call(leg.number, seen.backend, headers)
+        return leg, Call(leg.number, seen.backend, headers, permitted_until)
--- a/cranebank/dataplane/evidence.py
+++ b/cranebank/dataplane/evidence.py
@@ -13,7 +13,8 @@
     seen where a backend crashed after it had read the request.
     """
 
-    NEVER_CONNECTED = "never_connected"  # no connection came up, or none more may be opened
+    NEVER_CONNECTED = "never_connected"  # no connection came up
+    NO_CONNECTION_FREE = "no_connection_free"  # none was idle, and none more may be opened
     CLOSED_BEFORE_SEND = "closed_before_send"  # a new connection had ended before the request was written to it
     BACKEND_WITHDRAWN = "backend_withdrawn"  # the backend left the ready list while a connection was being opened
     WRITTEN = "written"  # bytes of the request were handed to the connection
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -282,7 +282,7 @@
             return
         self._legs.close(now, leg)
         backend = leg.seen.backend.id
-        self._shared.candidates.failed(now, backend)
+        self._shared.candidates.failed(now, backend, evidence is SendEvidence.NEVER_CONNECTED)
         self._dispatch.without.add(backend)
         self._shared.count("legs_broken" if evidence.may_have_run else "legs_unsent")
         if not evidence.may_have_run:
@@ -334,7 +334,7 @@
     def _silent(self, now: float, leg: Leg) -> None:
         leg.silent_at = None
         self._shared.count("silent")
-        self._shared.candidates.failed(now, leg.seen.backend.id)
+        self._shared.candidates.failed(now, leg.seen.backend.id, may_be_down=True)
         self._dispatch.without.add(leg.seen.backend.id)
         if leg.reads and not self._attempts.has_try_to_read():
             return  # no other may read it, and a maker that reads it holds up its other requests: late is better
--- a/cranebank/dataplane/exchange_events.py
+++ b/cranebank/dataplane/exchange_events.py
@@ -58,6 +58,7 @@
     leg: int
     backend: Backend
     headers: tuple[tuple[str, str], ...]
+    permitted_until: float = 0.0  # when a call to a cold backend must have been written
 
 
 class Abort(msgspec.Struct, frozen=True):
--- a/cranebank/dataplane/legs.py
+++ b/cranebank/dataplane/legs.py
@@ -48,6 +48,10 @@
         """It can't come any more."""
 
 
+class NoConnectionFree(ConnectionError):
+    """All connections that this proxy may have to a backend are in use."""
+
+
 class Connection(asyncio.Protocol):
     """One connection to a backend, at the address that it had then."""
 
@@ -279,7 +283,7 @@
         """A new connection. Raises OSError where it isn't up in time or there may be no more."""
         held = self._all.setdefault(backend.id, set())
         if len(held) >= self.most(backend):
-            raise ConnectionError("all connections to this backend are in use")
+            raise NoConnectionFree("all connections to this backend are in use")
         host, _, port = backend.address.rpartition(":")
         connection = Connection(self, backend)
         held.add(connection)
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -40,12 +40,12 @@
     WakeAt,
 )
 from cranebank.dataplane.front import ClientConnection, Front, Handler
-from cranebank.dataplane.legs import Connection, Pool
+from cranebank.dataplane.legs import Connection, NoConnectionFree, Pool
 from cranebank.dataplane.policy import ALL_ON, Policy
 from cranebank.dataplane.routes import ClientLimits, RouteTable
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
-from cranebank.transport.messages import Backend, ReadingBegun, StageLoad
+from cranebank.transport.messages import Backend, ReadingBegun, StageLoad, WarmUpPermits
 
 OWN_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
 TOKENS_MOST = 1 << 24  # of one prompt; a figure beyond it is none
@@ -167,13 +167,17 @@
         except ConnectionError as error:
             logger.debug("request {} to {}: {}", self.attempt, call.backend.id, error)
             self.dialling.pop(call.leg, None)
-            self.do(LegFailed(call.leg, SendEvidence.NEVER_CONNECTED))
+            is_full = isinstance(error, NoConnectionFree)
+            evidence = SendEvidence.NO_CONNECTION_FREE if is_full else SendEvidence.NEVER_CONNECTED
+            self.do(LegFailed(call.leg, evidence))
             return
         self.dialling.pop(call.leg, None)
         if connection.transport is None or connection.transport.is_closing():
             self.do(LegFailed(call.leg, SendEvidence.CLOSED_BEFORE_SEND))
             return
-        if self.exchange.over or not self.proxy.shared.candidates.may_take(call.backend.id):
+        now = asyncio.get_running_loop().time()
+        may_write = self.proxy.shared.candidates.may_write(now, call.backend, call.permitted_until)
+        if self.exchange.over or not may_write:
             self.proxy.pool.give_back(connection)
             if not self.exchange.over:
                 self.do(LegFailed(call.leg, SendEvidence.BACKEND_WITHDRAWN))
@@ -271,6 +275,7 @@
             logger.error("a configuration that can't be read: {}", error)
             return False
         if table.revision > self.revision:
+            self.shared.candidates.cold.limits = table.warm_up_limits
             self.table = table  # budgets stay: a service that is dropped and comes back has spent what it has
         return True
 
@@ -282,6 +287,20 @@
             self.shared.cache.forget(over)
         self._stages.observe(now, candidates.staffed(), candidates.records.values())
 
+    def permit(self, permits: WarmUpPermits) -> None:
+        """A controller leases permits to send to a cold backend."""
+        now = asyncio.get_running_loop().time()
+        if permits.backend in self.shared.candidates.seen:
+            self.shared.candidates.cold.grant(now, permits.backend, permits.permits, permits.valid_until)
+
+    def clock_ms(self) -> int:
+        """The steady clock where a service limits what cold backends get; else 0."""
+        return int(asyncio.get_running_loop().time() * 1e3) if self.shared.candidates.cold.limits else 0
+
+    def known(self) -> tuple[Backend, ...]:
+        """All records, as they are to be told now."""
+        return self.shared.candidates.known(asyncio.get_running_loop().time())
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
         self.shared.candidates.hold_off(asyncio.get_running_loop().time(), backend, seconds)
--- a/cranebank/dataplane/routes.py
+++ b/cranebank/dataplane/routes.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from cranebank.membership.warm_up import Limits, WarmUpLimit
+
 
 class Branch(msgspec.Struct, frozen=True):
     """A service and its share of a route's requests."""
@@ -63,6 +65,8 @@
     probe_path: str = "/health"
     max_conns: int = 100
     engine: Engine | None = None
+    cold_s: float = 0.0  # for which a backend is cold after a start
+    warmup_per_s: float = 0.0  # requests that a cold backend bears; 0: no limit
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
@@ -92,6 +96,11 @@
     def __init__(self, document: Document) -> None:
         self.revision, self.limits = document.revision, document.limits
         self.services = {service.name: service for service in document.services}
+        self.warm_up_limits: Limits = {
+            service.name: WarmUpLimit(service.warmup_per_s, service.cold_s)
+            for service in document.services
+            if service.warmup_per_s > 0
+        }
         self._hosts: dict[str, list[Route]] = {}
         for route in document.routes:
             self._hosts.setdefault(route.hostname.lower(), []).append(route)
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -23,6 +23,7 @@
     Relayed,
     RelayTo,
     StageLoad,
+    WarmUpPermits,
     Welcome,
 )
 
@@ -51,6 +52,12 @@
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
 
+    def permit(self, permits: WarmUpPermits) -> None:
+        """A controller leases permits to send to a cold backend."""
+
+    def clock_ms(self) -> int:
+        """Its steady clock, to which permits are bound; 0: it wants none."""
+
     def loads(self) -> tuple[StageLoad, ...]:
         """What this proxy asks of the stages of each service."""
 
@@ -119,7 +126,7 @@
 
     def link_up(self, link: Link) -> None:
         """A controller answers: say who we are and all that we know."""
-        link.pulse = lambda: Pulse(self._plane.revision, loads=self._plane.loads())
+        link.pulse = lambda: Pulse(self._plane.revision, loads=self._plane.loads(), clock_ms=self._plane.clock_ms())
         link.send(self._hello())
 
     def link_message(self, link: Link, message: Message) -> None:
@@ -143,6 +150,8 @@
                 self._hear_controller(revision, is_current, epoch)
             case HoldOff(backend, seconds):
                 self._plane.hold_off(backend, seconds)
+            case WarmUpPermits():
+                self._plane.permit(message)
             case RelayTo(destination, sync):
                 self._relay(link.peer, destination, sync)
             case _:
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -32,6 +32,8 @@
     Welcome,
 )
 
+MS_PER_S = 1000.0
+
 
 class ControllerProtocol:
     """The owner of all links of a controller. ``life`` is drawn at each start of the process."""
@@ -84,7 +86,7 @@
             case Pulse(revision):
                 self._delivery.observe_revision(link, revision)
                 self.loads.report(self._now(), link, message.loads)
-                self._registry.report_clock(link, message.clock)
+                self._registry.report_clock(link, message.clock_ms / MS_PER_S)
             case ConfigAck(revision):
                 self._delivery.observe_revision(link, revision)
             case RegistrySync():
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -20,7 +20,7 @@
 from cranebank.membership.neighbours import Neighbours
 from cranebank.programs.ring import Ring
 from cranebank.programs.settings import NodeSettings, SettingsError, load
-from cranebank.transport.messages import Backend, Hello, Note, ReadingBegun, StageLoad
+from cranebank.transport.messages import Backend, Hello, Note, ReadingBegun, StageLoad, WarmUpPermits
 
 if TYPE_CHECKING:
     from cranebank.programs.metrics import Exporter
@@ -96,7 +96,15 @@
 
     def known(self) -> tuple[Backend, ...]:
         """All records."""
-        return self._proxy.shared.candidates.known()
+        return self._proxy.known()
+
+    def permit(self, permits: WarmUpPermits) -> None:
+        """A controller leases permits to send to a cold backend."""
+        self._proxy.permit(permits)
+
+    def clock_ms(self) -> int:
+        """Its steady clock, to which permits are bound; 0: it wants none."""
+        return self._proxy.clock_ms()
 
     def hold_off(self, backend: str, seconds: float) -> None:
         """This backend is about to change its stage: nothing is sent there for so long."""
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -96,13 +96,13 @@
 class Pulse(msgspec.Struct, frozen=True, tag=7, array_like=True):
     """A heartbeat; ``revision`` of the configuration in force at the sender. From a controller also whether it
     knows, by contact with a majority within a lease's length, that this is the newest one, and the newest epoch. From
-    a proxy what it asks of backends, by service, and its steady clock in seconds (0: not told)."""
+    a proxy what it asks of backends, by service, and its steady clock (0: no permits are wanted)."""
 
     revision: int = 0
     is_current: bool = False
     epoch: int = 0
     loads: tuple[StageLoad, ...] = ()
-    clock: float = 0.0
+    clock_ms: int = 0
 
 
 class HoldOff(msgspec.Struct, frozen=True, tag=16, array_like=True):
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -16,7 +16,7 @@
 from cranebank.programs.local_state import recalled_records
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.transport.links import Link
-from cranebank.transport.messages import Backend, ConfigPush, Hello, Message, StageLoad
+from cranebank.transport.messages import Backend, ConfigPush, Hello, Message, StageLoad, WarmUpPermits
 
 from .actors import CONTROL_PORT, Operator, Reader
 from .actors import Backend as BackendActor
@@ -94,6 +94,13 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def clock_ms(self) -> int:
+        """Its steady clock, or 0."""
+        return 0
+
+    def permit(self, permits: WarmUpPermits) -> None:
+        """Nothing is sent here."""
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Nothing is sent to this backend for so long; 0: it is again."""
         self.held[backend] = seconds
--- a/tests/mutants_liveness.py
+++ b/tests/mutants_liveness.py
@@ -273,7 +273,7 @@
         Point.LIVENESS,
         "a prompt that was read is given up when its only maker has just failed another",
         "dataplane/dispatch.py",
-        "return maker if may_take else None",
+        "return maker if may_begin else None",
         "return None",
         "test_exchange.py",
     ),
--- a/tests/test_flat_over_changes.py
+++ b/tests/test_flat_over_changes.py
@@ -35,7 +35,7 @@
 from cranebank.membership.fleet import FleetLinks
 from cranebank.programs.control import Controller
 from cranebank.storage.store import Disk, open_store
-from cranebank.transport.messages import Backend, Hello, StageLoad
+from cranebank.transport.messages import Backend, Hello, StageLoad, WarmUpPermits
 
 CHANGES = 1000
 EARLY = range(100, 200)
@@ -94,6 +94,14 @@
         """The told number of proxies."""
         self._proxy.shared.choices.draws.proxies = max(1, count)
 
+    def clock_ms(self) -> int:
+        """Its steady clock, or 0."""
+        return self._proxy.clock_ms()
+
+    def permit(self, permits: WarmUpPermits) -> None:
+        """A controller leases permits to send to a cold backend."""
+        self._proxy.permit(permits)
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Nothing is sent to this backend for so long."""
         self._proxy.hold_off(backend, seconds)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -27,6 +27,7 @@
     Relayed,
     RelayTo,
     StageLoad,
+    WarmUpPermits,
     Welcome,
 )
 
@@ -53,6 +54,13 @@
     def told_proxies(self, count: int) -> None:
         """Not wanted."""
 
+    def clock_ms(self) -> int:
+        """Its steady clock, or 0."""
+        return 0
+
+    def permit(self, permits: WarmUpPermits) -> None:
+        """Not wanted."""
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Not wanted."""
 
