Tests of cold backends at a proxy; calls to them are counted, leases and ends are logged

The proxy logs how many calls a backend got while it was cold, a controller which permits it leased; cranebank_edge_cold_calls_total counts them.

--- a/cranebank/dataplane/cold_backends.py
+++ b/cranebank/dataplane/cold_backends.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Iterable
 
+from loguru import logger
+
 from cranebank.dataplane.seen import Seen
 from cranebank.membership.backends import replace_cold_left
 from cranebank.membership.warm_up import PERMIT_S, SEND_WITHIN_S, Limits
@@ -32,11 +34,12 @@
 class _State:
     """Of one backend."""
 
-    __slots__ = ("doubted_until", "permits", "told_until")
+    __slots__ = ("calls", "doubted_until", "permits", "told_until")
 
     def __init__(self) -> None:
         self.told_until = self.doubted_until = NEVER
         self.permits: list[_Permit] = []
+        self.calls = 0  # under permits
 
     def drop_expired(self, now: float) -> None:
         self.permits = [permit for permit in self.permits if permit.valid_until > now]
@@ -87,7 +90,11 @@
 
     def drop_over(self, now: float) -> None:
         """Forget what is over."""
-        self._states = {name: state for name, state in self._states.items() if not state.is_over(now)}
+        over = [name for name, state in self._states.items() if state.is_over(now)]
+        for name in over:
+            state = self._states.pop(name)
+            if state.calls:
+                logger.info("backend {}: {} calls while it was cold", name, state.calls)
 
     def is_told(self, now: float, backend: Backend) -> bool:
         """Whether a backend of a service with a limit is told to be cold."""
@@ -111,6 +118,7 @@
         for permit in self._states[backend.id].permits:
             if permit.is_free(now):
                 permit.free_at = now + PERMIT_S
+                self._states[backend.id].calls += 1
                 return now + SEND_WITHIN_S
         return None
 
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -135,6 +135,7 @@
             "Times that no backend was ready to run a request.",
             count("without_backend", 0),
         ),
+        counter("cold_calls", "Calls to cold backends, under permits.", count("cold_calls", 0)),
         counter("readings", "Prompts that a prefill backend has read.", count("readings", 0)),
         counter("reading_milliseconds", "Time from asking for a reading to its answer.", count("reading_ms", 0)),
         Metric(
--- a/cranebank/programs/registry_service.py
+++ b/cranebank/programs/registry_service.py
@@ -190,8 +190,13 @@
         cold = self.registry.cold(now)
         if cold:
             controllers = {self._ip, *self._seed_ips} | self._consensus.known_ips() | self._links.accepted_ips
-            for link, permits in self._permits.hand_out(now, cold, controllers):
+            leased = self._permits.hand_out(now, cold, controllers)
+            for link, permits in leased:
                 self._delivery.tell(link, permits)
+            if leased:
+                backends = sorted({permits.backend for _, permits in leased})
+                total = sum(permits.permits for _, permits in leased)
+                logger.info("{} permits for cold backends leased: {}", total, ", ".join(backends))
 
     def link_lost(self, ip: str) -> Link | None:
         """A connection to this controller is over. The one that is left, if any, is sent what may have been lost."""
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -4,13 +4,21 @@
 
 import asyncio
 import json
+from collections.abc import Callable, Coroutine
+from functools import wraps
 from random import Random
 
+from msgspec import structs
+
 from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane.candidates import AWAY_S, DOUBT_S
+from cranebank.dataplane.cold_backends import COLD_MARGIN_S
 from cranebank.dataplane.exchange import Exchange
 from cranebank.dataplane.exchange_events import Begin, Call
 from cranebank.dataplane.proxy import Proxy, RetryRule
-from cranebank.transport.messages import Backend
+from cranebank.invariants import violations
+from cranebank.membership.warm_up import PERMIT_S, SEND_WITHIN_S
+from cranebank.transport.messages import Backend, WarmUpPermits
 
 WARMUP_PER_S, COLD_OVER, COLD_SLACK = 23.0, 1.5, 5.0
 BOUND = WARMUP_PER_S * COLD_OVER + COLD_SLACK
@@ -31,11 +39,11 @@
     return Backend(name, "svc", f"10.0.0.{name}:1", "z", "decode", 12, "ready", call_seq, cold_left_ms)
 
 
-def proxy_of(seed: int) -> Proxy:
-    """A proxy with ten backends, all warm."""
+def proxy_of(seed: int, backends: int = 10) -> Proxy:
+    """A proxy with so many backends, all warm."""
     proxy = Proxy(RetryRule(0.2, 100, 10.0, True), Random(seed), asyncio.get_running_loop().time())
     assert proxy.configure(DOCUMENT)
-    proxy.learn([backend(str(number)) for number in range(10)])
+    proxy.learn([backend(str(number)) for number in range(backends)])
     return proxy
 
 
@@ -59,3 +67,128 @@
         return sum(call.backend.id == "0" for call in calls)
 
     assert asyncio.run(story()) <= BOUND
+
+
+def in_loop(story: Callable[[], Coroutine[None, None, None]]) -> Callable[[], None]:
+    """A test that runs in an event loop, whose clock a proxy reads."""
+
+    @wraps(story)
+    def test() -> None:
+        asyncio.run(story())
+
+    return test
+
+
+def permit(proxy: Proxy, backend_id: str, permits: int = 1, lease_s: float = 3.0) -> None:
+    """A controller leases permits."""
+    proxy.permit(WarmUpPermits(backend_id, permits, asyncio.get_running_loop().time() + lease_s))
+
+
+def cold_proxy(backends: int = 1) -> Proxy:
+    """A proxy all of whose backends are cold."""
+    proxy = proxy_of(1, backends)
+    proxy.learn([backend(str(number), 3000, 2) for number in range(backends)])
+    return proxy
+
+
+def ids(proxy: Proxy, after_s: float = 0.0, without: frozenset[str] = frozenset()) -> list[str]:
+    """Who is listed for a call, some time from now."""
+    now = asyncio.get_running_loop().time() + after_s
+    return [seen.backend.id for seen in proxy.shared.candidates.ready(now, "svc", "decode", without)]
+
+
+@in_loop
+async def test_where_all_backends_are_cold_only_permits_are_spent_and_the_rest_is_refused() -> None:
+    """One call for each permit until it is free again; the empty list breaks no invariant."""
+    before = dict(violations())
+    proxy = cold_proxy()
+    assert calls_of(proxy) == [] and not proxy.shared.choices.of("svc", None).has_backend(0.0, frozenset())
+    permit(proxy, "0", 2)
+    assert [len(calls_of(proxy)) for _ in range(4)] == [1, 1, 0, 0]
+    assert ids(proxy, PERMIT_S - 0.05) == [] and ids(proxy, PERMIT_S) == ["0"]
+    assert proxy.shared.counters["cold_calls"] == 2 and violations() == before
+
+
+@in_loop
+async def test_a_lease_ends_and_the_cold_period_too() -> None:
+    proxy = cold_proxy()
+    permit(proxy, "0", 1, lease_s=0.5)
+    assert ids(proxy, 0.4) == ["0"] and ids(proxy, 0.6) == []
+    assert ids(proxy, 3.0) == [] and ids(proxy, 3.0 + COLD_MARGIN_S) == ["0"]
+
+
+@in_loop
+async def test_a_late_message_with_permits_and_one_for_an_unknown_backend_change_nothing() -> None:
+    proxy = cold_proxy()
+    permit(proxy, "0", 1, lease_s=-0.1)
+    permit(proxy, "unknown")
+    assert ids(proxy) == [] and calls_of(proxy) == []
+
+
+@in_loop
+async def test_a_call_that_was_held_up_before_its_writing_is_withdrawn() -> None:
+    """Else it could be written within one second of the permit's next call."""
+    proxy = cold_proxy()
+    permit(proxy, "0")
+    (call,) = calls_of(proxy)
+    now, candidates = asyncio.get_running_loop().time(), proxy.shared.candidates
+    assert candidates.may_write(now + SEND_WITHIN_S - 0.05, call.backend, call.permitted_until)
+    assert not candidates.may_write(now + SEND_WITHIN_S + 0.05, call.backend, call.permitted_until)
+
+
+@in_loop
+async def test_a_call_that_was_dialled_while_its_backend_turned_cold_is_withdrawn() -> None:
+    proxy = proxy_of(1, 1)
+    (call,) = calls_of(proxy)
+    now = asyncio.get_running_loop().time()
+    assert proxy.shared.candidates.may_write(now, call.backend, call.permitted_until)
+    proxy.learn([backend("0", 3000, 2)])
+    assert not proxy.shared.candidates.may_write(now, call.backend, call.permitted_until)
+
+
+@in_loop
+async def test_a_lost_cold_backend_is_no_last_resort_without_a_permit() -> None:
+    proxy = cold_proxy()
+    proxy.learn([structs.replace(backend("0", 3000, 2), phase="lost")])
+    assert ids(proxy) == []
+    permit(proxy, "0")
+    assert ids(proxy) == ["0"]
+
+
+@in_loop
+async def test_who_was_not_reached_comes_behind_the_others_until_its_heartbeat_can_have_told() -> None:
+    """And is used where it is the only one."""
+    proxy = proxy_of(1, 2)
+    now = asyncio.get_running_loop().time()
+    proxy.shared.candidates.failed(now, "0", may_be_down=True)
+    until = AWAY_S[0] + DOUBT_S
+    assert ids(proxy, AWAY_S[0] + 0.1) == ["1"] and ids(proxy, AWAY_S[0] + 0.1, frozenset({"1"})) == ["0"]
+    assert sorted(ids(proxy, until + 0.1)) == ["0", "1"]
+
+
+@in_loop
+async def test_the_backends_of_a_zone_that_is_taken_back_are_cold() -> None:
+    proxy = proxy_of(1, 2)
+    proxy.learn([structs.replace(backend("1", 0, 2), zone="other")])
+    proxy.shared.candidates.returned(asyncio.get_running_loop().time(), {"z"})
+    assert ids(proxy) == ["1"]
+
+
+@in_loop
+async def test_what_a_proxy_tells_of_a_cold_backend_is_what_is_left() -> None:
+    """A figure of long ago would make a restarted controller think it cold."""
+    proxy = cold_proxy()
+    now = asyncio.get_running_loop().time()
+    (early,), (late,) = (proxy.shared.candidates.known(now + later) for later in (1.0, 5.0))
+    assert 1900 <= early.cold_left_ms <= 2000 and late.cold_left_ms == 0
+
+
+@in_loop
+async def test_without_a_limit_a_cold_backend_is_used_like_any_other() -> None:
+    """And no clock is told, so that no permits come."""
+    proxy = proxy_of(1, 2)
+    assert proxy.clock_ms() > 0
+    assert proxy.configure(DOCUMENT.replace(b'"revision": 1', b'"revision": 2').replace(b"warmup_per_s", b"other"))
+    proxy.learn([backend("0", 3000, 2)])
+    proxy.shared.candidates.failed(0.0, "1", may_be_down=True)
+    assert sorted(ids(proxy, 1.0)) == ["0", "1"] and proxy.clock_ms() == 0 and not proxy.shared.candidates.cold
