--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -37,6 +37,8 @@
     Welcome,
 )
 
+MS_PER_S = 1000.0
+
 
 class ControllerProtocol:
     """The owner of all links of a controller. ``life`` is drawn at each start of the process."""
@@ -78,6 +80,7 @@
         """A connection is over."""
         self._delivery.leave(link)
         self.loads.forget(link)
+        self._registry.forget_clock(link)
         if not self._links.remove(link):
             return
         self._tallies.link_changed(link.peer)
@@ -94,6 +97,7 @@
             case Pulse(revision):
                 self._delivery.observe_revision(link, revision)
                 self.loads.report(self._now(), link, message.loads)
+                self._registry.report_clock(link, message.clock_ms / MS_PER_S)
             case ConfigAck(revision):
                 self._delivery.observe_revision(link, revision)
             case EvacuationsAck(number):
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -5,7 +5,8 @@
 controllers the same link carries the custody's messages, wrapped in Custodial, and the registry's (RegistrySync, and
 RegistryAck for those that have a number). Controllers without a connection to each other send the registry's by way of
 proxies (RelayTo, which goes on as Relayed). The primary tells proxies of backends that change their stage (HoldOff);
-every controller tells them the zones that are evacuated (Evacuations, acknowledged by EvacuationsAck).
+every controller tells them the zones that are evacuated (Evacuations, acknowledged by EvacuationsAck), and leases them
+permits to send to cold backends (WarmUpPermits).
 Controllers send one another adds to tallies (TallyAdds), what they hold of them (TallyVector, which is also the
 acknowledgement), and what is folded to one that lacks it (TallyBase).
 Between proxies Shuffle and Gossip go as datagrams; Fetch, and its answer by ConfigPush and Push, over a connection.
@@ -98,12 +99,13 @@
 class Pulse(msgspec.Struct, frozen=True, tag=7, array_like=True):
     """A heartbeat; ``revision`` of the configuration in force at the sender. From a controller also whether it
     knows, by contact with a majority within a lease's length, that this is the newest one, and the newest epoch. From
-    a proxy what it asks of backends, by service."""
+    a proxy what it asks of backends, by service, and its steady clock (0: no permits are wanted)."""
 
     revision: int = 0
     is_current: bool = False
     epoch: int = 0
     loads: tuple[StageLoad, ...] = ()
+    clock_ms: int = 0
 
 
 class HoldOff(msgspec.Struct, frozen=True, tag=16, array_like=True):
@@ -128,6 +130,15 @@
     number: int
 
 
+class WarmUpPermits(msgspec.Struct, frozen=True, tag=23, array_like=True):
+    """From a controller to a proxy, behind the push that tells that this backend is cold: so many permits to send to
+    it, until ``valid_until`` of the proxy's own clock."""
+
+    backend: str
+    permits: int
+    valid_until: float
+
+
 class Custodial(msgspec.Struct, frozen=True, tag=8, array_like=True):
     """A message of the custody's core, as msgpack."""
 
@@ -291,4 +302,5 @@
     | TallyBase
     | Evacuations
     | EvacuationsAck
+    | WarmUpPermits
 )
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -27,6 +27,7 @@
     Relayed,
     RelayTo,
     StageLoad,
+    WarmUpPermits,
     Welcome,
 )
 
@@ -57,6 +58,13 @@
         """Not wanted."""
         return number
 
+    def clock_ms(self) -> int:
+        """Its steady clock, or 0."""
+        return 0
+
+    def permit(self, permits: WarmUpPermits) -> None:
+        """Not wanted."""
+
     def hold_off(self, backend: str, seconds: float) -> None:
         """Not wanted."""
 
