A controller leases permits for the backends of a zone that is taken back from an evacuation

Cause: the zone's backends may have turned cold shortly before the Finish; the registry had a call for that which nothing made. Change: the controller calls it for each zone that leaves the set of evacuated ones.

--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -300,8 +300,13 @@
     def _tell_evacuations(self) -> None:
         """Tell linked proxies what the newest record known here says of evacuated zones, if that is news."""
         status = self._consensus.status(self.now())
+        before = self._delivery.evacuations
+        if status.evacuation_number <= before.number:
+            return
         self._delivery.know_evacuations(status.evacuation_number, status.evacuated)
         send_deliveries(self._delivery)
+        for zone in sorted({*before.zones} - {*status.evacuated}):
+            self._registry_service.zone_returned(zone)
 
     def leadership_changed(self, is_primary: bool) -> None:
         """This controller acts as primary from now on, or does so no longer."""
