--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -14,8 +14,9 @@
 from cranebank.fleetlab.fleet import FleetShape, StartError
 from cranebank.fleetlab.lab_run import SERVICES, LabRun
 from cranebank.fleetlab.records import DayRecord, Trouble
+from cranebank.fleetlab.run_options import RunOptions, TallyLoad
 
-__all__ = ["DEMO", "SHORT", "DayPlan", "StartError", "Step", "play"]
+__all__ = ["DEMO", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
 
 RESTART_S = 0.4
 
@@ -41,6 +42,8 @@
     beat_ms: float = 500
     fleet: Mapping[str, tuple[str, ...]] = SERVICES  # stages of each service's backends
     own_tokens: tuple[int, int] = OWN_TOKENS  # fewest and most of each prompt's own part
+    shape: FleetShape = FleetShape()
+    options: RunOptions = RunOptions()
 
 
 DEMO = DayPlan(
@@ -78,18 +81,34 @@
 )
 
 
+TALLIES = DayPlan(
+    9.0,
+    10.0,
+    (Step(1.5, "kill-primary", 1.0), Step(5.0, "kill-primary", 1.0)),
+    options=RunOptions(tallies=TallyLoad()),
+)
+"""Adds to tallies and readings of them while controllers come and go."""
+
+
 class Day(LabRun):
     """Plays one day and writes down what clients, backends and the operator see."""
 
     def __init__(self, plan: DayPlan, progress: Callable[[str], None], folder: Path | None) -> None:
-        super().__init__(plan.seed, plan.beat_ms, FleetShape(), progress, folder, plan.fleet, plan.own_tokens)
+        super().__init__(
+            plan.seed, plan.beat_ms, plan.shape, progress, folder, plan.fleet, plan.own_tokens, plan.options
+        )
         self.plan = plan
 
     async def _play(self) -> None:
+        enough = asyncio.Event()
         load = self._spawn(self._clients.load(self.plan.rate, self.plan.seconds))
         steps = self._spawn(self._step_all())
+        calls = self._spawn(self._call_on(enough))
         await load
         await steps
+        enough.set()
+        await calls
+        await self._read_tallies()
         self.record.read_back = await self._operator.read_back(self.record.bounds.contact_ms / 1e3)
         self.record.ended = asyncio.get_running_loop().time()
         self._say(f"read back revision {self.record.read_back.revision}")
--- a/cranebank/fleetlab/fault_scene.py
+++ b/cranebank/fleetlab/fault_scene.py
@@ -15,7 +15,7 @@
 from cranebank.fleetlab.clients import Platform
 from cranebank.fleetlab.fleet import Fleet, Process
 from cranebank.fleetlab.network import LabNetwork
-from cranebank.fleetlab.records import DayRecord, InjectedFault, Trouble
+from cranebank.fleetlab.records import BrokenLinks, DayRecord, DiskLoss, InjectedFault, Trouble
 from cranebank.fleetlab.soak_plan import Fault
 
 CORE = "core"  # names all controllers in troubles
@@ -79,6 +79,21 @@
             for place in places:
                 troubles[place] = msgspec.structs.replace(troubles[place], end=self.now())
 
+    @contextmanager
+    def broken_links(self, machines: Iterable[str]) -> Iterator[None]:
+        """Note that links between these controllers and others are cut, from now until the block ends."""
+        broken = BrokenLinks(tuple(sorted(machines)), self.now())
+        if broken.machines:
+            self.record.broken_links.append(broken)
+        try:
+            yield
+        finally:
+            broken.end = self.now()
+
+    def note_disk_loss(self, process: Process) -> None:
+        """Note that a machine has lost its disk now."""
+        self.record.disk_losses.append(DiskLoss(process.name, self.now()))
+
     @contextmanager
     def holding(self, fault: Fault, processes: Iterable[Process]) -> Iterator[None]:
         """Keep other faults off these processes."""
--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -25,7 +25,7 @@
 PORTS = (LINKS, LINKS + 15)
 ZONE = "here"
 KILLED_S = 5.0  # for the kernel to clear away a process that was killed
-FIRST_CONTROLLER, FIRST_PROXY, FIRST_BACKEND = 11, 61, 101  # last part of the addresses
+FIRST_CONTROLLER, FIRST_APPLICATION, FIRST_PROXY, FIRST_BACKEND = 11, 51, 61, 101  # last part of the addresses
 INHERITED = ("PATH", "HOME", "LANG")
 
 
@@ -39,6 +39,17 @@
     controllers: int = 3
     proxies: int = 3
     tolerance: int = 1
+    zones: int = 1
+    zone_tolerance: int = 0  # zones that may be lost at once
+
+    @property
+    def zone_names(self) -> tuple[str, ...]:
+        """Its zones."""
+        return (ZONE,) if self.zones == 1 else tuple(f"zone-{number}" for number in range(1, self.zones + 1))
+
+    def zone_of(self, number: int) -> str:
+        """The zone of the n-th controller, proxy or backend: they take turns."""
+        return self.zone_names[(number - 1) % self.zones]
 
 
 class Programs(msgspec.Struct, frozen=True):
@@ -62,6 +73,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.wanted = False  # it should run: an end is one by itself
         self.started_at = 0.0
+        self.life = 0  # rises with each start
 
     async def start(self, is_first_start: bool) -> None:
         """Write its settings and start it. Its former process must have ended."""
@@ -71,6 +83,7 @@
         inherited = {key: os.environ[key] for key in INHERITED if key in os.environ}
         own = {"CRANEBANK_NODE_FILE": str(self._file), "PYTHONPATH": str(ROOT)}
         self.started_at = asyncio.get_running_loop().time()
+        self.life += 1
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -169,17 +182,28 @@
         """Bring callers' lists up to date."""
         self.listed_controllers = self.control_addresses
 
+    def listed_nearest(self, zone: str, random: Random) -> list[Process]:
+        """The controllers on callers' lists, those of this zone first, in a random order otherwise."""
+        known = {f"{process.ip}:{CONTROL}": process for process in [*self.former, *self.controllers.values()]}
+        listed = [known[address] for address in self.listed_controllers]
+        random.shuffle(listed)
+        return sorted(listed, key=lambda process: process.settings["zone"] != zone)
+
     def backend_address(self, number: int) -> str:
         """The address of the n-th backend of the run."""
         return f"{self.net}.{FIRST_BACKEND + number}:{BACKEND}"
 
+    def application_ip(self, zone: str) -> str:
+        """Where the applications of a zone are."""
+        return f"{self.net}.{FIRST_APPLICATION + self.shape.zone_names.index(zone)}"
+
     def add_controller(self) -> Process:
         """A controller at a new address, with an empty disk; not started yet."""
         number = next(self._numbers)
         name, ip = f"control-{number}", f"{self.net}.{FIRST_CONTROLLER + number}"
         data = self._folder / f"disk-{number}"
         data.mkdir(exist_ok=True)
-        settings = self._settings(name, "control", ip, {"control_addr": f"{ip}:{CONTROL}"}, str(data))
+        settings = self._settings(name, "control", ip, number, {"control_addr": f"{ip}:{CONTROL}"}, str(data))
         process = Process(name, "control", ip, self._folder, settings, self._programs)
         self.controllers[name] = process
         return process
@@ -207,19 +231,22 @@
 
     def _add_proxy(self, number: int) -> None:
         name, ip = f"edge-{number}", f"{self.net}.{FIRST_PROXY + number}"
-        settings = self._settings(name, "edge", ip, {"front": f"{ip}:{FRONT}", "ready_addr": f"{ip}:{READY}"}, None)
+        binds = {"front": f"{ip}:{FRONT}", "ready_addr": f"{ip}:{READY}"}
+        settings = self._settings(name, "edge", ip, number, binds, None)
         self.proxies[name] = Process(name, "edge", ip, self._folder, settings, self._programs)
 
-    def _settings(self, name: str, role: str, ip: str, binds: dict[str, str], data_dir: str | None) -> dict[str, Any]:
+    def _settings(
+        self, name: str, role: str, ip: str, number: int, binds: dict[str, str], data_dir: str | None
+    ) -> dict[str, Any]:
         return {
             "node_name": name,
             "role": role,
             "machine_class": "core" if role == "control" else "edge",
             "serves": [role],
             "ip": ip,
-            "zone": ZONE,
+            "zone": self.shape.zone_of(number),
             "region": ZONE,
-            "zones": {ZONE: ZONE},
+            "zones": dict.fromkeys(self.shape.zone_names, ZONE),
             "binds": binds,
             "port_range": list(PORTS),
             "seed_addrs": [],
@@ -228,7 +255,7 @@
             "loss_counts": role == "control",
             "bounds": msgspec.structs.asdict(self._bounds),
             "limits": {"cpu_share": 1.0, "cores": 1, "memory_mb": 300, "max_fds": 1024},
-            "tolerance": {"machines": self.shape.tolerance, "zones": 0, "regions": 0},
+            "tolerance": {"machines": self.shape.tolerance, "zones": self.shape.zone_tolerance, "regions": 0},
         }
 
 
--- a/cranebank/fleetlab/judge.py
+++ b/cranebank/fleetlab/judge.py
@@ -10,15 +10,17 @@
 import msgspec
 
 from cranebank.fleetlab.records import Arrival, Change, DayRecord, OrderSeen, Trouble, Try
+from cranebank.fleetlab.tally_judge import TallyJudge
 
 RULES = {
     "MIXED": "an answer is the whole answer of the backend that the request ran at, and of no other request",
     "UNASKED": "backends run only what a client sent, unchanged",
-    "TWICE": "what can't be repeated runs once at most",
+    "TWICE": "what can't be repeated runs once at most, and no reading of a tally is above what could have counted",
     "REFUSED": "408, 421, 429 and 503 promise that the request never runs",
     "ROUTE": "a service runs only what some configuration sends to it",
     "DRAIN": "nothing reaches a backend later than drain_ms after the acknowledgement of its drain",
-    "LOST": "planned ends of a proxy lose no request",
+    "LOST": "planned ends of a proxy lose no request, and the end of a day no acknowledged add to a tally",
+    "STALE": "a tally has what its machine acknowledged, and merge_ms after all trouble what any machine did",
     "CONFIG": "a configuration is in force in time, never goes back, and only one that was accepted",
     "ORDER": "a stream is whole, in order and of one run, unless it may be resumed",
     "BUDGET": "further arrivals stay within the ratio and the slack",
@@ -93,6 +95,7 @@
         self._readings()
         self._acks()
         self._orders()
+        self._tallies()
         for violation in self._day.violations:
             self._broke("INVARIANT", violation)
         return Verdict(self._judged, list(self._breaches.values()), list(self._refused_alone()))
@@ -386,6 +389,14 @@
             for before, after in pairwise(orders):
                 self._one_holder(before, after)
 
+    def _tallies(self) -> None:
+        tallies = TallyJudge(self._day)
+        for rule in ("TWICE", "STALE"):
+            self._judged[rule] += len(tallies.readings)
+        self._judged["LOST"] += sum(call.is_last for call in self._day.tally_calls)
+        for finding in tallies.findings():
+            self._broke(finding.rule, finding.text)
+
     def _one_holder(self, before: OrderSeen, after: OrderSeen) -> None:
         told = f"{before.owner} with {before.fence_no}, then {after.owner} with {after.fence_no}"
         place = f"{after.instance} at {self._clock(after.at)}: {told}"
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -15,13 +15,16 @@
 
 import msgspec
 
+from cranebank.fleetlab.applications import Applications
 from cranebank.fleetlab.backend import Backend
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.clients import OWN_TOKENS, Clients, Ingress, Platform
-from cranebank.fleetlab.fleet import FRONT, READY, ZONE, Fleet, FleetShape, Programs, StartError, claim
+from cranebank.fleetlab.fleet import FRONT, READY, Fleet, FleetShape, Programs, StartError, claim
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.operator import Operator, first_configuration
 from cranebank.fleetlab.records import Bounds, DayRecord, Trouble
+from cranebank.fleetlab.run_options import RunOptions
+from cranebank.fleetlab.tally_judge import acknowledged_share
 from cranebank.transport.http_client import ask_once
 
 START_S = 10.0  # for the whole fleet to be ready
@@ -50,12 +53,13 @@
         folder: Path | None,
         services: Mapping[str, tuple[str, ...]] = SERVICES,
         own_tokens: tuple[int, int] = OWN_TOKENS,
+        options: RunOptions = RunOptions(),  # noqa: B008
     ) -> None:
         """``folder``: where settings, logs and disks are left; without one they are removed. ``own_tokens``: fewest and
         most tokens of each prompt's own part."""
         self.record = DayRecord(Bounds())
         self._seed, self._beat_ms, self._shape, self._services = seed, beat_ms, shape, services
-        self._folder, self._own_tokens = folder, own_tokens
+        self._folder, self._own_tokens, self._options = folder, own_tokens, options
         self._progress = progress
         self._random = Random(seed)
         self._backends: list[Backend] = []
@@ -92,6 +96,10 @@
         """Who makes the calls of the backend at this address."""
         return None
 
+    def _application_caller(self, ip: str) -> Caller | None:
+        """Who makes the calls of the applications at this IP."""
+        return None
+
     async def _play(self) -> None:
         """From the first ready proxy to the end."""
         raise NotImplementedError
@@ -122,6 +130,29 @@
             self._operator_caller(),
         )
 
+        self._applications = self._made_applications()
+
+    def _made_applications(self) -> Applications | None:
+        load = self._options.tallies
+        if load is None:
+            return None
+        callers = {zone: self._application_caller(self._fleet.application_ip(zone)) for zone in self._shape.zone_names}
+        random = Random(f"{self._seed} applications")
+        return Applications(load, self._fleet, self.record.tally_calls, random, callers)
+
+    async def _call_on(self, enough: asyncio.Event) -> None:
+        """What the applications call, where there are any."""
+        if self._applications is not None:
+            await self._applications.run_until(enough)
+
+    async def _read_tallies(self) -> None:
+        """The last readings of all tallies, merge_ms after everything else is over."""
+        if self._applications is None:
+            return
+        await asyncio.sleep(self.record.bounds.merge_ms / 1e3)
+        await self._applications.read_all(self.record.bounds.contact_ms / 1e3)
+        self._say(f"{acknowledged_share(self.record):.4f} of the adds to tallies acknowledged")
+
     async def _start(self) -> None:
         loop = asyncio.get_running_loop()
         begun = loop.time()
@@ -181,7 +212,7 @@
             service,
             stage,
             self._fleet.backend_address(number),
-            ZONE,
+            self._shape.zone_of(number),
             controllers,
             self._beat_ms / 1e3,
             self.record.bounds.drain_ms / 1e3,
--- a/cranebank/fleetlab/network_faults.py
+++ b/cranebank/fleetlab/network_faults.py
@@ -43,7 +43,9 @@
 
     async def _cut(self, fault: Fault, paths: tuple[Path, ...]) -> None:
         scene = self._scene
-        with scene.injected(fault, (f"{self._name(a)}>{self._name(b)}" for a, b in paths), self._troubled(paths)):
+        victims = (f"{self._name(a)}>{self._name(b)}" for a, b in paths)
+        troubled = self._troubled(paths)
+        with scene.injected(fault, victims, troubled), scene.broken_links(self._controllers_cut(paths)):
             scene.network.cut(paths)
             try:
                 await asyncio.sleep(fault.seconds)
@@ -154,6 +156,11 @@
     def _instance(self, ip: str) -> str:
         return next((one.instance for one in self._scene.backends if _ip(one.address) == ip), ip)
 
+    def _controllers_cut(self, paths: tuple[Path, ...]) -> set[str]:
+        """The controllers at both ends of paths that lie between two of them."""
+        names = {process.ip: process.name for process in self._scene.fleet.controllers.values()}
+        return {names[ip] for ends in paths if set(ends) <= names.keys() for ip in ends}
+
     def _troubled(self, paths: tuple[Path, ...]) -> set[str]:
         """As troubles name the machines: those that a path ends at, and the core if one is between controllers."""
         machines, found = self._machines(), set()
--- a/cranebank/fleetlab/process_faults.py
+++ b/cranebank/fleetlab/process_faults.py
@@ -137,6 +137,7 @@
         with scene.injected(fault, [victim.name], [CORE]), scene.holding(fault, [victim]):
             await scene.kill(victim)
             victim.clear_disk()
+            scene.note_disk_loss(victim)
             await asyncio.sleep(fault.seconds)
             await scene.restart(victim)
             await asyncio.sleep(CATCH_UP_S)
@@ -150,6 +151,7 @@
             else:
                 await scene.kill(victim)
             fleet.remove_controller(victim.name)
+            scene.note_disk_loss(victim)
             await asyncio.sleep(fault.seconds)
             successor = fleet.add_controller()
             with scene.holding(fault, [successor]):
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -21,6 +21,7 @@
     retry_window_s: float = 10
     retry_slack: float = 20
     lease_ms: float = 3000
+    merge_ms: float = 3000
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -175,6 +176,41 @@
     backends: dict[str, int]
 
 
+class TallyCall(msgspec.Struct):
+    """One call of an application for a tally at one machine; calls for the same add share its id."""
+
+    tally: str
+    id: str  # of the add; empty for a reading
+    amount: int
+    machine: str  # a controller's name
+    life: int  # of its process when the call was sent
+    sent: float
+    ended: float = math.inf  # open until then
+    status: int = 0  # 0: no whole answer came
+    total: int | None = None  # what a reading answered
+    is_last: bool = False  # a reading at the end of the day, once nothing had been wrong for merge_ms
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether it is an add that was taken."""
+        return bool(self.id) and 200 <= self.status < 300
+
+
+class DiskLoss(msgspec.Struct, frozen=True):
+    """A machine that lost its disk."""
+
+    machine: str
+    at: float
+
+
+class BrokenLinks(msgspec.Struct):
+    """A time in which links between these controllers and others of them were cut."""
+
+    machines: tuple[str, ...]
+    begin: float
+    end: float = math.inf
+
+
 class DayRecord(msgspec.Struct):
     """Everything."""
 
@@ -195,4 +231,7 @@
     faults: list[InjectedFault] = []
     skipped: list[str] = []  # kinds of faults that found nobody to strike
     health: list[Health] = []
+    tally_calls: list[TallyCall] = []
+    disk_losses: list[DiskLoss] = []
+    broken_links: list[BrokenLinks] = []
     violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/cranebank/fleetlab/soak.py
+++ b/cranebank/fleetlab/soak.py
@@ -52,7 +52,7 @@
     """One run."""
 
     def __init__(self, plan: SoakPlan, progress: Callable[[str], None], folder: Path | None) -> None:
-        super().__init__(plan.seed, plan.beat_ms, plan.shape, progress, folder)
+        super().__init__(plan.seed, plan.beat_ms, plan.shape, progress, folder, options=plan.options)
         self.plan = plan
         self._probes: list[asyncio.Task[None]] = []
         self._unstaffed_since: dict[str, float] = {}
@@ -72,6 +72,9 @@
         self._heartbeats.append(self._caller(address.rpartition(":")[0]))
         return self._heartbeats[-1]
 
+    def _application_caller(self, ip: str) -> Caller:
+        return self._caller(ip)
+
     def _caller(self, ip: str) -> Caller:
         return Caller(ip, self._network, Random(f"{self._seed} {ip}"))
 
@@ -93,6 +96,7 @@
         }
         enough = asyncio.Event()
         load = self._spawn(self._clients.load_until(self.plan.rate, enough))
+        calls = self._spawn(self._call_on(enough))
         watches = [self._spawn(work) for work in (self._change_on(), self._read_on(), self._watch_health())]
         for episode in self.plan.episodes:
             await self._episode(episode)
@@ -100,8 +104,10 @@
         self.record.ended = asyncio.get_running_loop().time()
         enough.set()
         await load
+        await calls
         for watch in (*watches, *self._probes):
             watch.cancel()
+        await self._read_tallies()
         self.record.read_back = await self._operator.read_back(READ_BACK_S)
         self._say(f"read back revision {self.record.read_back.revision}")
         await self._collect_violations()
--- a/cranebank/fleetlab/soak_plan.py
+++ b/cranebank/fleetlab/soak_plan.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from cranebank.fleetlab.fleet import FleetShape
+from cranebank.fleetlab.run_options import RunOptions
 
 FIRST_FAULT_S = 1.0  # from the beginning of an episode
 AT_ONCE = 3  # faults that overlap
@@ -147,6 +148,7 @@
     calm_s: float
     rate: float = 25.0  # requests a second
     beat_ms: float = 500
+    options: RunOptions = RunOptions()
 
 
 class PlanOptions(msgspec.Struct, frozen=True):
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -19,6 +19,7 @@
     Reading,
     RouteRule,
     StreamEvent,
+    TallyCall,
     Trouble,
     Try,
 )
@@ -234,6 +235,16 @@
     "an older reading": ("CONFIG", lambda day: put(day, readings=[Reading(32.3, 32.4, 3, "c3")])),
     "a reading of what was refused": ("CONFIG", lambda day: put(day, readings=[Reading(11.0, 11.1, 4, "c4")])),
     "a reading of other contents": ("CONFIG", lambda day: put(day, readings=[Reading(31.0, 31.1, 6, "c7")])),
+    "a tally without what its machine acknowledged": (
+        "STALE",
+        lambda day: put(
+            day,
+            tally_calls=[
+                TallyCall("t", "a", 4, "c-1", 1, 5.0, 5.1, 200),
+                TallyCall("t", "", 0, "c-1", 1, 5.2, 5.3, 200, 0),
+            ],
+        ),
+    ),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -280,6 +280,11 @@
     assert all(trouble.end < float("inf") for trouble in stage.record.troubles)
     between = [path for path in cuts if all(ip.startswith("10.0.0.") for ip in path)]
     assert bool(between) == any(trouble.machine == "core" for trouble in stage.record.troubles)
+    assert {name for broken in stage.record.broken_links for name in broken.machines} == {
+        process.name
+        for process in stage.fleet.controllers.values()
+        if process.ip in {ip for path in between for ip in path}
+    }
 
 
 def test_one_direction_is_cut_for_a_deaf_and_a_mute_controller(tmp_path: Path) -> None:
