Laboratory: backends that are cold, and FAILBACK judged

Plans that name no warm-up play as before.

Ruled out: a count of the proxies' own; a grace until the first heartbeat is heard, which the rule doesn't have.

--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -14,6 +14,7 @@
 from cranebank.fleetlab import model as m
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
+from cranebank.fleetlab.warmth import Warmth
 from cranebank.transport.http_client import ask_once
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
@@ -138,12 +139,15 @@
         handles: dict[str, str],
         orders: list[OrderSeen],
         caller: Caller | None = None,
+        warmth: Warmth | None = None,
     ) -> None:
-        """``controllers`` lists their addresses, the one to begin with first; ``caller`` makes the calls to them."""
+        """``controllers`` lists their addresses, the one to begin with first; ``caller`` makes the calls to them.
+        ``warmth``: none where a backend is never cold."""
         self.model = m.ModelBackend(spec, instance, stage)
         self.instance, self.service, self.address, self.zone = instance, service, address, zone
         self._controllers, self._beat_s, self._drain_s = controllers, beat_s, drain_s
         self._arrivals, self._drains = arrivals, drains
+        self._warmth = warmth
         self._handles = handles  # whose prompt each handle is, for the judge
         self._orders = orders
         self.faults: set[str] = set()
@@ -160,13 +164,15 @@
         self.beat_address = ""  # the controller that took the last heartbeat: used until one fails there
         self.ended = asyncio.Event()
 
-    async def start(self) -> None:
-        """Listen, and begin to send heartbeats."""
+    async def start(self, is_cold: bool = False) -> None:
+        """Listen, and begin to send heartbeats. It is cold first where it starts during traffic."""
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.get_running_loop().create_server(
             lambda: BackendConnection(self), host, int(port), reuse_address=True
         )
         self.serves_since = asyncio.get_running_loop().time()
+        if is_cold and self._warmth is not None:
+            self._warmth.turn_cold(self.serves_since)
         self._spawn(self._beat_on())
 
     def fault(self, name: str, on: bool = True) -> None:
@@ -179,6 +185,31 @@
         else:
             self.faults.discard(name)
 
+    def turn_cold(self) -> None:
+        """Cold from now on, under the same id; a heartbeat tells so at once."""
+        if self._warmth is None or self.ended.is_set():
+            return
+        self._warmth.turn_cold(asyncio.get_running_loop().time())
+        if self.phase == "ready" and "dark" not in self.faults:
+            self._spawn(self._beat())
+
+    def lose_power(self) -> None:
+        """All connections end, and what ran is gone; nothing is read or said until the power is back."""
+        self.fault("dark")
+        for call in self._calls.values():
+            if call.arrival is not None:
+                call.arrival.broke_off = True
+        for connection in list(self.connections):
+            connection.abort()
+
+    def regain_power(self) -> None:
+        """It serves again, and is cold. Whoever connected meanwhile connects anew."""
+        for connection in list(self.connections):
+            connection.abort()
+        self.fault("dark", False)
+        self.serves_since = asyncio.get_running_loop().time()
+        self.turn_cold()
+
     def stop(self) -> None:
         """End at once and say nothing."""
         if self.ended.is_set():
@@ -224,13 +255,16 @@
             "revision": "v1",
             "capacity": self.model.spec.capacity,
             "phase": self.phase,
-            "cold_left_ms": 0,
+            "cold_left_ms": self._cold_left_ms(),
             "stage": stage,
             "models": [{"name": "m", "revision": 1, "loras": []}],
             "call_seq": next(self._beats),
         }
         return await self._tell("Heartbeat", msgspec.json.encode(body))
 
+    def _cold_left_ms(self) -> int:
+        return 0 if self._warmth is None else self._warmth.left_ms(asyncio.get_running_loop().time())
+
     def beat_at(self, address: str) -> None:
         """Send the next heartbeat to this controller."""
         self.beat_address = address
@@ -275,7 +309,10 @@
         number = next(self._numbers)
         call = connection.call = self._calls[number] = Call(number, connection, None, None)
         if path == "/health":
-            self._answer(call, 200 if self.phase == "ready" else 503, b"ok", {"X-Instance": self.instance})
+            told = {"X-Instance": self.instance}
+            if self._warmth is not None:
+                told["X-Cold-Left"] = str(self._cold_left_ms())
+            self._answer(call, 200 if self.phase == "ready" else 503, b"ok", told)
         elif path == "/api/report":
             self._feed(m.ReportAsked(number))
         elif path == "/api/order":
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -14,16 +14,17 @@
 from cranebank.fleetlab.fleet import FleetShape, StartError
 from cranebank.fleetlab.lab_run import SERVICES, LabRun
 from cranebank.fleetlab.records import DayRecord, Trouble
-from cranebank.fleetlab.run_options import RunOptions, TallyLoad
+from cranebank.fleetlab.run_options import RunOptions, TallyLoad, WarmUp
 
-__all__ = ["DEMO", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
+__all__ = ["COLD", "DEMO", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
 
 RESTART_S = 0.4
 
 
 class Step(msgspec.Struct, frozen=True):
     """Something that happens: a change (amend, race, invalid), a trouble (kill-primary, stop-proxy, crash) or a
-    drain, or a fault of a backend for a while (dark, cut, late, silent). A drain and a crash are followed by a
+    drain, or a fault of a backend for a while (dark, cut, late, silent). It may turn cold, or lose its power for a
+    while and come back cold (cold-return). A drain and a crash are followed by a
     replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces. ``stage`` says of which."""
 
     at: float
@@ -89,6 +90,19 @@
 )
 """Adds to tallies and readings of them while controllers come and go."""
 
+COLD = DayPlan(
+    14.0,
+    60.0,
+    (
+        Step(1.5, "cold", stage="prefill"),
+        Step(5.0, "cold-return", 1.0),
+        Step(5.5, "cold-return", 1.0, "prefill"),
+        Step(10.0, "crash", 1.0, "prefill"),
+    ),
+    options=RunOptions(warm_up=WarmUp()),
+)
+"""Backends that come back cold, or start cold, under a load that one of them alone would not bear then."""
+
 
 class Day(LabRun):
     """Plays one day and writes down what clients, backends and the operator see."""
@@ -145,6 +159,16 @@
                 if step.what == "crash":
                     await asyncio.sleep(step.for_s)
                     await self._add_backend(backend.service, backend.model.stage)
+            case "cold":
+                backend = self._one(step.stage)
+                self._say(f"{backend.instance} turns cold")
+                backend.turn_cold()
+            case "cold-return":
+                backend = self._one(step.stage)
+                self._say(f"{backend.instance} loses its power for {step.for_s:g} s")
+                backend.lose_power()
+                await asyncio.sleep(step.for_s)
+                backend.regain_power()
             case fault:
                 backend = self._one(step.stage)
                 self._say(f"{backend.instance}: {fault} for {step.for_s:g} s")
--- a/cranebank/fleetlab/judge.py
+++ b/cranebank/fleetlab/judge.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cranebank.fleetlab.cold_judge import cold_arrivals, floods
 from cranebank.fleetlab.records import Arrival, Change, DayRecord, OrderSeen, Trouble, Try
 from cranebank.fleetlab.tally_judge import TallyJudge
 
@@ -25,6 +26,7 @@
     "ORDER": "a stream is whole, in order and of one run, unless it may be resumed",
     "BUDGET": "further arrivals stay within the ratio and the slack",
     "ONE": "orders to a backend come from one holder of the newest fence, and holders don't take turns within lease_ms",
+    "FAILBACK": "a cold backend gets no more requests in any second than its warm-up allows",
     "ACKS": "valid configurations and drains are acknowledged in time",
 }
 EXAMPLES = 3
@@ -96,6 +98,7 @@
         self._acks()
         self._orders()
         self._tallies()
+        self._cold()
         for violation in self._day.violations:
             self._broke("INVARIANT", violation)
         return Verdict(self._judged, list(self._breaches.values()), list(self._refused_alone()))
@@ -397,6 +400,15 @@
         for finding in tallies.findings():
             self._broke(finding.rule, finding.text)
 
+    def _cold(self) -> None:
+        self._judged["FAILBACK"] += sum(len(times) for _, times in cold_arrivals(self._day))
+        for flood in floods(self._day):
+            self._broke(
+                "FAILBACK",
+                f"{flood.found} requests at {flood.instance} in the second from {self._clock(flood.begin)} on, "
+                f"{flood.allowed:.0f} allowed",
+            )
+
     def _one_holder(self, before: OrderSeen, after: OrderSeen) -> None:
         told = f"{before.owner} with {before.fence_no}, then {after.owner} with {after.fence_no}"
         place = f"{after.instance} at {self._clock(after.at)}: {told}"
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -25,6 +25,7 @@
 from cranebank.fleetlab.records import Bounds, DayRecord, Trouble
 from cranebank.fleetlab.run_options import RunOptions
 from cranebank.fleetlab.tally_judge import acknowledged_share
+from cranebank.fleetlab.warmth import Warmth
 from cranebank.transport.http_client import ask_once
 
 START_S = 10.0  # for the whole fleet to be ready
@@ -160,7 +161,7 @@
         for service, stages in self._services.items():
             for stage in stages:
                 await self._add_backend(service, stage)
-        await self._operator.begin(first_configuration(dict.fromkeys(self._services, SPEC)))
+        await self._operator.begin(first_configuration(dict.fromkeys(self._services, SPEC), self._options.warm_up))
         proxies = list(self._platform.proxies.values())
         while not all(await asyncio.gather(*(self._platform.look(proxy) for proxy in proxies))):
             missing = [proxy.name for proxy in proxies if proxy.misses]
@@ -206,9 +207,11 @@
             addresses = self._fleet.listed_controllers
             return addresses[turn:] + addresses[:turn]
 
+        instance, warm_up = f"i-{number:02x}", self._options.warm_up
+        warmth = None if warm_up is None else Warmth(instance, warm_up, self.record.cold_times)
         backend = Backend(
             SPEC,
-            f"i-{number:02x}",
+            instance,
             service,
             stage,
             self._fleet.backend_address(number),
@@ -221,8 +224,9 @@
             self._handles,
             self.record.orders,
             self._backend_caller(self._fleet.backend_address(number)),
+            warmth,
         )
-        await backend.start()
+        await backend.start(is_cold=self._begin > 0)
         self._backends.append(backend)
         return backend
 
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -13,6 +13,7 @@
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.records import Change, ReadBack, Reading, RouteRule
+from cranebank.fleetlab.run_options import WarmUp
 from cranebank.transport.http_client import Answer, ask_once
 
 HOST = "shop.example"
@@ -42,9 +43,10 @@
     }
 
 
-def service(name: str, spec: EngineSpec) -> Document:
+def service(name: str, spec: EngineSpec, warm_up: WarmUp | None = None) -> Document:
     """One service, as its backends are."""
-    return {
+    cold = {} if warm_up is None else {"cold_s": warm_up.cold_s, "warmup_per_s": warm_up.warmup_per_s}
+    return cold | {
         "name": name,
         "probe_path": "/health",
         "max_conns": 180,
@@ -63,7 +65,7 @@
     }
 
 
-def first_configuration(specs: dict[str, EngineSpec]) -> Document:
+def first_configuration(specs: dict[str, EngineSpec], warm_up: WarmUp | None = None) -> Document:
     """What a day begins with: routes that may be resumed and one that may not, over two services."""
     one, two = list(specs)
     return {
@@ -75,7 +77,7 @@
             route("moved", one, resumable=False, tries=2, rank=1),
             route("old", two),
         ],
-        "services": [service(name, spec) for name, spec in specs.items()],
+        "services": [service(name, spec, warm_up) for name, spec in specs.items()],
         "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_read_ms": 3000, "idle_ms": 15000},
     }
 
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -22,6 +22,8 @@
     retry_slack: float = 20
     lease_ms: float = 3000
     merge_ms: float = 3000
+    cold_over: float = 1.5
+    cold_slack: float = 5
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -196,6 +198,15 @@
         return bool(self.id) and 200 <= self.status < 300
 
 
+class ColdTime(msgspec.Struct, frozen=True):
+    """A time in which a backend is cold, and how many requests a second it bears then."""
+
+    instance: str
+    begin: float
+    end: float
+    warmup_per_s: float
+
+
 class DiskLoss(msgspec.Struct, frozen=True):
     """A machine that lost its disk."""
 
@@ -234,4 +245,5 @@
     tally_calls: list[TallyCall] = []
     disk_losses: list[DiskLoss] = []
     broken_links: list[BrokenLinks] = []
+    cold_times: list[ColdTime] = []
     violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/cranebank/fleetlab/run_options.py
+++ b/cranebank/fleetlab/run_options.py
@@ -13,7 +13,15 @@
     share_read: float = 0.4
 
 
+class WarmUp(msgspec.Struct, frozen=True):
+    """How backends get warm: how long that takes, and how many requests a second a cold one bears."""
+
+    cold_s: float = 3.0
+    warmup_per_s: float = 6.0
+
+
 class RunOptions(msgspec.Struct, frozen=True):
     """All of it."""
 
     tallies: TallyLoad | None = None
+    warm_up: WarmUp | None = None
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -12,6 +12,7 @@
     Arrival,
     Bounds,
     Change,
+    ColdTime,
     DayRecord,
     Drain,
     OrderSeen,
@@ -245,6 +246,13 @@
             ],
         ),
     ),
+    "a cold backend flooded": (
+        "FAILBACK",
+        lambda day: (
+            put(day, cold_times=[ColdTime("i-1", 15.0, 18.0, 2.0)]),
+            [add(day, made, arrived(made)) for made in (sent(f"t{920 + n}", 15.0 + 0.05 * n) for n in range(9))],
+        ),
+    ),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
