Laboratory: the operator empties zones, and EVAC, LOST and late acknowledgements judged

The judge finds requests that reach an emptied zone from machines in touch (EVAC), evacuations that no longer hold after the last trouble (LOST), and orders refused or without an acknowledgement in calm (ACKS). Following 307 is shared by both operators.

Not judged: a Finish that was acknowledged and is forgotten.

--- a/cranebank/fleetlab/applications.py
+++ b/cranebank/fleetlab/applications.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Iterator
 from random import Random
 
 import msgspec
 
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.fleet import CONTROL, Fleet, Process
+from cranebank.fleetlab.operator import Ask
 from cranebank.fleetlab.records import TallyCall
 from cranebank.fleetlab.run_options import TallyLoad
 from cranebank.transport.http_client import Answer, ask_once
@@ -25,8 +26,6 @@
 ID_BITS = 64
 OK, TOO_MANY, SERVER_ERROR = 200, 429, 500
 
-Ask = Callable[[str, str, str, bytes, float, dict[str, str] | None], Awaitable[Answer]]
-
 
 class Total(msgspec.Struct, frozen=True):
     """What a reading answers."""
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -16,21 +16,23 @@
 from cranebank.fleetlab.records import DayRecord, Trouble
 from cranebank.fleetlab.run_options import RunOptions, TallyLoad, WarmUp
 
-__all__ = ["COLD", "DEMO", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
+__all__ = ["COLD", "DEMO", "EVACUATION", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
 
 RESTART_S = 0.4
 
 
 class Step(msgspec.Struct, frozen=True):
     """Something that happens: a change (amend, race, invalid), a trouble (kill-primary, stop-proxy, crash) or a
-    drain, or a fault of a backend for a while (dark, cut, late, silent). It may turn cold, or lose its power for a
-    while and come back cold (cold-return). A drain and a crash are followed by a
-    replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces. ``stage`` says of which."""
+    drain, or a fault of a backend for a while (dark, cut, late, silent). A backend may turn cold, or lose its power for
+    a while and come back cold (cold-return). A zone is emptied and taken back after a while (evacuate). A drain and a
+    crash are followed by a replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces.
+    ``stage`` says of which, and ``zone`` names the zone."""
 
     at: float
     what: str
     for_s: float = 1.5
     stage: str = "decode"
+    zone: str = ""
 
 
 class DayPlan(msgspec.Struct, frozen=True):
@@ -103,6 +105,15 @@
 )
 """Backends that come back cold, or start cold, under a load that one of them alone would not bear then."""
 
+EVACUATION = DayPlan(
+    16.0,
+    30.0,
+    (Step(1.0, "evacuate", 11.0, zone="zone-2"), Step(3.0, "kill-primary", 1.0)),
+    shape=FleetShape(3, 3, 1, zones=3, zone_tolerance=1),
+    options=RunOptions(warm_up=WarmUp()),
+)
+"""A zone that is emptied and taken back, its backends cold; the primary is killed in between."""
+
 
 class Day(LabRun):
     """Plays one day and writes down what clients, backends and the operator see."""
@@ -159,6 +170,8 @@
                 if step.what == "crash":
                     await asyncio.sleep(step.for_s)
                     await self._add_backend(backend.service, backend.model.stage)
+            case "evacuate":
+                await self._evacuations.evacuate(step.zone, step.for_s, self._backends)
             case "cold":
                 backend = self._one(step.stage)
                 self._say(f"{backend.instance} turns cold")
--- a/cranebank/fleetlab/judge.py
+++ b/cranebank/fleetlab/judge.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cranebank.fleetlab.cold_judge import cold_arrivals, floods
+from cranebank.fleetlab.evacuation_judge import emptied_times, late_arrivals
 from cranebank.fleetlab.records import Arrival, Change, DayRecord, OrderSeen, Trouble, Try
 from cranebank.fleetlab.tally_judge import TallyJudge
 
@@ -20,14 +21,15 @@
     "REFUSED": "408, 421, 429 and 503 promise that the request never runs",
     "ROUTE": "a service runs only what some configuration sends to it",
     "DRAIN": "nothing reaches a backend later than drain_ms after the acknowledgement of its drain",
-    "LOST": "planned ends of a proxy lose no request, and the end of a day no acknowledged add to a tally",
+    "LOST": "planned ends of a proxy lose no request, and the end of a day no acknowledged add or evacuation",
     "STALE": "a tally has what its machine acknowledged, and merge_ms after all trouble what any machine did",
     "CONFIG": "a configuration is in force in time, never goes back, and only one that was accepted",
     "ORDER": "a stream is whole, in order and of one run, unless it may be resumed",
     "BUDGET": "further arrivals stay within the ratio and the slack",
     "ONE": "orders to a backend come from one holder of the newest fence, and holders don't take turns within lease_ms",
     "FAILBACK": "a cold backend gets no more requests in any second than its warm-up allows",
-    "ACKS": "valid configurations and drains are acknowledged in time",
+    "EVAC": "nothing reaches a backend of an emptied zone later than evacuate_ms after the acknowledgement",
+    "ACKS": "valid configurations, evacuations and drains are acknowledged in time",
 }
 EXAMPLES = 3
 PROMISES = frozenset({408, 421, 429, 503})
@@ -99,6 +101,7 @@
         self._orders()
         self._tallies()
         self._cold()
+        self._evacuations()
         for violation in self._day.violations:
             self._broke("INVARIANT", violation)
         return Verdict(self._judged, list(self._breaches.values()), list(self._refused_alone()))
@@ -400,6 +403,24 @@
         for finding in tallies.findings():
             self._broke(finding.rule, finding.text)
 
+    def _evacuations(self) -> None:
+        limit = self._bounds.ack_ms / 1e3
+        for order in self._day.evacuations:
+            self._judged["ACKS"] += 1
+            until = order.acked if order.acked is not None else self._day.ended
+            is_late = until - order.sent > limit and self._calm(order.sent, order.sent + limit)
+            if is_late or order.is_refused:
+                call = "Start" if order.is_start else "Finish"
+                self._broke("ACKS", f"{call} of {order.zone} at {self._clock(order.sent)}: {order.outcome}")
+        for emptied in emptied_times(self._day):
+            self._judged["EVAC"] += 1
+            self._judged["LOST"] += emptied.end >= self._day.ended
+        for late in late_arrivals(self._day):
+            sent = self._tries.get(late.arrival.attempt)
+            if sent is not None and self._in_touch(sent.proxy, late.arrival.at):
+                place = f"{late.arrival.instance} in {late.zone} at {self._clock(late.arrival.at)}"
+                self._broke("LOST" if late.is_forgotten else "EVAC", f"{place}: {self._told(sent)}")
+
     def _cold(self) -> None:
         self._judged["FAILBACK"] += sum(len(times) for _, times in cold_arrivals(self._day))
         for flood in floods(self._day):
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -19,6 +19,7 @@
 from cranebank.fleetlab.backend import Backend
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.clients import OWN_TOKENS, Clients, Ingress, Platform
+from cranebank.fleetlab.evacuations import EvacuationOperator
 from cranebank.fleetlab.fleet import FRONT, READY, Fleet, FleetShape, Programs, StartError, claim
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.operator import Operator, first_configuration
@@ -122,13 +123,22 @@
             Ingress(proxy.name, f"{proxy.ip}:{FRONT}", f"{proxy.ip}:{READY}") for proxy in proxies
         )
         self._clients = Clients(self._platform, self.record, SPEC.stride, self._random, self._own_tokens)
+        caller = self._operator_caller()
         self._operator = Operator(
             lambda: self._fleet.listed_controllers,
             self.record.changes,
             Random(self._seed + 1),
             self._say,
             self.record.readings,
-            self._operator_caller(),
+            caller,
+        )
+        self._evacuations = EvacuationOperator(
+            lambda: self._fleet.listed_controllers,
+            self.record.evacuations,
+            Random(f"{self._seed} evacuations"),
+            ask_once if caller is None else caller.ask,
+            self.record.bounds.ack_ms / 1e3,
+            self._say,
         )
 
         self._applications = self._made_applications()
@@ -228,6 +238,7 @@
         )
         await backend.start(is_cold=self._begin > 0)
         self._backends.append(backend)
+        self.record.backend_zones[instance] = backend.zone
         return backend
 
     # While it runs.
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 from urllib.parse import urlsplit
@@ -18,6 +18,7 @@
 
 HOST = "shop.example"
 Document = dict[str, Any]
+Ask = Callable[[str, str, str, bytes, float, dict[str, str] | None], Awaitable[Answer]]
 FINAL = frozenset({400, 409, 412, 413, 422})
 GIVE_UP_S = 15.0
 PATIENCE_S = 1.0
@@ -218,11 +219,17 @@
     async def _call(self, method: str, call: str, body: bytes, headers: dict[str, str]) -> Answer:
         """One call to any controller, following it twice to where it is sent on."""
         at = self._random.choice(self._controllers())
-        path = f"/api/Configuration.{call}"
-        answer = Answer()
-        for _ in range(3):
-            answer = await self._ask(at, method, path, body, PATIENCE_S, headers)
-            if answer.status != 307:
-                break
-            at = urlsplit(answer.headers.get("location", "")).netloc
-        return answer
+        return await ask_following(self._ask, at, method, f"/api/Configuration.{call}", body, headers)
+
+
+async def ask_following(
+    ask: Ask, at: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> Answer:
+    """One call to a controller, following it twice to where it is sent on."""
+    answer = Answer()
+    for _ in range(3):
+        answer = await ask(at, method, path, body, PATIENCE_S, headers)
+        if answer.status != 307:
+            break
+        at = urlsplit(answer.headers.get("location", "")).netloc
+    return answer
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+MAY_PASS = frozenset({0, 408, 429})  # statuses that say nothing against a call itself
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """The figures of the rules, named as in the settings file."""
@@ -24,6 +26,7 @@
     merge_ms: float = 3000
     cold_over: float = 1.5
     cold_slack: float = 5
+    evacuate_ms: float = 5000
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -207,6 +210,28 @@
     warmup_per_s: float
 
 
+class EvacuationOrder(msgspec.Struct):
+    """A zone that the operator ordered to be emptied (Start), or taken back (Finish)."""
+
+    zone: str
+    is_start: bool
+    sent: float  # for the first time
+    acked: float | None = None
+    refused_with: int = 0  # the status that ended it
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the answer was that it will never be done, though it was proper."""
+        return self.refused_with not in MAY_PASS
+
+    @property
+    def outcome(self) -> str:
+        """What became of it, in words."""
+        if self.acked is not None:
+            return f"acknowledged after {self.acked - self.sent:.2f} s"
+        return f"refused with {self.refused_with}" if self.refused_with else "no clear answer"
+
+
 class DiskLoss(msgspec.Struct, frozen=True):
     """A machine that lost its disk."""
 
@@ -246,4 +271,6 @@
     disk_losses: list[DiskLoss] = []
     broken_links: list[BrokenLinks] = []
     cold_times: list[ColdTime] = []
+    evacuations: list[EvacuationOrder] = []
+    backend_zones: dict[str, str] = {}  # by instance
     violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -15,6 +15,7 @@
     ColdTime,
     DayRecord,
     Drain,
+    EvacuationOrder,
     OrderSeen,
     ReadBack,
     Reading,
@@ -246,6 +247,12 @@
             ],
         ),
     ),
+    "an emptied zone reached": (
+        "EVAC",
+        lambda day: put(
+            day, backend_zones={"i-1": "z-1"}, evacuations=[EvacuationOrder("z-1", True, 5.0, 5.2)], ended=14.0
+        ),
+    ),
     "a cold backend flooded": (
         "FAILBACK",
         lambda day: (
