Soak: runs of several zones, with faults of whole zones, cold returns and evacuations

Cause: the soak had one zone; nothing of ours played zones that lose each other, their power or their warmth.

New kinds: zone-loss, zone-cut, one-way-zone-cut, bridge-cut, cold-return, backend-turns-cold, evacuate, evacuate-for-good. A backend counts as there for each side of a cut by what its proxies reach; RECOVER and OUTAGE also judge the adds to tallies.

Ruled out: new kinds among the usual ones, which would have changed what earlier seeds mean. A digest in the tests keeps the plan of seed 17 as it was. Loss of most controllers is no kind of these runs: with disks lost beside it more is lost than must be borne.

Tests: 'as many seeds as there are kinds have all of them' now asks it of both forms, each with its own kinds, and a new test that each kind belongs to one of them.

--- a/cranebank/cli/system.py
+++ b/cranebank/cli/system.py
@@ -103,10 +103,11 @@
 @click.option("--seeds", default="1-8", show_default=True, help="Seeds, such as 7, 1-50 or 1-5,9.")
 @click.option("--jobs", type=click.IntRange(1, 4), default=1, show_default=True, help="Runs at a time.")
 @click.option("--without", multiple=True, help="A kind of fault that is left out; may be given again.")
+@click.option("--apart", is_flag=True, help="Five controllers in three or five zones, with faults of whole zones.")
 @click.option("--plan", "file", type=click.Path(path_type=Path, exists=True), help="Play the kept plan of a run.")
 @click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
 @needs_lab
-def soak(seeds: str, jobs: int, without: tuple[str, ...], file: Path | None, out: Path | None) -> int:
+def soak(seeds: str, jobs: int, without: tuple[str, ...], apart: bool, file: Path | None, out: Path | None) -> int:
     """Play real processes under faults that overlap, drawn from seeds: kills, pauses, cuts, lost disks and answers,
     backends that come and go. A run takes about a minute. Exit code 1 if anything was found, or a kind of fault that
     was wanted never happened. What failing runs left stays in the folder.
@@ -121,12 +122,13 @@
     unknown = [name for name in without if name not in known]
     if unknown:
         raise click.BadParameter(f"{', '.join(unknown)}: expected some of {', '.join(known)}", param_hint="--without")
-    kinds = tuple(kind for name, kind in known.items() if name not in without)
+    options = soak_plan.APART if apart else soak_plan.USUAL
+    kinds = tuple(kind for kind in options.kinds if kind.value not in without)
     if file is not None:
         plans = [msgspec.json.decode(file.read_bytes(), type=soak_plan.SoakPlan)]
         wanted: tuple[soak_plan.FaultKind, ...] = ()
     else:
-        plans = [soak_plan.draw(seed, soak_plan.PlanOptions(kinds)) for seed in _seeds(seeds)]
+        plans = [soak_plan.draw(seed, msgspec.structs.replace(options, kinds=kinds)) for seed in _seeds(seeds)]
         wanted = kinds if len(plans) >= len(kinds) else ()
     folder = out or Path(FOLDER) / f"soak-{stamp()}"
     report = campaign.run(plans, jobs, folder, wanted, lambda line: click.echo(line, err=True))
--- a/cranebank/fleetlab/evacuations.py
+++ b/cranebank/fleetlab/evacuations.py
@@ -11,6 +11,7 @@
 from cranebank.fleetlab.records import EvacuationOrder
 
 LAST_ATTEMPT = 3  # at which any other 4xx ends an order
+MOST_FINISHES = 5  # of one zone, one after another
 COLD_AHEAD_S = 0.2  # a zone's backends turn cold so much earlier than it is taken back
 CLIENT_ERROR, SERVER_ERROR = 400, 500
 
@@ -30,17 +31,23 @@
         self._controllers, self._orders, self._random = controllers, orders, random
         self._ask, self._give_up_s, self._progress = ask, give_up_s, progress
 
-    async def evacuate(self, zone: str, seconds: float, backends: Iterable[Backend]) -> None:
-        """Empty a zone, and take it back after a while; those of these backends that are in it are cold then."""
+    async def evacuate(self, zone: str, seconds: float | None, backends: Iterable[Backend]) -> None:
+        """Empty a zone, and take it back after a while, or never; those of these backends that are in it are cold
+        then. An operator whose Finish got no clear answer gives it anew, a few times."""
         await self._order(zone, True)
+        if seconds is None:
+            return
         await asyncio.sleep(seconds)
         for backend in backends:
             if backend.zone == zone:
                 backend.turn_cold()
         await asyncio.sleep(COLD_AHEAD_S)
-        await self._order(zone, False)
+        for _ in range(MOST_FINISHES):
+            finish = await self._order(zone, False)
+            if finish.acked is not None or finish.is_refused:
+                return
 
-    async def _order(self, zone: str, is_start: bool) -> None:
+    async def _order(self, zone: str, is_start: bool) -> EvacuationOrder:
         loop = asyncio.get_running_loop()
         order = EvacuationOrder(zone, is_start, loop.time())
         self._orders.append(order)
@@ -58,3 +65,4 @@
                 break
             await asyncio.sleep(RETRY_S)
         self._progress(f"{path}: {order.outcome}")
+        return order
--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -97,6 +97,11 @@
             )
         self.wanted = True  # not before: the former process has ended
 
+    @property
+    def zone(self) -> str:
+        """Where it stands."""
+        return str(self.settings["zone"])
+
     @property
     def is_running(self) -> bool:
         """Whether the process is there, though it may stand still."""
@@ -187,7 +192,7 @@
         known = {f"{process.ip}:{CONTROL}": process for process in [*self.former, *self.controllers.values()]}
         listed = [known[address] for address in self.listed_controllers]
         random.shuffle(listed)
-        return sorted(listed, key=lambda process: process.settings["zone"] != zone)
+        return sorted(listed, key=lambda process: process.zone != zone)
 
     def backend_address(self, number: int) -> str:
         """The address of the n-th backend of the run."""
--- a/cranebank/fleetlab/liveness.py
+++ b/cranebank/fleetlab/liveness.py
@@ -1,7 +1,7 @@
 """Whether the system served when it could: two rules over windows of time, judged by what clients saw.
 
 RECOVER: once all faults have healed and the system had its time to come back, nearly everything is served, each proxy
-is ready and serves, and changes of the configuration are acknowledged.
+is ready and serves, and changes of the configuration and adds to tallies are acknowledged.
 OUTAGE: while no more is lost than must be borne, and backends are well, no window of some seconds is without service.
 """
 
@@ -86,10 +86,12 @@
             judged += 1
             findings += _poor(record, requests, begin, RECOVERED_SHARE, "RECOVER")
         findings += _not_back(record, calm)
+        findings += _tallies_poor(record, calm.begin, calm.end, RECOVERED_SHARE, "RECOVER")
     for begin in _steps(record.begun + AFTERMATH_S, record.ended - WINDOW_S - MARGIN_S):
         if _is_tolerated(record.health, begin, tolerance):
             judged += 1
             findings += _poor(record, requests, begin, SERVED_SHARE, "OUTAGE")
+            findings += _tallies_poor(record, begin, begin + WINDOW_S, SERVED_SHARE, "OUTAGE")
     return _merged(findings), judged
 
 
@@ -134,6 +136,19 @@
             yield Finding(rule, f"{served} of {len(own)} requests of {route} served from {at:.1f} s on")
 
 
+def _tallies_poor(record: DayRecord, begin: float, end: float, least: float, rule: str) -> Iterator[Finding]:
+    """A time in which too few of the adds to tallies were taken, each counted once over all its calls."""
+    first: dict[str, float] = {}
+    for call in record.tally_calls:
+        if call.id:
+            first.setdefault(call.id, call.sent)
+    taken = {call.id for call in record.tally_calls if call.is_acknowledged}
+    window = {add for add, sent in first.items() if begin <= sent < end}
+    if len(window) >= FEWEST and len(window & taken) < least * len(window):
+        at = begin - record.begun
+        yield Finding(rule, f"{len(window & taken)} of {len(window)} adds acknowledged from {at:.1f} s on")
+
+
 def _is_tolerated(health: Iterable[Health], begin: float, tolerance: int) -> bool:
     """Whether all through a window, and for some time before, no more was lost than must be borne."""
     times = [one for one in health if begin - AFTERMATH_S <= one.at <= begin + WINDOW_S]
--- a/cranebank/fleetlab/network_faults.py
+++ b/cranebank/fleetlab/network_faults.py
@@ -39,11 +39,11 @@
                 paths = self._paths(fault.kind, random)
                 if not paths:
                     raise NoVictimError
-                await self._cut(fault, paths)
+                await self.cut(fault, paths, (f"{self._name(a)}>{self._name(b)}" for a, b in paths))
 
-    async def _cut(self, fault: Fault, paths: tuple[Path, ...]) -> None:
+    async def cut(self, fault: Fault, paths: tuple[Path, ...], victims: Iterable[str]) -> None:
+        """Cut paths for the time of a fault. ``victims``: what is cut, in words."""
         scene = self._scene
-        victims = (f"{self._name(a)}>{self._name(b)}" for a, b in paths)
         troubled = self._troubled(paths)
         with scene.injected(fault, victims, troubled), scene.broken_links(self._controllers_cut(paths)):
             scene.network.cut(paths)
--- a/cranebank/fleetlab/soak.py
+++ b/cranebank/fleetlab/soak.py
@@ -18,7 +18,7 @@
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.fault_scene import FaultScene, NoVictimError, is_well
 from cranebank.fleetlab.fleet import METRICS, Process, Programs
-from cranebank.fleetlab.lab_run import LabRun
+from cranebank.fleetlab.lab_run import SERVICES, LabRun
 from cranebank.fleetlab.launcher import VARIABLE as NETWORK_VARIABLE
 from cranebank.fleetlab.network import LabNetwork
 from cranebank.fleetlab.network_faults import NetworkFaults
@@ -26,6 +26,7 @@
 from cranebank.fleetlab.records import Health
 from cranebank.fleetlab.soak_plan import TRAITS, Fault, FaultGroup, SoakPlan
 from cranebank.fleetlab.soak_verdict import SoakVerdict, verdict_of
+from cranebank.fleetlab.zone_faults import ZoneFaults
 from cranebank.transport.http_client import ask_once
 
 PAUSE_S = (0.2, 1.2)  # of the operator, between changes
@@ -52,7 +53,9 @@
     """One run."""
 
     def __init__(self, plan: SoakPlan, progress: Callable[[str], None], folder: Path | None) -> None:
-        super().__init__(plan.seed, plan.beat_ms, plan.shape, progress, folder, options=plan.options)
+        super().__init__(
+            plan.seed, plan.beat_ms, plan.shape, progress, folder, plan.services or SERVICES, options=plan.options
+        )
         self.plan = plan
         self._probes: list[asyncio.Task[None]] = []
         self._unstaffed_since: dict[str, float] = {}
@@ -89,10 +92,12 @@
             self._primary,
             self._say,
         )
+        network_faults = NetworkFaults(self._scene, self._operators, self._heartbeats)
         self._injectors: dict[FaultGroup, Injector] = {
             FaultGroup.PROCESSES: ProcessFaults(self._scene),
-            FaultGroup.NETWORK: NetworkFaults(self._scene, self._operators, self._heartbeats),
+            FaultGroup.NETWORK: network_faults,
             FaultGroup.BACKENDS: BackendFaults(self._scene),
+            FaultGroup.ZONES: ZoneFaults(self._scene, network_faults, self._evacuations),
         }
         enough = asyncio.Event()
         load = self._spawn(self._clients.load_until(self.plan.rate, enough))
@@ -164,25 +169,44 @@
         proxies = [one for one in self._scene.free_proxies() if self._is_settled(one, SETTLED_S)]
         controllers = [one for one in self._scene.free_controllers() if self._is_settled(one, CATCH_UP_S)]
         sound = [one for one in controllers if self._reaches_most(one, controllers)]
-        able = [one for one in self._backends if self._can_serve(now, one, proxies, controllers)]
+        able = [one for one in self._backends if self._can_serve(now, one, controllers)]
         return Health(
             now,
             len(proxies),
             len(self._fleet.proxies),
             sum(proxy.is_in for proxy in self._platform.proxies.values()),
             self._shape.controllers - len(sound),
-            {service: self._staffed(now, service, able) for service in self._services},
+            {service: self._staffed_for(now, service, able, proxies) for service in self._services},
         )
 
-    def _can_serve(self, now: float, backend: Backend, proxies: list[Process], controllers: list[Process]) -> bool:
-        """Whether it is well, and not cut off from a proxy or from all controllers."""
-        ip = backend.address.rpartition(":")[0]
+    def _can_serve(self, now: float, backend: Backend, controllers: list[Process]) -> bool:
+        """Whether it is well, not cut off from all controllers and not in a zone that is emptied."""
         return (
             is_well(backend)
             and backend.serves_since < now - SETTLED_S
-            and all(self._connects(proxy.ip, ip) for proxy in proxies)
-            and any(self._connects(ip, controller.ip) for controller in controllers)
+            and any(self._connects(_ip(backend), controller.ip) for controller in controllers)
+            and not self._is_emptied(backend.zone)
+        )
+
+    def _is_emptied(self, zone: str) -> bool:
+        """Whether an operator's order may keep requests off a zone now."""
+        orders = [order for order in self.record.evacuations if order.zone == zone and not order.is_refused]
+        return bool(orders) and (orders[-1].is_start or orders[-1].acked is None)
+
+    def _staffed_for(self, now: float, service: str, able: list[Backend], proxies: list[Process]) -> int:
+        """The decode backends that each proxy reaches. Where zones may be apart each side has its own: the fewest that
+        one proxy reaches."""
+        if self._shape.zones == 1:
+            reached = [one for one in able if all(self._connects(proxy.ip, _ip(one)) for proxy in proxies)]
+            return self._staffed(now, service, reached)
+        counts = (
+            sum(
+                one.service == service and one.model.stage == "decode" and self._connects(proxy.ip, _ip(one))
+                for one in able
+            )
+            for proxy in proxies
         )
+        return min(counts, default=0)
 
     def _staffed(self, now: float, service: str, able: list[Backend]) -> int:
         """Its decode backends; where there were none for a while, but one that could be made one, it counts."""
@@ -215,6 +239,10 @@
             process.send(signal.SIGUSR1)
 
 
+def _ip(backend: Backend) -> str:
+    return backend.address.rpartition(":")[0]
+
+
 def play(plan: SoakPlan, folder: Path, progress: Callable[[str], None] = lambda text: None) -> SoakVerdict:
     """Play a plan. The folder holds its plan, record and verdict afterwards, and what the processes left."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/cranebank/fleetlab/soak_plan.py
+++ b/cranebank/fleetlab/soak_plan.py
@@ -13,11 +13,13 @@
 import msgspec
 
 from cranebank.fleetlab.fleet import FleetShape
-from cranebank.fleetlab.run_options import RunOptions
+from cranebank.fleetlab.run_options import RunOptions, TallyLoad, WarmUp
 
 FIRST_FAULT_S = 1.0  # from the beginning of an episode
 AT_ONCE = 3  # faults that overlap
 LARGE_EVERY = 4  # of the seeds have five controllers
+APART_RATE = 40.0  # requests a second in a run of several zones
+APART_RUN = RunOptions(TallyLoad(4.0), WarmUp(3.0, 5.0))
 
 
 class FaultKind(Enum):
@@ -61,6 +63,14 @@
     DECODE_STAGE_LEAVES = "decode-stage-leaves"
     PREFILL_STAGE_LEAVES = "prefill-stage-leaves"
     HEARTBEATS_TO_ONE = "heartbeats-to-one"
+    ZONE_LOSS = "zone-loss"
+    ZONE_CUT = "zone-cut"
+    ONE_WAY_ZONE_CUT = "one-way-zone-cut"
+    BRIDGE_CUT = "bridge-cut"
+    COLD_RETURN = "cold-return"
+    BACKEND_TURNS_COLD = "backend-turns-cold"
+    EVACUATE = "evacuate"
+    EVACUATE_FOR_GOOD = "evacuate-for-good"
 
 
 class FaultGroup(Enum):
@@ -69,6 +79,7 @@
     PROCESSES = "processes"
     NETWORK = "network"
     BACKENDS = "backends"
+    ZONES = "zones"
 
 
 class Traits(msgspec.Struct, frozen=True):
@@ -120,6 +131,14 @@
     FaultKind.DECODE_STAGE_LEAVES: Traits(FaultGroup.BACKENDS, 4.0, 8.0, is_final=True),
     FaultKind.PREFILL_STAGE_LEAVES: Traits(FaultGroup.BACKENDS, 4.0, 8.0, is_final=True),
     FaultKind.HEARTBEATS_TO_ONE: Traits(FaultGroup.BACKENDS, 5.0, 14.0),
+    FaultKind.ZONE_LOSS: Traits(FaultGroup.ZONES, 0.5, 5.0),
+    FaultKind.ZONE_CUT: Traits(FaultGroup.ZONES, 3.0, 18.0),
+    FaultKind.ONE_WAY_ZONE_CUT: Traits(FaultGroup.ZONES, 3.0, 18.0),
+    FaultKind.BRIDGE_CUT: Traits(FaultGroup.ZONES, 3.0, 18.0),
+    FaultKind.COLD_RETURN: Traits(FaultGroup.ZONES, 0.3, 2.0),
+    FaultKind.BACKEND_TURNS_COLD: Traits(FaultGroup.ZONES, 3.0, 4.0),
+    FaultKind.EVACUATE: Traits(FaultGroup.ZONES, 7.0, 12.0),
+    FaultKind.EVACUATE_FOR_GOOD: Traits(FaultGroup.ZONES, 0.5, 1.0, is_final=True),
 }
 
 
@@ -128,6 +147,32 @@
     return tuple(kind for kind, traits in TRAITS.items() if traits.group is group)
 
 
+USUAL_KINDS = tuple(kind for kind, traits in TRAITS.items() if traits.group is not FaultGroup.ZONES)
+"""The kinds of a run in one zone, in the order by which seeds name them."""
+
+APART_KINDS = (
+    *kinds_of(FaultGroup.ZONES),
+    FaultKind.KILL_PRIMARY,
+    FaultKind.KILL_CONTROLLER,
+    FaultKind.KILL_EVERYTHING,
+    FaultKind.ROLL_CONTROLLERS,
+    FaultKind.PAUSE_PRIMARY,
+    FaultKind.WIPE_CONTROLLER,
+    FaultKind.REPLACE_CONTROLLER,
+    FaultKind.KILL_PROXY,
+    FaultKind.PAUSE_PROXY,
+    FaultKind.CUT_CONTROLLER_FROM_CONTROLLERS,
+    FaultKind.CUT_PROXY_FROM_CONTROLLERS,
+    FaultKind.CUT_BACKENDS_FROM_SOME_CONTROLLERS,
+    FaultKind.RESET_CONNECTIONS,
+    FaultKind.LOSE_OPERATOR_ANSWERS,
+    FaultKind.LOSE_HEARTBEAT_ANSWERS,
+    FaultKind.BACKEND_CRASH,
+    FaultKind.BACKEND_LEAVES,
+)
+"""The kinds of a run in several zones."""
+
+
 class Fault(msgspec.Struct, frozen=True):
     """One fault: when it begins within its episode, and for how long. ``choice`` decides on victims and variants."""
 
@@ -149,17 +194,19 @@
     rate: float = 25.0  # requests a second
     beat_ms: float = 500
     options: RunOptions = RunOptions()
+    services: dict[str, tuple[str, ...]] | None = None  # stages of each service's backends, where not the usual ones
 
 
 class PlanOptions(msgspec.Struct, frozen=True):
     """What plans are drawn of."""
 
-    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    kinds: tuple[FaultKind, ...] = USUAL_KINDS
     episodes: int = 2
     faults: tuple[int, int] = (4, 6)  # in an episode, at least and at most
     episode_s: float = 19.0
     settle_s: float = 5.0
     calm_s: float = 11.0
+    is_apart: bool = False  # in several zones, with applications, warm-up and evacuations
 
 
 USUAL = PlanOptions()
@@ -183,17 +230,54 @@
 )
 """A run of some 15 s."""
 
+APART = PlanOptions(APART_KINDS, is_apart=True)
+SHORT_APART = PlanOptions(
+    (
+        FaultKind.ZONE_LOSS,
+        FaultKind.EVACUATE,
+        FaultKind.ZONE_CUT,
+        FaultKind.BRIDGE_CUT,
+        FaultKind.COLD_RETURN,
+        FaultKind.ONE_WAY_ZONE_CUT,
+        FaultKind.KILL_PRIMARY,
+    ),
+    episodes=1,
+    faults=(3, 3),
+    episode_s=12.0,
+    settle_s=5.0,
+    calm_s=10.0,
+    is_apart=True,
+)
+"""A run of some 35 s."""
+
 
 def draw(seed: int, options: PlanOptions = USUAL) -> SoakPlan:
     """The plan of a seed. Seeds in a row lead each of their episodes with all kinds in turn."""
     random = Random(seed)
-    shape = FleetShape(5, 4, 2) if seed % LARGE_EVERY == 0 else FleetShape(3, 3, 1)
+    shape = _apart_shape(seed) if options.is_apart else _shape(seed)
     apart = len(options.kinds) // options.episodes
     episodes = tuple(
         _episode(random, options, shape, seed + number * apart, number == options.episodes - 1)
         for number in range(options.episodes)
     )
-    return SoakPlan(seed, shape, episodes, options.settle_s, options.calm_s)
+    if not options.is_apart:
+        return SoakPlan(seed, shape, episodes, options.settle_s, options.calm_s)
+    stages = ("prefill",) * shape.zones + ("decode",) * shape.zones  # each zone has one of each
+    services = {"g1": stages, "g2": stages}
+    return SoakPlan(
+        seed, shape, episodes, options.settle_s, options.calm_s, APART_RATE, options=APART_RUN, services=services
+    )
+
+
+def _shape(seed: int) -> FleetShape:
+    return FleetShape(5, 4, 2) if seed % LARGE_EVERY == 0 else FleetShape(3, 3, 1)
+
+
+def _apart_shape(seed: int) -> FleetShape:
+    """Five controllers, in three zones or in five."""
+    if seed % 2:
+        return FleetShape(5, 6, 2, zones=3, zone_tolerance=1)
+    return FleetShape(5, 5, 2, zones=5, zone_tolerance=1)
 
 
 def _episode(random: Random, options: PlanOptions, shape: FleetShape, turn: int, is_last: bool) -> tuple[Fault, ...]:
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cranebank.fleetlab.liveness import Calm, calm_times, judge_liveness, longest_outage
-from cranebank.fleetlab.records import Change, DayRecord, Health, InjectedFault, Try
+from cranebank.fleetlab.records import Change, DayRecord, Health, InjectedFault, TallyCall, Try
 
 SETTLE_S = 8.0
 EVERY_S = 0.1
@@ -140,3 +140,26 @@
 
 def test_the_longest_time_without_service() -> None:
     assert 3.9 < longest_outage(played(30.0, dark=((10.0, 14.0),))) < 4.3
+
+
+def with_adds(record: DayRecord, refused: tuple[float, float], share_refused: int = 1) -> DayRecord:
+    """An add each quarter of a second, sent on to a second machine; within a time some of them are taken nowhere."""
+    for number in range(int(4 * (record.ended - record.begun))):
+        at = number / 4
+        is_refused = refused[0] <= at < refused[1] and number % share_refused == 0
+        for machine, status in (("c-1", 503), ("c-2", 503 if is_refused else 200)):
+            sent = record.begun + at
+            record.tally_calls.append(TallyCall("t", f"a{number}", 1, machine, 1, sent, sent + 0.1, status))
+    return record
+
+
+def test_adds_to_tallies_are_taken_in_calm_times() -> None:
+    for share_refused, found in ((11, set[str]()), (9, {"RECOVER"})):
+        record = played(40.0, faults=((5.0, 10.0),))
+        assert rules(with_adds(record, (15.0, 40.0), share_refused)) == found
+
+
+def test_adds_to_tallies_are_taken_while_no_more_is_lost_than_must_be_borne() -> None:
+    for worse, found in ((1, {"OUTAGE"}), (2, set[str]())):
+        record = healthy(played(40.0, faults=((5.0, 39.0),)), (0.0, 40.0), controllers_lost=worse)
+        assert rules(with_adds(record, (18.0, 24.0))) == found
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import hashlib
 from itertools import pairwise
 
 import msgspec
 import pytest
 
+from cranebank.fleetlab.run_options import RunOptions
 from cranebank.fleetlab.soak_plan import (
+    APART,
+    APART_KINDS,
     AT_ONCE,
     TRAITS,
+    USUAL,
+    USUAL_KINDS,
     Fault,
     FaultGroup,
     FaultKind,
@@ -21,6 +27,7 @@
 )
 
 SEEDS = range(1, 101)
+PLAN_17 = "79ea788039d7c8b4"  # digest of the plan of seed 17
 
 
 def under_way(faults: tuple[Fault, ...], at: float) -> int:
@@ -59,9 +66,34 @@
     assert sum(TRAITS[fault.kind].is_final for fault in last) <= 1
 
 
-def test_as_many_seeds_as_there_are_kinds_have_all_of_them() -> None:
-    plans = [draw(seed) for seed in range(1, len(FaultKind) + 1)]
-    assert {fault.kind for plan in plans for faults in plan.episodes for fault in faults} == set(FaultKind)
+@pytest.mark.parametrize(("options", "kinds"), [(USUAL, USUAL_KINDS), (APART, APART_KINDS)])
+def test_as_many_seeds_as_there_are_kinds_have_all_of_them(options: PlanOptions, kinds: tuple[FaultKind, ...]) -> None:
+    plans = [draw(seed, options) for seed in range(1, len(kinds) + 1)]
+    assert {fault.kind for plan in plans for faults in plan.episodes for fault in faults} == set(kinds)
+
+
+def test_every_kind_is_drawn_by_one_of_the_two_forms() -> None:
+    assert set(USUAL_KINDS) | set(APART_KINDS) == set(FaultKind)
+
+
+def test_a_plan_of_one_zone_is_the_one_that_it_was_before_there_were_zones() -> None:
+    plan = draw(17)
+    digest = hashlib.sha256(msgspec.json.encode((plan.seed, plan.shape.controllers, plan.episodes))).hexdigest()
+    assert digest[:16] == PLAN_17
+    assert plan.options == RunOptions()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_plan_of_several_zones_has_both_stages_of_each_service_in_each_zone(seed: int) -> None:
+    plan = draw(seed, APART)
+    assert (plan.shape.controllers, plan.shape.tolerance, plan.shape.zone_tolerance) == (5, 2, 1)
+    assert plan.services is not None
+    stages = [(service, stage) for service, stages in plan.services.items() for stage in stages]
+    by_zone = {zone: set[tuple[str, str]]() for zone in plan.shape.zone_names}
+    for number, stage in enumerate(stages, 1):
+        by_zone[plan.shape.zone_of(number)].add(stage)
+    assert len(by_zone) in {3, 5}
+    assert all(found == set(stages) for found in by_zone.values())
 
 
 def test_only_the_kinds_that_are_asked_for_are_drawn() -> None:
