Laboratory: what replaces a machine or a backend stands in its zone

Cause: controllers and backends take turns in the zones by number, so that a replacement often came to another zone; after two of them a zone could hold more controllers than may be lost.

Change: a replacement is given the zone of what it replaces. With one zone nothing changes.

Tests: the stand-ins of the faults take the zone and assert it.

--- a/cranebank/fleetlab/backend_faults.py
+++ b/cranebank/fleetlab/backend_faults.py
@@ -73,7 +73,7 @@
         with self._scene.injected(fault, [victim.instance], [victim.instance]):
             victim.fault("crash")
             await asyncio.sleep(fault.seconds)
-            await self._scene.add_backend(victim.service, victim.model.stage)
+            await self._scene.add_backend(victim.service, victim.model.stage, victim.zone)
 
     async def _switch(self, fault: Fault, victim: Backend) -> None:
         name = SWITCHED[fault.kind]
@@ -104,7 +104,7 @@
         with scene.injected(fault, [victim.instance for victim in victims]):
             pause = max(BORN_AHEAD_S, fault.seconds / len(victims))
             for victim in victims:
-                await scene.add_backend(service, victim.model.stage)
+                await scene.add_backend(service, victim.model.stage, victim.zone)
                 await asyncio.sleep(pause)
                 victim.drain()
             await _until_ended(victims)
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -162,14 +162,14 @@
                 self._say(f"{backend.instance} drains")
                 backend.drain()
                 if step.what == "drain":
-                    await self._add_backend(backend.service, backend.model.stage)
+                    await self._add_backend(backend.service, backend.model.stage, backend.zone)
             case "crash" | "lose":
                 backend = self._one(step.stage)
                 self._say(f"{backend.instance} crashes")
                 backend.stop()
                 if step.what == "crash":
                     await asyncio.sleep(step.for_s)
-                    await self._add_backend(backend.service, backend.model.stage)
+                    await self._add_backend(backend.service, backend.model.stage, backend.zone)
             case "evacuate":
                 await self._evacuations.evacuate(step.zone, step.for_s, self._backends)
             case "cold":
--- a/cranebank/fleetlab/fault_scene.py
+++ b/cranebank/fleetlab/fault_scene.py
@@ -35,7 +35,7 @@
         platform: Platform,
         backends: list[Backend],
         record: DayRecord,
-        add_backend: Callable[[str, str], Awaitable[Backend]],
+        add_backend: Callable[[str, str, str], Awaitable[Backend]],
         primary: Callable[[], Awaitable[str]],
         say: Callable[[str], None],
     ) -> None:
--- a/cranebank/fleetlab/fleet.py
+++ b/cranebank/fleetlab/fleet.py
@@ -202,13 +202,14 @@
         """Where the applications of a zone are."""
         return f"{self.net}.{FIRST_APPLICATION + self.shape.zone_names.index(zone)}"
 
-    def add_controller(self) -> Process:
-        """A controller at a new address, with an empty disk; not started yet."""
+    def add_controller(self, zone: str = "") -> Process:
+        """A controller at a new address, with an empty disk, in this zone or the next one's turn; not started yet."""
         number = next(self._numbers)
         name, ip = f"control-{number}", f"{self.net}.{FIRST_CONTROLLER + number}"
         data = self._folder / f"disk-{number}"
         data.mkdir(exist_ok=True)
-        settings = self._settings(name, "control", ip, number, {"control_addr": f"{ip}:{CONTROL}"}, str(data))
+        zone = zone or self.shape.zone_of(number)
+        settings = self._settings(name, "control", ip, zone, {"control_addr": f"{ip}:{CONTROL}"}, str(data))
         process = Process(name, "control", ip, self._folder, settings, self._programs)
         self.controllers[name] = process
         return process
@@ -237,11 +238,11 @@
     def _add_proxy(self, number: int) -> None:
         name, ip = f"edge-{number}", f"{self.net}.{FIRST_PROXY + number}"
         binds = {"front": f"{ip}:{FRONT}", "ready_addr": f"{ip}:{READY}"}
-        settings = self._settings(name, "edge", ip, number, binds, None)
+        settings = self._settings(name, "edge", ip, self.shape.zone_of(number), binds, None)
         self.proxies[name] = Process(name, "edge", ip, self._folder, settings, self._programs)
 
     def _settings(
-        self, name: str, role: str, ip: str, number: int, binds: dict[str, str], data_dir: str | None
+        self, name: str, role: str, ip: str, zone: str, binds: dict[str, str], data_dir: str | None
     ) -> dict[str, Any]:
         return {
             "node_name": name,
@@ -249,7 +250,7 @@
             "machine_class": "core" if role == "control" else "edge",
             "serves": [role],
             "ip": ip,
-            "zone": self.shape.zone_of(number),
+            "zone": zone,
             "region": ZONE,
             "zones": dict.fromkeys(self.shape.zone_names, ZONE),
             "binds": binds,
--- a/cranebank/fleetlab/lab_run.py
+++ b/cranebank/fleetlab/lab_run.py
@@ -209,7 +209,8 @@
             found += [f"{process.name}: {line}" for line in text.splitlines() if BAD_LINE.search(line)]
         return found
 
-    async def _add_backend(self, service: str, stage: str) -> Backend:
+    async def _add_backend(self, service: str, stage: str, zone: str = "") -> Backend:
+        """Start one more backend, in this zone or, where none is named, in the next one's turn."""
         number = next(self._numbers)
         turn = number % self._shape.controllers
 
@@ -225,7 +226,7 @@
             service,
             stage,
             self._fleet.backend_address(number),
-            self._shape.zone_of(number),
+            zone or self._shape.zone_of(number),
             controllers,
             self._beat_ms / 1e3,
             self.record.bounds.drain_ms / 1e3,
--- a/cranebank/fleetlab/process_faults.py
+++ b/cranebank/fleetlab/process_faults.py
@@ -153,7 +153,7 @@
             fleet.remove_controller(victim.name)
             scene.note_disk_loss(victim)
             await asyncio.sleep(fault.seconds)
-            successor = fleet.add_controller()
+            successor = fleet.add_controller(victim.zone)
             with scene.holding(fault, [successor]):
                 await fleet.start(successor)
                 await asyncio.sleep(LIST_LAG_S)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -31,8 +31,8 @@
 class StandIn:
     """A process that does as it is told at once."""
 
-    def __init__(self, name: str, role: str, ip: str) -> None:
-        self.name, self.role, self.ip = name, role, ip
+    def __init__(self, name: str, role: str, ip: str, zone: str = "z-1") -> None:
+        self.name, self.role, self.ip, self.zone = name, role, ip, zone
         self.is_running = True
         self.told: list[str] = []
         self.process = None
@@ -70,8 +70,8 @@
         process.is_running = True
         process.told.append("start")
 
-    def add_controller(self) -> StandIn:
-        made = self.controllers["control-4"] = StandIn("control-4", "control", "10.0.0.4")
+    def add_controller(self, zone: str) -> StandIn:
+        made = self.controllers["control-4"] = StandIn("control-4", "control", "10.0.0.4", zone)
         made.is_running = False
         return made
 
@@ -87,6 +87,7 @@
         self.instance, self.service, self.address = f"i-{number}", service, f"10.0.2.{number}:8080"
         self.model = SimpleNamespace(stage=stage)
         self.phase, self.faults, self.ended = "ready", set[str](), asyncio.Event()
+        self.zone = "z-1"
         self.beat_address = "10.0.0.1:1"
 
     def fault(self, name: str, on: bool = True) -> None:
@@ -132,7 +133,8 @@
     async def primary(self) -> str:
         return PRIMARY
 
-    async def add_backend(self, service: str, stage: str) -> StandInBackend:
+    async def add_backend(self, service: str, stage: str, zone: str) -> StandInBackend:
+        assert zone == "z-1", "the one that it replaces is in another zone"
         self.backends.append(StandInBackend(len(self.backends) + 1, service, stage))
         return self.backends[-1]
 
