--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -14,21 +14,25 @@
 from cranebank.fleetlab.fleet import FleetShape, StartError
 from cranebank.fleetlab.lab_run import SERVICES, LabRun
 from cranebank.fleetlab.records import DayRecord, Trouble
+from cranebank.fleetlab.run_options import RunOptions, TallyLoad, WarmUp
 
-__all__ = ["DEMO", "SHORT", "DayPlan", "StartError", "Step", "play"]
+__all__ = ["COLD", "DEMO", "EVACUATION", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
 
 RESTART_S = 0.4
 
 
 class Step(msgspec.Struct, frozen=True):
     """Something that happens: a change (amend, race, invalid), a trouble (kill-primary, stop-proxy, crash) or a
-    drain, or a fault of a backend for a while (dark, cut, late, silent). A drain and a crash are followed by a
-    replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces. ``stage`` says of which."""
+    drain, or a fault of a backend for a while (dark, cut, late, silent). A backend may turn cold, or lose its power for
+    a while and come back cold (cold-return). A zone is emptied and taken back after a while (evacuate). A drain and a
+    crash are followed by a replacement; scale-in is a drain, and lose a crash, of a backend that nobody replaces.
+    ``stage`` says of which, and ``zone`` names the zone."""
 
     at: float
     what: str
     for_s: float = 1.5
     stage: str = "decode"
+    zone: str = ""
 
 
 class DayPlan(msgspec.Struct, frozen=True):
@@ -41,6 +45,8 @@
     beat_ms: float = 500
     fleet: Mapping[str, tuple[str, ...]] = SERVICES  # stages of each service's backends
     own_tokens: tuple[int, int] = OWN_TOKENS  # fewest and most of each prompt's own part
+    shape: FleetShape = FleetShape()
+    options: RunOptions = RunOptions()
 
 
 DEMO = DayPlan(
@@ -78,18 +84,56 @@
 )
 
 
+TALLIES = DayPlan(
+    9.0,
+    10.0,
+    (Step(1.5, "kill-primary", 1.0), Step(5.0, "kill-primary", 1.0)),
+    options=RunOptions(tallies=TallyLoad()),
+)
+"""Adds to tallies and readings of them while controllers come and go."""
+
+COLD = DayPlan(
+    14.0,
+    60.0,
+    (
+        Step(1.5, "cold", stage="prefill"),
+        Step(5.0, "cold-return", 1.0),
+        Step(5.5, "cold-return", 1.0, "prefill"),
+        Step(10.0, "crash", 1.0, "prefill"),
+    ),
+    options=RunOptions(warm_up=WarmUp()),
+)
+"""Backends that come back cold, or start cold, under a load that one of them alone would not bear then."""
+
+EVACUATION = DayPlan(
+    16.0,
+    30.0,
+    (Step(1.0, "evacuate", 11.0, zone="zone-2"), Step(3.0, "kill-primary", 1.0)),
+    shape=FleetShape(3, 3, 1, zones=3, zone_tolerance=1),
+    options=RunOptions(warm_up=WarmUp()),
+)
+"""A zone that is emptied and taken back, its backends cold; the primary is killed in between."""
+
+
 class Day(LabRun):
     """Plays one day and writes down what clients, backends and the operator see."""
 
     def __init__(self, plan: DayPlan, progress: Callable[[str], None], folder: Path | None) -> None:
-        super().__init__(plan.seed, plan.beat_ms, FleetShape(), progress, folder, plan.fleet, plan.own_tokens)
+        super().__init__(
+            plan.seed, plan.beat_ms, plan.shape, progress, folder, plan.fleet, plan.own_tokens, plan.options
+        )
         self.plan = plan
 
     async def _play(self) -> None:
+        enough = asyncio.Event()
         load = self._spawn(self._clients.load(self.plan.rate, self.plan.seconds))
         steps = self._spawn(self._step_all())
+        calls = self._spawn(self._call_on(enough))
         await load
         await steps
+        enough.set()
+        await calls
+        await self._read_tallies()
         self.record.read_back = await self._operator.read_back(self.record.bounds.contact_ms / 1e3)
         self.record.ended = asyncio.get_running_loop().time()
         self._say(f"read back revision {self.record.read_back.revision}")
@@ -118,14 +162,26 @@
                 self._say(f"{backend.instance} drains")
                 backend.drain()
                 if step.what == "drain":
-                    await self._add_backend(backend.service, backend.model.stage)
+                    await self._add_backend(backend.service, backend.model.stage, backend.zone)
             case "crash" | "lose":
                 backend = self._one(step.stage)
                 self._say(f"{backend.instance} crashes")
                 backend.stop()
                 if step.what == "crash":
                     await asyncio.sleep(step.for_s)
-                    await self._add_backend(backend.service, backend.model.stage)
+                    await self._add_backend(backend.service, backend.model.stage, backend.zone)
+            case "evacuate":
+                await self._evacuations.evacuate(step.zone, step.for_s, self._backends)
+            case "cold":
+                backend = self._one(step.stage)
+                self._say(f"{backend.instance} turns cold")
+                backend.turn_cold()
+            case "cold-return":
+                backend = self._one(step.stage)
+                self._say(f"{backend.instance} loses its power for {step.for_s:g} s")
+                backend.lose_power()
+                await asyncio.sleep(step.for_s)
+                backend.regain_power()
             case fault:
                 backend = self._one(step.stage)
                 self._say(f"{backend.instance}: {fault} for {step.for_s:g} s")
--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 from urllib.parse import urlsplit
@@ -13,10 +13,12 @@
 from cranebank.fleetlab.caller import Caller
 from cranebank.fleetlab.model import EngineSpec
 from cranebank.fleetlab.records import Change, ReadBack, Reading, RouteRule
+from cranebank.fleetlab.run_options import WarmUp
 from cranebank.transport.http_client import Answer, ask_once
 
 HOST = "shop.example"
 Document = dict[str, Any]
+Ask = Callable[[str, str, str, bytes, float, dict[str, str] | None], Awaitable[Answer]]
 FINAL = frozenset({400, 409, 412, 413, 422})
 GIVE_UP_S = 15.0
 PATIENCE_S = 1.0
@@ -42,9 +44,10 @@
     }
 
 
-def service(name: str, spec: EngineSpec) -> Document:
+def service(name: str, spec: EngineSpec, warm_up: WarmUp | None = None) -> Document:
     """One service, as its backends are."""
-    return {
+    cold = {} if warm_up is None else {"cold_s": warm_up.cold_s, "warmup_per_s": warm_up.warmup_per_s}
+    return cold | {
         "name": name,
         "probe_path": "/health",
         "max_conns": 180,
@@ -63,7 +66,7 @@
     }
 
 
-def first_configuration(specs: dict[str, EngineSpec]) -> Document:
+def first_configuration(specs: dict[str, EngineSpec], warm_up: WarmUp | None = None) -> Document:
     """What a day begins with: routes that may be resumed and one that may not, over two services."""
     one, two = list(specs)
     return {
@@ -75,7 +78,7 @@
             route("moved", one, resumable=False, tries=2, rank=1),
             route("old", two),
         ],
-        "services": [service(name, spec) for name, spec in specs.items()],
+        "services": [service(name, spec, warm_up) for name, spec in specs.items()],
         "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_read_ms": 3000, "idle_ms": 15000},
     }
 
@@ -216,11 +219,17 @@
     async def _call(self, method: str, call: str, body: bytes, headers: dict[str, str]) -> Answer:
         """One call to any controller, following it twice to where it is sent on."""
         at = self._random.choice(self._controllers())
-        path = f"/api/Configuration.{call}"
-        answer = Answer()
-        for _ in range(3):
-            answer = await self._ask(at, method, path, body, PATIENCE_S, headers)
-            if answer.status != 307:
-                break
-            at = urlsplit(answer.headers.get("location", "")).netloc
-        return answer
+        return await ask_following(self._ask, at, method, f"/api/Configuration.{call}", body, headers)
+
+
+async def ask_following(
+    ask: Ask, at: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> Answer:
+    """One call to a controller, following it twice to where it is sent on."""
+    answer = Answer()
+    for _ in range(3):
+        answer = await ask(at, method, path, body, PATIENCE_S, headers)
+        if answer.status != 307:
+            break
+        at = urlsplit(answer.headers.get("location", "")).netloc
+    return answer
--- a/cranebank/fleetlab/records.py
+++ b/cranebank/fleetlab/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+MAY_PASS = frozenset({0, 408, 429})  # statuses that say nothing against a call itself
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """The figures of the rules, named as in the settings file."""
@@ -21,6 +23,10 @@
     retry_window_s: float = 10
     retry_slack: float = 20
     lease_ms: float = 3000
+    merge_ms: float = 3000
+    cold_over: float = 1.5
+    cold_slack: float = 5
+    evacuate_ms: float = 5000
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -175,6 +181,72 @@
     backends: dict[str, int]
 
 
+class TallyCall(msgspec.Struct):
+    """One call of an application for a tally at one machine; calls for the same add share its id."""
+
+    tally: str
+    id: str  # of the add; empty for a reading
+    amount: int
+    machine: str  # a controller's name
+    life: int  # of its process when the call was sent
+    sent: float
+    ended: float = math.inf  # open until then
+    status: int = 0  # 0: no whole answer came
+    total: int | None = None  # what a reading answered
+    is_last: bool = False  # a reading at the end of the day, once nothing had been wrong for merge_ms
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether it is an add that was taken."""
+        return bool(self.id) and 200 <= self.status < 300
+
+
+class ColdTime(msgspec.Struct, frozen=True):
+    """A time in which a backend is cold, and how many requests a second it bears then."""
+
+    instance: str
+    begin: float
+    end: float
+    warmup_per_s: float
+
+
+class EvacuationOrder(msgspec.Struct):
+    """A zone that the operator ordered to be emptied (Start), or taken back (Finish)."""
+
+    zone: str
+    is_start: bool
+    sent: float  # for the first time
+    acked: float | None = None
+    refused_with: int = 0  # the status that ended it
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the answer was that it will never be done, though it was proper."""
+        return self.refused_with not in MAY_PASS
+
+    @property
+    def outcome(self) -> str:
+        """What became of it, in words."""
+        if self.acked is not None:
+            return f"acknowledged after {self.acked - self.sent:.2f} s"
+        return f"refused with {self.refused_with}" if self.refused_with else "no clear answer"
+
+
+class DiskLoss(msgspec.Struct, frozen=True):
+    """A machine that lost its disk."""
+
+    machine: str
+    at: float
+
+
+class BrokenLinks(msgspec.Struct):
+    """A time in which links between these controllers and others of them were cut."""
+
+    machines: tuple[str, ...]
+    begin: float
+    end: float = math.inf
+
+
 class DayRecord(msgspec.Struct):
     """Everything."""
 
@@ -195,4 +267,10 @@
     faults: list[InjectedFault] = []
     skipped: list[str] = []  # kinds of faults that found nobody to strike
     health: list[Health] = []
+    tally_calls: list[TallyCall] = []
+    disk_losses: list[DiskLoss] = []
+    broken_links: list[BrokenLinks] = []
+    cold_times: list[ColdTime] = []
+    evacuations: list[EvacuationOrder] = []
+    backend_zones: dict[str, str] = {}  # by instance
     violations: list[str] = []  # of invariants, and errors in the logs of processes
--- a/tests/test_fleetlab_judge.py
+++ b/tests/test_fleetlab_judge.py
@@ -12,13 +12,16 @@
     Arrival,
     Bounds,
     Change,
+    ColdTime,
     DayRecord,
     Drain,
+    EvacuationOrder,
     OrderSeen,
     ReadBack,
     Reading,
     RouteRule,
     StreamEvent,
+    TallyCall,
     Trouble,
     Try,
 )
@@ -234,6 +237,29 @@
     "an older reading": ("CONFIG", lambda day: put(day, readings=[Reading(32.3, 32.4, 3, "c3")])),
     "a reading of what was refused": ("CONFIG", lambda day: put(day, readings=[Reading(11.0, 11.1, 4, "c4")])),
     "a reading of other contents": ("CONFIG", lambda day: put(day, readings=[Reading(31.0, 31.1, 6, "c7")])),
+    "a tally without what its machine acknowledged": (
+        "STALE",
+        lambda day: put(
+            day,
+            tally_calls=[
+                TallyCall("t", "a", 4, "c-1", 1, 5.0, 5.1, 200),
+                TallyCall("t", "", 0, "c-1", 1, 5.2, 5.3, 200, 0),
+            ],
+        ),
+    ),
+    "an emptied zone reached": (
+        "EVAC",
+        lambda day: put(
+            day, backend_zones={"i-1": "z-1"}, evacuations=[EvacuationOrder("z-1", True, 5.0, 5.2)], ended=14.0
+        ),
+    ),
+    "a cold backend flooded": (
+        "FAILBACK",
+        lambda day: (
+            put(day, cold_times=[ColdTime("i-1", 15.0, 18.0, 2.0)]),
+            [add(day, made, arrived(made)) for made in (sent(f"t{920 + n}", 15.0 + 0.05 * n) for n in range(9))],
+        ),
+    ),
     "a drain without an answer": ("ACKS", lambda day: put(day, drains=[*day.drains, Drain("i-8", 33.0)])),
 }
 
