Simulation: operators evacuate zones and take them back under faults of controllers and proxies

A ninth family of schedules: what was acknowledged holds at whoever is primary, at all controllers and proxies at the end, and at proxies in touch 5 s after the acknowledgement; in calm it is acknowledged within 1 s. Four planted faults, each found. The slow third of the schedules leaves changes alone for 11 s and restarts proxies, since a later change mends what a proxy missed.

--- a/tests/controlsim/scenarios.py
+++ b/tests/controlsim/scenarios.py
@@ -558,7 +558,56 @@
         world.scheduler.after(random.uniform(0.1, 2.0), lambda: world.start(machine))
 
 
+# 8: zones are evacuated and taken back, under everything that befalls controllers and proxies.
+
+
+def _evacuations(seed: int) -> World:
+    controllers, tolerance = SIZES[seed % len(SIZES)]
+    world = World(seed, controllers=controllers, proxies=3, tolerance=tolerance, faults_s=LONG_S)
+    world.add_operators(1)
+    world.operators[0].pause_s = (0.1, 1.0)
+    is_slow = world.random.random() < 0.3  # what was missed shows only while no later change mends it
+    for evacuator in world.add_evacuators(2):
+        evacuator.impatience = world.random.choice([0.0, 0.2])
+        evacuator.pause_s = (11.0, 14.0) if is_slow else world.random.choice([(0.02, 0.3), (0.5, 7.0)])
+    rests = (8.0, 9.0) if is_slow else world.random.choice([(0.3, 1.0), (CATCH_UP_S, CATCH_UP_S + 1.0)])
+
+    def strike() -> None:
+        if world.scheduler.now > world.faults_s - LAST_S:
+            return
+        world.scheduler.after(world.random.uniform(*rests), strike)
+        kind = world.random.random()
+        if kind < 0.15:
+            _disturb(world)
+        elif kind < (0.8 if is_slow else 0.3):
+            _disturb_proxy(world)
+        else:
+            _soon(world, hit)
+
+    def hit() -> None:
+        victim = _victim(world, 0.7)
+        if victim is not None:
+            (_lose if world.random.random() < 0.5 else _strike)(world, victim)
+
+    world.scheduler.at(3.0, strike)
+    _close(world)
+    return world
+
+
 SCENARIOS: dict[str, Scenario] = {
+    "evacuations": Scenario(
+        _evacuations,
+        (
+            "takeovers",
+            "evacuations acknowledged: start",
+            "evacuations acknowledged: finish",
+            "evacuations acknowledged when sent again",
+            "evacuations sent in calm times",
+            "evacuations looked for at a proxy in touch",
+            "closing fault: some wiped, others without power",
+            *(f"struck: {kind}" for kind in STRIKES),
+        ),
+    ),
     "heard": Scenario(
         _heard,
         (
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -21,6 +21,7 @@
 from .actors import CONTROL_PORT, Operator, Reader
 from .actors import Backend as BackendActor
 from .disk import MachineDisk, ProcessDisk
+from .evacuations import ZONES, EvacuationRules, Evacuator
 from .in_step import InStepWatch
 from .judge import ACK_S, CATCH_UP_S, CONTACT_S, DRAIN_S, Change, Judge
 from .liveness import LivenessWatch
@@ -223,6 +224,7 @@
         self.switch_s = SWITCH_S[0]
         self.on_backend_called: Callable[[StagedBackend, Machine], None] | None = None
         self.stage_rules = StageRules(self.judge)
+        self.evacuation_rules = EvacuationRules(self)
         self.loads_of_a_proxy: tuple[StageLoad, ...] = ()
         self.is_over = self.is_closed = False  # no new changes; no more tries
         self.takeovers = 0
@@ -289,6 +291,13 @@
             self.operators.append(operator)
             self.scheduler.at(0.5, operator.start)
 
+    def add_evacuators(self, count: int) -> list[Evacuator]:
+        """Operators that begin to evacuate a zone each."""
+        found = [Evacuator(self, zone, Random(f"{self.seed} evacuator {zone}")) for zone in ZONES[:count]]
+        for evacuator in found:
+            self.scheduler.at(0.5, evacuator.start)
+        return found
+
     def add_backend(self, number: int, at: float, lives_s: float, crashes: bool = False) -> None:
         """A backend that comes at a time, lives for so long, and then leaves or crashes."""
         backend = BackendActor(self, f"i-{number}", Random(f"{self.seed} backend {number}"), lives_s, crashes)
@@ -337,6 +346,7 @@
             node_name=machine.ip,
             ip=machine.ip,
             zone="a",
+            zones=dict.fromkeys(ZONES, "r"),
             port_range=(LINK_PORT, LINK_PORT + 10),
             seed_addrs=self._seed_addrs(is_first_start),
             is_first_start=is_first_start,
@@ -527,6 +537,7 @@
         self._look_at_majority()
         self.liveness.look()
         self._in_step.look()
+        self.evacuation_rules.look()
         holders = [one.ip for one in self.machines.values() if one.controller is not None and one.controller.holds()]
         if len(holders) > 1:
             self.judge.breach("lease", f"{holders} all hold it")
@@ -603,15 +614,22 @@
         """A change was acknowledged."""
         counts = self.judge.counts
         self._takeovers_at.setdefault(change, self.takeovers)
-        waiting, self._on_acknowledgement = self._on_acknowledgement, []
-        for what in waiting:
-            self.scheduler.after(0.0, what)
+        self._tell_acknowledgement()
         if self._lost:
             counts["changes acknowledged while a controller had lost contact"] += 1
         lost = change.takeovers_when_lost
         if lost is not None and self.takeovers > lost:
             counts["acknowledged after a lost answer and a takeover"] += 1
 
+    def evacuation_acknowledged(self) -> None:
+        """An evacuation was acknowledged, or its end."""
+        self._tell_acknowledgement()
+
+    def _tell_acknowledgement(self) -> None:
+        waiting, self._on_acknowledgement = self._on_acknowledgement, []
+        for what in waiting:
+            self.scheduler.after(0.0, what)
+
     def after_next_acknowledgement(self, what: Callable[[], None]) -> None:
         """Do something right after an operator's next acknowledgement."""
         self._on_acknowledgement.append(what)
@@ -641,7 +659,7 @@
 
         def look() -> None:
             for life in lives:
-                if self.last_event != event or life.proxy.life is not life or not self._is_in_touch(life, event):
+                if self.last_event != event or life.proxy.life is not life or not self.is_in_touch(life, event):
                     continue
                 record = life.plane.records.get(backend)
                 self.judge.counts["drains seen at a proxy in touch"] += 1
@@ -650,7 +668,8 @@
 
         self.scheduler.after(DRAIN_S, look)
 
-    def _is_in_touch(self, life: ProxyLife, since: float) -> bool:
+    def is_in_touch(self, life: ProxyLife, since: float) -> bool:
+        """Whether a proxy that has run since then is cut off from no controller that has a majority."""
         ip = life.proxy.ip
         return life.since <= since and all(
             machine.ip in self._lost or not (self.network.is_cut(ip, machine.ip) or self.network.is_cut(machine.ip, ip))
@@ -700,6 +719,7 @@
                 revision = machine.controller.overview()["revision"]
                 if revision < newest:
                     judge.breach("in step", f"{machine.ip} has {revision}, not {newest}")
+        self.evacuation_rules.final()
         judge.counts["runs judged to the end"] += 1
 
     def _stop(self, rule: str) -> None:
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -21,6 +21,8 @@
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
 from cranebank.control.custody import Custody, CustodySettings
 from cranebank.control.delivery import Delivery
+from cranebank.control.epochs import EpochRecord
+from cranebank.control.evacuation_queue import EvacuationQueue
 from cranebank.control.membership import GroupSize, View
 from cranebank.control.order_intents import OrderIntents
 from cranebank.control.replication import RegistryReplication
@@ -30,9 +32,10 @@
 from cranebank.programs import stage_duty
 from cranebank.programs.consensus_driver import ConsensusDriver
 from cranebank.programs.stage_duty import StageDuty
+from cranebank.transport.messages import Evacuations
 
 SCHEDULES = 10
-SCHEDULES_OF = {"loads": 30}  # where a case is rarer
+SCHEDULES_OF = {"loads": 30, "evacuations": 20}  # where a case is rarer
 MOST_SCHEDULES = 60  # until a planted fault is found
 A, B = "10.0.0.1", "10.0.0.2"
 
@@ -206,6 +209,44 @@
     patch.setattr(Delivery, "_configure", to_proxies_only)
 
 
+def _evacuations_answered_before_they_are_chosen(patch: pytest.MonkeyPatch) -> None:
+    take_all = EvacuationQueue.take_all
+
+    def take_done(self: EvacuationQueue, evacuated: Iterable[str]) -> list[int]:
+        return [request for request, _ in take_all(self)]
+
+    patch.setattr(EvacuationQueue, "take_done", take_done)
+
+
+def _a_takeover_forgets_evacuations(patch: pytest.MonkeyPatch) -> None:
+    class Forgetful(Custody):
+        def _propose(self, own: EpochRecord) -> None:
+            super()._propose(msgspec.structs.replace(own, evacuated=()) if own.term == own.epoch else own)
+
+    patch.setattr(world_module, "Custody", Forgetful)
+
+
+def _who_links_later_is_told_of_no_evacuation(patch: pytest.MonkeyPatch) -> None:
+    join = Delivery.join
+
+    def silent(self: Delivery, *arguments: Any) -> Any:
+        known, self.evacuations = self.evacuations, Evacuations(0, ())
+        older = join(self, *arguments)
+        self.evacuations = known
+        return older
+
+    patch.setattr(Delivery, "join", silent)
+
+
+def _any_number_of_evacuations_is_taken(patch: pytest.MonkeyPatch) -> None:
+    def know(self: Delivery, number: int, zones: tuple[str, ...]) -> None:
+        if number > self.evacuations.number:
+            self.evacuations = Evacuations(1, zones)
+            self.tell_proxies(self.evacuations)
+
+    patch.setattr(Delivery, "know_evacuations", know)
+
+
 PLANTS: tuple[tuple[Plant, str, set[str]], ...] = (
     (_no_lease, "cut", {"lease", "reading", "two on one base"}),
     (_published_without_contact, "cut", {"contact"}),
@@ -226,6 +267,10 @@
     (_orders_without_a_lease, "stages", {"one", "invariant"}),
     (_orders_nobody, "stages", {"staffed"}),
     (_unanswered_orders_count_as_taken, "stages", {"staffed", "invariant"}),
+    (_evacuations_answered_before_they_are_chosen, "evacuations", {"evacuation"}),
+    (_a_takeover_forgets_evacuations, "evacuations", {"evacuation"}),
+    (_who_links_later_is_told_of_no_evacuation, "evacuations", {"evacuation"}),
+    (_any_number_of_evacuations_is_taken, "evacuations", {"evacuation"}),
 )
 
 
