--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from typing import Any, ParamSpec, Protocol, TypeVar
+from urllib.parse import unquote
 
 import msgspec
 
@@ -158,7 +159,7 @@
 
     async def start_evacuation(self, request: Request) -> Response:
         """Nothing more is to be sent to the backends of a zone."""
-        if self._plane.holds() and len({*self._plane.evacuated(), request.argument}) > MOST_EVACUATED:
+        if self._plane.holds() and len({*self._plane.evacuated(), unquote(request.argument)}) > MOST_EVACUATED:
             return refusal(503, "too_many_zones", "zone", f"at most {MOST_EVACUATED} evacuated", headers=_RETRY)
         return await self._evacuate(request, True)
 
@@ -169,9 +170,10 @@
     async def _evacuate(self, request: Request, is_start: bool) -> Response:
         if not self._plane.holds():
             return self._redirect(request)
-        if not self._plane.knows_zone(request.argument):
+        zone = unquote(request.argument)
+        if not self._plane.knows_zone(zone):
             return refusal(400, "unknown_zone", "zone", "a zone of the settings or of a backend")
-        match await self._plane.evacuate(request.argument, is_start):
+        match await self._plane.evacuate(zone, is_start):
             case events.Accepted():
                 await self._plane.wait_for_acks(self._plane.await_evacuations(), EVACUATION_ACK_S)
                 return self._under_lease(request, _OK)
--- a/cranebank/programs/command.py
+++ b/cranebank/programs/command.py
@@ -1,6 +1,7 @@
 """The commands of the system: ``cranebank system ...`` and ``python -m cranebank.programs ...``.
 
-They only read, but for ``backup``, ``restore`` and the two roles. Exit code 2: it could not be done, told on one line.
+They only read, but for ``evacuate``, ``backup``, ``restore`` and the two roles. Exit code 2: it could not be done,
+told on one line.
 """
 
 from __future__ import annotations
@@ -8,10 +9,12 @@
 import contextlib
 import io
 import sys
+import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Literal
+from urllib.parse import quote
 
 import msgspec
 
@@ -20,6 +23,8 @@
 
 STATUS_PATH = "/api/System.Status"
 ANSWER_S = 5.0
+EVACUATE_S = 10.0  # for which an evacuation is sent again
+AGAIN_S = 0.1  # between two tries
 PHASES = ("ready", "draining", "lost", "gone")
 PROGRAM = "python -m cranebank.programs"
 
@@ -58,6 +63,8 @@
     members: tuple[str, ...]
     copies: tuple[str, ...]
     revision: int
+    evacuated: tuple[str, ...] = ()
+    evacuation_number: int = 0
     controllers: tuple[str, ...] = ()
     backends: tuple[BackendStatus, ...] = ()
     proxies: tuple[ProxyStatus, ...] = ()
@@ -188,6 +195,34 @@
     return 0
 
 
+def evacuate(zone: str, change: Literal["start", "finish"], address: str) -> int:
+    """Evacuate a zone, or take it back.
+
+    From a start on nothing more is sent to the zone's backends; what is there already runs to its end. It holds until a
+    finish, whichever processes end meanwhile. Both may be repeated. See docs/evacuation.md.
+
+    Example: cranebank system evacuate zone-b start 10.1.0.13:8262
+
+    :param zone: zone, as the settings or the backends name it
+    :param change: start or finish
+    :param address: any controller's control address, IP:PORT
+    """
+    path = f"/api/Evacuation.{change.capitalize()}/{quote(zone, safe='')}"
+    until = time.monotonic() + EVACUATE_S
+    while True:
+        status, location, body = _call(address, "POST", path)
+        if status == 200:
+            print(f"{zone}: {change} is in force")
+            return 0
+        if status == 307 and location:
+            address = location.removeprefix("http://").partition("/")[0]
+        elif status < 500:
+            raise CommandError(f"{address}: {zone}: {status} {body.decode(errors='replace')}")
+        if time.monotonic() > until:
+            raise CommandError(f"{address}: {zone}: not confirmed, last answer {status}; it may come to be in force")
+        time.sleep(AGAIN_S)
+
+
 def backup(folder: Path, file: Path) -> int:
     """Copy a controller's custody file, its checksums verified.
 
@@ -244,6 +279,7 @@
     "check-configuration": check_configuration,
     "policy": policy,
     "show": show,
+    "evacuate": evacuate,
     "backup": backup,
     "restore": restore,
 }
@@ -284,6 +320,7 @@
         f"copies        {', '.join(status.copies) or '-'}",
         f"controllers   {', '.join(status.controllers) or '-'}",
         f"configuration {status.revision}",
+        f"evacuated     {', '.join(status.evacuated) or '-'}",
         "",
     ]
     phases: dict[str, Counter[str]] = {}
@@ -330,6 +367,14 @@
 
 
 def _status_body(address: str) -> bytes:
+    status, _, body = _call(address, "GET", STATUS_PATH)
+    if status != 200:
+        raise CommandError(f"{address}: expected a controller's status, got {status}")
+    return body
+
+
+def _call(address: str, method: str, path: str) -> tuple[int, str, bytes]:
+    """One call to a controller: status, Location where it names one, body."""
     import http.client  # noqa: PLC0415 - the other commands need none
 
     host, _, port = address.rpartition(":")
@@ -337,16 +382,14 @@
         raise CommandError(f"{address}: expected IP:PORT")
     connection = http.client.HTTPConnection(host, int(port), timeout=ANSWER_S)
     try:
-        connection.request("GET", STATUS_PATH)
+        connection.request(method, path)
         answer = connection.getresponse()
         body = answer.read()
     except (OSError, http.client.HTTPException) as error:
         raise CommandError(f"{address}: expected a controller that answers: {error}") from None
     finally:
         connection.close()
-    if answer.status != 200:
-        raise CommandError(f"{address}: expected a controller's status, got {answer.status}")
-    return body
+    return answer.status, answer.getheader("Location", ""), body
 
 
 def _unknown(found: Mapping[str, Any], kind: type[msgspec.Struct], above: str = "") -> Iterable[str]:
--- a/cranebank/programs/controller_status.py
+++ b/cranebank/programs/controller_status.py
@@ -35,7 +35,13 @@
             for record in registry.everything()
         ],
         "proxies": [
-            {"name": peer.name, "ip": peer.ip, "revision": peer.revision, "lag": peer.number - peer.acknowledged}
+            {
+                "name": peer.name,
+                "ip": peer.ip,
+                "revision": peer.revision,
+                "lag": peer.number - peer.acknowledged,
+                "evacuation_number": peer.evacuation_number,
+            }
             for peer in delivery.peers.values()
             if peer.slot >= 0
         ],
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -160,6 +160,8 @@
             "For how long no controller in contact with a majority has confirmed the revision.",
             int(edge.links.unconfirmed_s),
         ),
+        gauge("evacuation_number", "Number of the evacuations in force; 0: none ever.", proxy.evacuation_number),
+        gauge("evacuated_zones", "Zones to whose backends nothing is sent.", len(proxy.evacuated)),
         gauge("links_up", "Links to controllers that stand.", edge.links.up),
         counter(
             "relayed", "Messages passed on between controllers that are cut off from each other.", edge.links.relayed
@@ -181,7 +183,14 @@
         gauge("is_primary", "1 while this is the primary and its lease runs.", told["is_primary"]),
         gauge("epoch", "Epoch of the newest record known.", told["epoch"]),
         gauge("configuration_revision", "Revision handed out; 0: none.", told["revision"]),
+        gauge("evacuation_number", "Number of the newest evacuations known; 0: none ever.", told["evacuation_number"]),
+        gauge("evacuated_zones", "Zones to whose backends nothing is sent.", len(told["evacuated"])),
         gauge("proxies", "Proxies linked here.", len(proxies)),
+        gauge(
+            "proxies_unevacuated",
+            "Linked proxies that have not acknowledged the newest evacuations.",
+            sum(proxy["evacuation_number"] < told["evacuation_number"] for proxy in proxies),
+        ),
         gauge(
             "proxies_behind",
             "Linked proxies that show an older revision.",
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -25,6 +25,7 @@
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.invariants import violations
 from cranebank.membership.fleet import FleetLinks
+from cranebank.programs import command
 from cranebank.transport.messages import Backend, Evacuations, EvacuationsAck, Hello, Message, Push
 
 START, FINISH = "/api/Evacuation.Start/", "/api/Evacuation.Finish/"
@@ -237,6 +238,23 @@
     play(story)
 
 
+def test_the_command_evacuates_a_zone_and_takes_it_back_and_tells_a_mistake(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def story(ports: tuple[int, int]) -> None:
+        async with controller(tmp_path, ports) as made:
+            address, odd = f"{ONE}:{ports[1]}", "z / \u00e9"
+            made.registry.merge(0.0, [Backend("i", "s", "10.0.0.9:80", odd, "", 1, "ready", 1)])
+            for zone, change, code in ((odd, "start", 0), (odd, "finish", 0), ("z", "start", 0), ("y", "start", 2)):
+                assert await asyncio.to_thread(command.main, ["evacuate", zone, change, address]) == code
+            assert made.evacuated() == ("z",)
+            assert await asyncio.to_thread(command.main, ["show", address]) == 0
+
+    play(story)
+    told = capsys.readouterr()
+    assert "unknown_zone" in told.err and "evacuated     z" in told.out
+
+
 def test_who_is_no_primary_confirms_no_evacuation(tmp_path: Path) -> None:
     async def story(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports, leader="127.0.11.77"), caller(ports) as client:
