--- a/tests/mutant.py
+++ b/tests/mutant.py
@@ -15,6 +15,7 @@
     HUNDREDS_OF_CHANGES = "hundreds-of-changes"
     RIGHT_CALLER = "right-caller"
     LIVENESS = "liveness"
+    EVACUATION = "evacuation"
     OTHER = "other"
 
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -23,6 +23,7 @@
 from mutant import Mutant, Point
 from mutants_control import CONTROL_MUTANTS
 from mutants_data_plane import DATA_PLANE_MUTANTS
+from mutants_evacuation import EVACUATION_MUTANTS
 from mutants_liveness import LIVENESS_MUTANTS
 from mutants_replication import REPLICATION_MUTANTS
 from mutants_stages import STAGE_MUTANTS
@@ -45,6 +46,7 @@
     *DATA_PLANE_MUTANTS,
     *STAGE_MUTANTS,
     *LIVENESS_MUTANTS,
+    *EVACUATION_MUTANTS,
 )
 
 
--- a/tests/test_evacuation_record.py
+++ b/tests/test_evacuation_record.py
@@ -220,3 +220,16 @@
         evacuate(group, request, "a", is_start=request % 2 == 0)
         group.run(0.02)
     assert len(group.nodes[group.primary].status(group.now).members) == 5
+
+
+def test_a_primary_whose_lease_has_run_out_does_not_confirm_what_holds_here() -> None:
+    group = started(ready())
+    primary = group.primary
+    group.cut.add(primary)
+    while group.nodes[primary].holds(group.now):
+        group.run(0.001)
+    assert group.nodes[primary].status(group.now).state == "primary", "until it looks at the time again"
+    evacuate(group, 2, "a", ip=primary)
+    assert 2 not in group.answers
+    group.run(LATER_S)
+    assert group.answers[2] == ev.NotPrimary(None)
