--- a/tests/mutant.py
+++ b/tests/mutant.py
@@ -16,6 +16,7 @@
     RIGHT_CALLER = "right-caller"
     LIVENESS = "liveness"
     TALLIES = "tallies"
+    EVACUATION = "evacuation"
     OTHER = "other"
 
 
