--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from mutant import Mutant, Point
+from mutants_cold import COLD_MUTANTS
 from mutants_control import CONTROL_MUTANTS
 from mutants_data_plane import DATA_PLANE_MUTANTS
 from mutants_liveness import LIVENESS_MUTANTS
@@ -45,6 +46,7 @@
     *DATA_PLANE_MUTANTS,
     *STAGE_MUTANTS,
     *LIVENESS_MUTANTS,
+    *COLD_MUTANTS,
 )
 
 
