--- /dev/null
+++ b/tests/test_cold_backends_wire.py
@@ -0,0 +1,88 @@
+"""A controller and proxies over loopback: what a heartbeat says of a cold backend, and the permits behind it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+import pytest
+from test_configuration import body, document, route
+from test_control_program import ONE, PROXY, REPLACE, Caller, caller, free_port, settings_of
+from test_flat_over_changes import DataPlane, lone_custody
+from test_registry import beat
+
+from cranebank.dataplane.proxy import Proxy, RetryRule
+from cranebank.membership.fleet import FleetLinks
+from cranebank.membership.warm_up import RELEASE_S
+from cranebank.programs.control import Controller
+from cranebank.storage.store import Disk, open_store
+from cranebank.transport.messages import Hello
+
+LEASE_S = 1.0
+LIMIT_S = 20.0
+SHARE = 23 // 3  # of one controller, where three count at least
+SERVICE = {"name": "s", "engine": {"capacity": 12}, "cold_s": 3.0, "warmup_per_s": 23.0}
+
+
+async def heartbeat(client: Caller, call_seq: int, cold_left_ms: int) -> None:
+    sent = beat(call_seq, cold_left_ms=cold_left_ms)
+    status, _, answer = await client.call("POST", "/api/Servers.Heartbeat/i", sent)
+    assert status == 200, answer
+
+
+async def calls_allowed(folder: Path) -> list[int]:
+    """How many calls may go to the one backend: while it is warm (many), told cold, and under permits."""
+    ports = (free_port(), free_port())
+    store, _ = open_store(folder, "custody")
+    settings = settings_of(ONE, ports)
+    controller = Controller(settings, lone_custody, Disk(store), Random(1), lambda: settings)
+    await controller.start()
+    proxy = Proxy(RetryRule(0.1, 10, 1.0, True), Random(2), controller.now())
+    links = FleetLinks(DataPlane(proxy), lambda: Hello("edge-1", "proxy", PROXY, "z", 1, 0, ()), PROXY, ports[0])
+    links.name((ONE,))
+    allowed: list[int] = []
+    try:
+        while not (controller.holds() and links.up):
+            await asyncio.sleep(0.01)
+        async with caller(ports) as client:
+            configuration = body(document(revision=1, routes=[route(target="s")], services=[SERVICE]))
+            status, _, answer = await client.call("POST", REPLACE, configuration, 0)
+            assert status == 200, answer
+            await heartbeat(client, 1, 0)
+            await asyncio.sleep(0.2)
+            allowed.append(calls(proxy))
+            await heartbeat(client, 2, 200)  # told by the controller in its quiet time: no permits
+            await asyncio.sleep(0.1)
+            allowed.append(calls(proxy))
+            await asyncio.sleep(LEASE_S + RELEASE_S + 0.5)
+            await heartbeat(client, 3, 3000)
+            await asyncio.sleep(0.2)
+            allowed.append(calls(proxy))
+    finally:
+        links.stop()
+        await controller.stop()
+    return allowed
+
+
+def calls(proxy: Proxy) -> int:
+    """Calls that may begin at this moment, a hundred at most."""
+    candidates, now = proxy.shared.candidates, asyncio.get_running_loop().time()
+    count = 0
+    while count < 100 and (listed := candidates.ready(now, "s", "decode")):
+        candidates.begin_call(now, listed[0])
+        count += 1
+    return count
+
+
+def test_a_heartbeat_under_a_known_id_makes_a_backend_cold_and_brings_permits(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With a short lease, since a controller that starts waits for one."""
+    monkeypatch.setattr("cranebank.control.warm_up.LEASE_MOST_S", LEASE_S)
+
+    async def limited() -> list[int]:
+        async with asyncio.timeout(LIMIT_S):
+            return await calls_allowed(tmp_path)
+
+    assert asyncio.run(limited()) == [100, 0, SHARE]
