--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from mutant import Mutant, Point
+from mutants_cold import COLD_MUTANTS
 from mutants_control import CONTROL_MUTANTS
 from mutants_data_plane import DATA_PLANE_MUTANTS
 from mutants_evacuation import EVACUATION_MUTANTS
@@ -49,6 +50,7 @@
     *LIVENESS_MUTANTS,
     *TALLY_MUTANTS,
     *EVACUATION_MUTANTS,
+    *COLD_MUTANTS,
 )
 
 
