A controller's zone is kept though it is told before the controller asks to be admitted

What callers saw: where a whole zone may be lost, members and copies were not spread over zones. In the simulation of five controllers in three zones the primary knew the zones of the three seeds only, for as long as it ran.

Cause: a controller tells its zone when it connects, and asks to be admitted later. Custody._locate dropped the zone of everybody who was not known yet whenever one more zone was told; nobody tells it again on a connection that stands. An unknown zone counts as a zone of its own, so a group of which one zone holds most was taken for a spread one.

Change: the zones of the 64 newest strangers are kept. The test failed before: three members of five in one zone.

--- a/cranebank/control/custody.py
+++ b/cranebank/control/custody.py
@@ -36,6 +36,7 @@
 WRITE_S = 3.5  # in which a write is answered
 QUEUE = 64  # writes that wait
 REMEMBERED_S = 60.0  # addresses of replicas that were heard but aren't members
+MOST_STRANGERS = 64  # controllers that haven't asked to be admitted whose zones are kept, the newest
 
 
 class Custody(Primary):
@@ -200,9 +201,13 @@
                 self._propose(changed)
 
     def _locate(self, event: ev.Located) -> None:
-        known = self.known_ips() | {event.ip, self._settings.ip}
-        self._zones = {ip: zone for ip, zone in self._zones.items() if ip in known}
+        """Note a controller's zone. It tells that when it connects, before it can have asked to be admitted."""
+        self._zones.pop(event.ip, None)
         self._zones[event.ip] = event.zone
+        known = self.known_ips() | {self._settings.ip}
+        strangers = [ip for ip in self._zones if ip not in known]
+        for ip in strangers[:-MOST_STRANGERS]:
+            del self._zones[ip]
 
     # Writes.
 
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -297,6 +297,23 @@
     assert choose_by_zone(["10.0.0.4", "10.0.0.5", "10.0.0.7"], ["10.0.0.1"], zones)[0] == "10.0.0.5"
 
 
+def test_zones_told_before_their_controllers_ask_to_be_admitted_are_kept() -> None:
+    group = ready()
+    newcomers = ("10.0.0.4", "10.0.0.5")
+    zones = dict(zip((*SEEDS, *newcomers), "abcaa", strict=True))
+    primary = group.nodes[group.primary]
+    primary._group_size = group_size(99, is_counted_in_machines=False)
+    for ip, zone in zones.items():
+        group.tell(group.primary, ev.Located(ip, zone))
+    for ip in newcomers:
+        group.start(ip)
+    group.run(1.0)
+    assert members(group) == SEEDS, "three of five would be in one zone"
+    for number in range(1000):
+        group.tell(group.primary, ev.Located(f"10.9.{number}.1", "d"))
+    assert zones.items() <= primary._zones.items() and len(primary._zones) < 100
+
+
 def ip_of_primary(group: Group) -> str:
     return group.nodes[group.primary].id
 
