A zone that the primary does not hear is not taken out of the group where another zone would hold half of the rest

Cause: members that were silent for 8 s were taken out two at a time without a look at zones.

Change: what is left is spread as a group is that has grown.

--- a/cranebank/control/membership.py
+++ b/cranebank/control/membership.py
@@ -96,11 +96,16 @@
     wanted = min(size.largest, len(members) + len(newcomers))
     for count in range(wanted - (wanted % 2 == 0), len(members), -2):
         grown = members | set(newcomers[: count - len(members)])
-        if size.smallest == size.largest or _is_spread(grown, view.zones):
+        if _may_be(grown, view.zones, size):
             return grown
     return None
 
 
+def _may_be(members: set[str], zones: Mapping[str, str], size: GroupSize) -> bool:
+    """Tell whether this group bears the loss of any one zone, where whole zones may be lost."""
+    return size.smallest == size.largest or _is_spread(members, zones)
+
+
 def _is_spread(members: set[str], zones: Mapping[str, str]) -> bool:
     """Tell whether the members outside of any one zone are a majority; an unknown zone counts as one of its own."""
     counts = Counter(zones.get(ip_of(member), member) for member in members)
@@ -108,7 +113,13 @@
 
 
 def _shrunk(view: View, members: set[str], removable: list[str], size: GroupSize) -> set[str] | None:
+    """Return the group without the two that are away the longest, None where it stays as it is.
+
+    Where whole zones may be lost, what is left is spread like any other group. Two that one side of a cut does not hear
+    may be well: without them the loss of a zone on that side would leave no majority, with them it does.
+    """
     gone = [member for member in removable if member in view.leaving or view.silence[member] > UNREPLACED_S]
     if len(members) - 2 < size.smallest or len(gone) < 2:
         return None
-    return members - set(gone[:2])
+    shrunk = members - set(gone[:2])
+    return shrunk if _may_be(shrunk, view.zones, size) else None
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -314,6 +314,21 @@
     assert zones.items() <= primary._zones.items() and len(primary._zones) < 100
 
 
+def test_a_group_without_a_silent_zone_is_not_left_with_half_of_it_in_one_zone() -> None:
+    zones = {f"10.0.0.{number}": "cababd"[number] for number in range(1, 6)}  # a, b, a, b, d
+    size = group_size(99, is_counted_in_machines=False)
+    members = tuple(zones)
+
+    def shrunk(silent: set[str], placed: dict[str, str]) -> set[str] | None:
+        silence = {member: 60.0 * (member in silent) for member in members}
+        copies = [member for member in members if member not in silent]
+        return next_members(View(members, copies, silence, (), (), placed), size)
+
+    other_zone = {member for member in members if zones[member] == "b"}
+    assert shrunk(other_zone, zones) is None, "a and d would be left, a with two of three"
+    assert shrunk({"10.0.0.1", "10.0.0.2"}, zones) == set(members) - {"10.0.0.1", "10.0.0.2"}
+
+
 def ip_of_primary(group: Group) -> str:
     return group.nodes[group.primary].id
 
