A backend that a proxy was told to be lost is told anew once anybody hears it

Cause: a controller that hears all others tells a proxy that has just come that a backend unknown to it is lost, with the count of calls that the proxy knows, to that proxy alone. Another controller learned the same record from a proxy and spread it as ready. The controller then had the record as ready, at that count: the loss outranks it. Later counts came as "heard" or as a record that differs in nothing else, and neither is news: nothing more went to the proxy.

Change: the controller remembers whom it called lost (4,096 at most). The first sign of a later count is news.

--- a/cranebank/control/registry.py
+++ b/cranebank/control/registry.py
@@ -18,6 +18,7 @@
 LIVING = frozenset({"ready", "draining"})  # phases of backends that beat
 TOMBSTONE_S = 60.0  # how long ends and losses are remembered
 TOMBSTONES_MOST = 20_000
+STRAYS_MOST = 4096  # backends that proxies were told to be lost while they were unknown here, the newest
 LARGEST_COUNT = 2**63 - 1  # of a heartbeat's whole numbers: all of them go out in messages, which hold no larger ones
 LARGEST_FIGURE = 2.0**40
 LARGEST_PORT = 65_535
@@ -97,6 +98,7 @@
         self._ended: dict[str, float] = {}  # when gone or lost, in order
         self._at: dict[str, str] = {}  # address: id of who was last said to have it
         self._news: dict[str, Backend] = {}
+        self._strays: dict[str, int] = {}  # call_seq of those that a proxy was told to be lost though unknown here
         self.wrong_losses = 0  # reports of heartbeats from before their backend was held for lost here
 
     def heartbeat(self, now: float, backend_id: str, body: bytes) -> Backend:
@@ -109,6 +111,7 @@
         if old is None and before is not None and before != backend_id:
             self._lose(now, before)  # the address has passed to a new incarnation: the old one can't be there
         self._apply(now, record)
+        self._correct_stray(backend_id)
         return self.records[backend_id]
 
     def leave(self, now: float, backend_id: str) -> Backend:
@@ -127,6 +130,7 @@
             old = self.records.get(record.id)
             if not self._apply(now, record) and old is not None and old.phase != record.phase:
                 self._news[old.id] = self._as_heard(old)
+            self._correct_stray(record.id)
 
     def restore(self, now: float, records: Iterable[Backend]) -> None:
         """What this controller knew in its life before, from its disk. Whoever was heard since knows better; who does
@@ -145,10 +149,30 @@
                 continue
             if record.id in self.records or record.phase == "gone" or not knows_all:
                 self._apply(now, record)
+                self._correct_stray(record.id)
             else:
                 stray.append(msgspec.structs.replace(record, phase="gone" if record.phase == "draining" else "lost"))
+                self._note_stray(record)
         return stray
 
+    def _note_stray(self, record: Backend) -> None:
+        told = max(record.call_seq, self._strays.pop(record.id, 0))
+        self._strays[record.id] = told
+        while len(self._strays) > STRAYS_MOST:
+            del self._strays[next(iter(self._strays))]
+
+    def _correct_stray(self, backend_id: str) -> None:
+        """One that a proxy was told to be lost beats: that is news, though for all others nothing may have changed."""
+        record = self.records.get(backend_id)
+        if backend_id not in self._strays or record is None:
+            return
+        newest = self._as_heard(record)
+        if record.phase not in LIVING:
+            del self._strays[backend_id]
+        elif newest.call_seq > self._strays[backend_id]:
+            del self._strays[backend_id]
+            self._news[backend_id] = newest
+
     def heard(self, now: float, heard: Iterable[tuple[str, int, int]]) -> tuple[str, ...]:
         """Another controller heard these: id, call_seq, age in ms. Returns the ids whose records it should send: this
         one has none, or holds them for lost though they beat."""
@@ -163,6 +187,7 @@
             elif old.phase in LIVING and call_seq >= self._as_heard(old).call_seq:
                 self._heard[backend_id] = max(self._heard.get(backend_id, 0.0), at)
                 self._heard_seq[backend_id] = call_seq
+                self._correct_stray(backend_id)
         return tuple(asks)
 
     def records_of(self, ids: Iterable[str]) -> tuple[Backend, ...]:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -265,6 +265,34 @@
     assert [record.id for record in registry.expire(now + LOST_S + 0.1)] == ["a"]
 
 
+def test_a_backend_that_a_proxy_was_told_to_be_lost_is_news_once_it_is_heard_anywhere() -> None:
+    ready = PROXY_RECORDS[0]
+
+    def told() -> Registry:
+        registry = Registry(0, BEAT_S)
+        assert [record.phase for record in registry.greet(QUIET_S + 1, [ready], hears_all=True)] == ["lost"]
+        registry.merge(QUIET_S + 2, [ready])  # of another controller that has learnt it from a proxy
+        registry.changes()
+        return registry
+
+    by_news, by_heartbeat, by_record = told(), told(), told()
+    by_news.heard(QUIET_S + 3, [(ready.id, 9, 0)])
+    by_heartbeat.heartbeat(QUIET_S + 3, ready.id, beat(9, address=ready.address))
+    by_record.merge(QUIET_S + 3, [msgspec.structs.replace(ready, call_seq=9)])
+    for registry in (by_news, by_heartbeat, by_record):
+        assert [(record.id, record.phase, record.call_seq) for record in registry.changes()] == [(ready.id, "ready", 9)]
+        registry.heard(QUIET_S + 4, [(ready.id, 10, 0)])
+        assert registry.changes() == ()
+
+
+def test_backends_that_proxies_were_told_to_be_lost_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(registry_module, "STRAYS_MOST", 3)
+    registry = Registry(0, BEAT_S)
+    strays = [msgspec.structs.replace(PROXY_RECORDS[0], id=f"a{number}") for number in range(10)]
+    registry.greet(QUIET_S + 1, strays, hears_all=True)
+    assert list(registry._strays) == ["a7", "a8", "a9"]
+
+
 def test_that_a_proxy_holds_a_backend_for_lost_changes_nothing() -> None:
     """It is hearsay: a controller goes by the heartbeats that it hears."""
     registry = Registry(0, BEAT_S)
