--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -7,6 +7,7 @@
 from cranebank.dataplane.cold_backends import ColdBackends
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.suspects import Place, Suspects, is_last_resort
+from cranebank.dataplane.zone_silence import ZoneSilence
 from cranebank.invariants import broken, note
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend
@@ -35,6 +36,7 @@
         self._check_again_at = float("-inf")
         self.cold = ColdBackends()
         self._away: set[str] = set()  # those that failed lately or are held off
+        self._silent_zones = ZoneSilence()
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
@@ -266,10 +268,39 @@
         if may_be_down:
             self.cold.doubt(seen.backend, seen.away_until + DOUBT_S)
 
+    def unreached(self, now: float, backend: str) -> None:
+        """No connection to it came up. Where its whole zone seems to be out of reach, all others there stand back."""
+        self.failed(now, backend, may_be_down=True)
+        failed = self.seen.get(backend)
+        if failed is None:
+            return
+        zone = failed.backend.zone
+        seconds = self._silent_zones.unreached(now, zone, backend)
+        if seconds:
+            there = [seen for seen in self.seen.values() if seen.backend.zone == zone]
+            first = there.index(failed) + 1
+            for turn, seen in enumerate(there[first:] + there[:first]):
+                back_at = now + min(seconds * (1 + turn), AWAY_S[1])
+                seen.away_until = max(seen.away_until, back_at)
+                self._away.add(seen.backend.id)
+                self.cold.doubt(seen.backend, seen.away_until + DOUBT_S)
+
+    def _zone_answered(self, now: float, zone: str) -> None:
+        """Take back all that stood back for their zone."""
+        ended = self._silent_zones.answered(zone)
+        if not ended:
+            return
+        for seen in self.seen.values():
+            silence = ended.get(seen.backend.zone)
+            if silence is not None and (not seen.has_failed or seen.backend.id in silence.unreached):
+                seen.away_until = seen.away_for = 0.0
+                self.cold.shorten_doubt(seen.backend, now + DOUBT_S)
+
     def answered(self, now: float, backend: str) -> None:
         """An answer came."""
         seen = self.seen.get(backend)
         if seen is not None:
+            self._zone_answered(now, seen.backend.zone)
             seen.answered_at = now
             seen.away_until = seen.away_for = 0.0
             if seen.held_until <= now:
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -297,6 +297,38 @@
     assert choose_by_zone(["10.0.0.4", "10.0.0.5", "10.0.0.7"], ["10.0.0.1"], zones)[0] == "10.0.0.5"
 
 
+def test_zones_told_before_their_controllers_ask_to_be_admitted_are_kept() -> None:
+    group = ready()
+    newcomers = ("10.0.0.4", "10.0.0.5")
+    zones = dict(zip((*SEEDS, *newcomers), "abcaa", strict=True))
+    primary = group.nodes[group.primary]
+    primary._group_size = group_size(99, is_counted_in_machines=False)
+    for ip, zone in zones.items():
+        group.tell(group.primary, ev.Located(ip, zone))
+    for ip in newcomers:
+        group.start(ip)
+    group.run(1.0)
+    assert members(group) == SEEDS, "three of five would be in one zone"
+    for number in range(1000):
+        group.tell(group.primary, ev.Located(f"10.9.{number}.1", "d"))
+    assert zones.items() <= primary._zones.items() and len(primary._zones) < 100
+
+
+def test_a_group_without_a_silent_zone_is_not_left_with_half_of_it_in_one_zone() -> None:
+    zones = {f"10.0.0.{number}": "cababd"[number] for number in range(1, 6)}  # a, b, a, b, d
+    size = group_size(99, is_counted_in_machines=False)
+    members = tuple(zones)
+
+    def shrunk(silent: set[str], placed: dict[str, str]) -> set[str] | None:
+        silence = {member: 60.0 * (member in silent) for member in members}
+        copies = [member for member in members if member not in silent]
+        return next_members(View(members, copies, silence, (), (), placed), size)
+
+    other_zone = {member for member in members if zones[member] == "b"}
+    assert shrunk(other_zone, zones) is None, "a and d would be left, a with two of three"
+    assert shrunk({"10.0.0.1", "10.0.0.2"}, zones) == set(members) - {"10.0.0.1", "10.0.0.2"}
+
+
 def ip_of_primary(group: Group) -> str:
     return group.nodes[group.primary].id
 
