Tallies: replicas that meet send up to 2,000 adds ahead of their confirmation

One message of 500 waited for the write of the one before: sides that had taken 126,000 adds each would have needed 252 writes in a row to meet, at 5 ms and more a write beyond the 3 s that merging may take. Four messages are under way now, and a peer that confirms nothing is sent no more than these, again each 0.5 s.

--- a/cranebank/control/tallies/peers.py
+++ b/cranebank/control/tallies/peers.py
@@ -110,6 +110,11 @@
                 found[origin] = max(found.get(origin, 0), sent.number)
         return found
 
+    def in_flight(self, now: float) -> int:
+        """How many adds were sent lately that it hasn't told to hold."""
+        held = self.applied.get
+        return sum(sent.number - held(o, 0) for o, sent in self._sent.items() if now - sent.since < RESEND_S)
+
     def sending(self, now: float, origin: str, number: int) -> None:
         """Adds up to this number are sent."""
         sent = self._sent.get(origin)
--- a/cranebank/control/tallies/replica.py
+++ b/cranebank/control/tallies/replica.py
@@ -21,6 +21,9 @@
 CHUNK = 500
 """Adds in a message, at most."""
 
+WINDOW = 4 * CHUNK
+"""Adds that are sent ahead of their confirmation, at most."""
+
 VECTOR_S = 0.5
 """Between two vectors to each linked replica, while anything changes."""
 
@@ -293,11 +296,11 @@
                 totals = {tally: str(total) for tally, total in state.folded_totals.items()}
                 self._send(peer.ip, TallyBase(self._settings.replica, state.folded, totals))
             return
-        adds = state.lacking(expected, CHUNK)
+        adds = state.lacking(expected, max(0, WINDOW - peer.in_flight(now)))
         for add in adds:
             peer.sending(now, add.origin, add.number)
-        if adds:
-            self._send(peer.ip, TallyAdds(self._settings.replica, tuple(adds)))
+        for begin in range(0, len(adds), CHUNK):
+            self._send(peer.ip, TallyAdds(self._settings.replica, tuple(adds[begin : begin + CHUNK])))
 
     def _send(self, ip: str, message: Message) -> None:
         if self._peers.at(ip).is_linked:
--- a/cranebank/control/tallies/state.py
+++ b/cranebank/control/tallies/state.py
@@ -136,10 +136,10 @@
         """Held adds that a vector lacks, in order within each origin, so many at most."""
         found: list[TallyAdd] = []
         for origin, log in self._logs.items():
-            begin = log.held_upto(vector.get(origin, 0))
-            found += log.adds[begin : begin + most - len(found)]
             if len(found) >= most:
                 break
+            begin = log.held_upto(vector.get(origin, 0))
+            found += log.adds[begin : begin + most - len(found)]
         return found
 
     def lacks_folded(self, vector: Mapping[str, int]) -> bool:
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -12,11 +12,13 @@
 from tally_world import TALLY, World
 
 from cranebank.control.tallies import replica as replica_module
-from cranebank.control.tallies.peers import Copy, confirmed_upto
+from cranebank.control.tallies.peers import RESEND_S, Copy, confirmed_upto
 from cranebank.control.tallies.replica import (
+    CHUNK,
     FOLD_S,
     JOIN_S,
     RETAIN_S,
+    WINDOW,
     Placed,
     Refused,
     ReplicaSettings,
@@ -291,3 +293,22 @@
     assert made.acknowledged_upto(JOIN_S, "me") == 0
     made.receive(JOIN_S, "p", TallyVector("p1", "y", {"me": 1}, {"me": 1}, {}, is_partial=True))
     assert made.acknowledged_upto(JOIN_S, "me") == 1
+
+
+def test_a_peer_that_confirms_nothing_is_sent_a_window_of_adds_and_the_same_again_later() -> None:
+    made = _calm()
+    for number in range(2 * WINDOW):
+        made.add(0.0, TALLY, str(number), 1)
+    made.linked(0.0, "p")
+    made.pop_messages()
+
+    def sent(now: float) -> list[int]:
+        made.tick(now, {"p": now})
+        return [len(message.adds) for _, message in made.pop_messages() if isinstance(message, TallyAdds)]
+
+    made.receive(0.0, "p", TallyVector("p1", "y", {}, {}, {}))
+    made.add(0.0, TALLY, "last", 1)
+    assert sent(RESEND_S / 2) == [CHUNK] * (WINDOW // CHUNK)
+    assert sent(RESEND_S) == [CHUNK] * (WINDOW // CHUNK)
+    made.receive(RESEND_S, "p", TallyVector("p1", "y", {"me": CHUNK}, {}, {}, is_partial=True))
+    assert sent(RESEND_S) == [CHUNK]
