A call to a cold backend is written by the clock itself

The event loop's clock is read once a turn: a process that stood still within a turn wrote a call whose permit was over, right before the permit's next one. Both ways of writing, over an idle connection and over a new one, now look at the steady clock right before. Seen by reasoning, not in a run; the test failed with the loop's clock (a planted fault keeps that), and passes.

--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterable
 from random import Random
+from time import monotonic
 
 import msgspec
 from loguru import logger
@@ -156,8 +157,12 @@
 
     def _call(self, call: Call) -> None:
         connection = self.proxy.pool.take(call.backend)
-        if connection is not None:
+        if connection is not None and self._may_write(call):
             self._send(call, connection)
+        elif connection is not None:
+            self.proxy.pool.give_back(connection)
+            withdrawn = LegFailed(call.leg, SendEvidence.BACKEND_WITHDRAWN)
+            asyncio.get_running_loop().call_soon(self.do, withdrawn)
         else:
             self.dialling[call.leg] = background.start(self._dial(call))
 
@@ -175,15 +180,17 @@
         if connection.transport is None or connection.transport.is_closing():
             self.do(LegFailed(call.leg, SendEvidence.CLOSED_BEFORE_SEND))
             return
-        now = asyncio.get_running_loop().time()
-        may_write = self.proxy.shared.candidates.may_write(now, call.backend, call.permitted_until)
-        if self.exchange.over or not may_write:
+        if self.exchange.over or not self._may_write(call):
             self.proxy.pool.give_back(connection)
             if not self.exchange.over:
                 self.do(LegFailed(call.leg, SendEvidence.BACKEND_WITHDRAWN))
             return
         self._send(call, connection)
 
+    def _may_write(self, call: Call) -> bool:
+        """By the clock itself: the loop's stands still during a turn, in which the process may have stood still."""
+        return self.proxy.shared.candidates.may_write(monotonic(), call.backend, call.permitted_until)
+
     def _send(self, call: Call, connection: Connection) -> None:
         now = asyncio.get_running_loop().time()
         left = max(1, int((self.until - now) * 1e3))
--- a/tests/mutants_cold.py
+++ b/tests/mutants_cold.py
@@ -85,4 +85,12 @@
         "record",
         "test_registry.py",
     ),
+    Mutant(
+        Point.OTHER,
+        "a call is written by a clock that stands still while the process does",
+        "dataplane/proxy.py",
+        "may_write(monotonic(),",
+        "may_write(asyncio.get_running_loop().time(),",
+        "test_cold_backends.py",
+    ),
 )
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable, Coroutine
 from functools import wraps
 from random import Random
 
+import pytest
 from msgspec import structs
+from test_proxy import DOCUMENT as WIRE_DOCUMENT
+from test_proxy import REQUEST, play
 
 from cranebank.dataplane import prompt as prompts
+from cranebank.dataplane import proxy as plane
 from cranebank.dataplane.candidates import AWAY_S, DOUBT_S
 from cranebank.dataplane.cold_backends import COLD_MARGIN_S
 from cranebank.dataplane.exchange import Exchange
@@ -23,6 +28,7 @@
 WARMUP_PER_S, COLD_OVER, COLD_SLACK = 23.0, 1.5, 5.0
 BOUND = WARMUP_PER_S * COLD_OVER + COLD_SLACK
 PROXIES = 73
+LIMITED = (b'"name":"svc",', b'"name":"svc","cold_s":3.0,"warmup_per_s":23.0,')
 REQUESTS_PER_PROXY = 15
 SHORT = prompts.read({"x-token-counts": "383,6", "x-prompt-prefix": "a:55,b:37,c:291"})
 DOCUMENT = json.dumps(
@@ -192,3 +198,36 @@
     proxy.learn([backend("0", 3000, 2)])
     proxy.shared.candidates.failed(0.0, "1", may_be_down=True)
     assert sorted(ids(proxy, 1.0)) == ["0", "1"] and proxy.clock_ms() == 0 and not proxy.shared.candidates.cold
+
+
+async def status(address: tuple[str, int]) -> bytes:
+    """Of the answer to a request; a moment later its connection to the backend is idle."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(REQUEST)
+    line = await reader.readline()
+    await asyncio.sleep(0.05)
+    writer.close()
+    return line.split()[1]
+
+
+@pytest.mark.parametrize("is_connected", [False, True])
+def test_a_process_that_stood_still_in_the_middle_of_a_turn_withdraws_its_call(
+    monkeypatch: pytest.MonkeyPatch, is_connected: bool
+) -> None:
+    """The loop's clock stands during a turn. Over a new connection, and over one that is up."""
+
+    async def story(made: Proxy, address: tuple[str, int]) -> None:
+        if is_connected:
+            assert await status(address) == b"200"
+        assert made.configure(WIRE_DOCUMENT.replace(b'"revision":3', b'"revision":4').replace(*LIMITED))
+        (record,) = made.shared.candidates.known()
+        made.learn([structs.replace(record, cold_left_ms=3000, call_seq=2)])
+        permit(made, "d0", 1)
+        monkeypatch.setattr(plane, "monotonic", lambda: time.monotonic() + SEND_WITHIN_S)
+        assert await status(address) == b"503"
+        assert made.counters["legs_unsent"] == 1
+        monkeypatch.setattr(plane, "monotonic", time.monotonic)
+        permit(made, "d0", 1)
+        assert await status(address) == b"200"
+
+    play(story)
