--- a/tests/controlsim/apart.py
+++ b/tests/controlsim/apart.py
@@ -87,6 +87,8 @@
     far = {world.random.choice(others)} if kind == "bridge" else set(others)
     split = Split(kind, frozenset({near}), frozenset(far), world.scheduler.now, seconds, world.takeovers, 0)
     split.acknowledged = world.judge.counts["changes acknowledged"]
+    if kind == "bridge" and primary is not None and primary.zone in {near, *far}:
+        world.judge.counts["bridges with the primary at an end"] += 1
     if kind == "zone without power":
         _switch_off(world, split)
     else:
@@ -210,6 +212,7 @@
     if split.kind != "bridge" or split.is_struck:
         return
     world.judge.counts["bridges without a strike"] += 1
+    world.judge.counts["takeovers in bridges without a strike"] += takeovers
     if split.seconds >= 60.0:
         world.judge.counts["bridges of 60 s without a strike"] += 1
     if takeovers > MOST_TAKEOVERS:
@@ -220,5 +223,6 @@
     *(f"{layout}, {kind}" for layout in LAYOUTS for kind in KINDS),
     "changes sent to a steady majority",
     "bridges without a strike",
+    "bridges with the primary at an end",
     "answers 503 of a controller without a majority",
 )
