--- a/cranebank/cli/system.py
+++ b/cranebank/cli/system.py
@@ -9,6 +9,8 @@
 
 from cranebank.cli.lab import EXIT_FOUND, FOLDER, needs_lab, show_table, stamp
 
+DAY_NAMES = ("demo", "tallies", "cold", "evacuation")
+
 
 @click.group()
 def system() -> None:
@@ -49,10 +51,13 @@
 
 @system.command("demo")
 @click.option("--small", is_flag=True, help="7 seconds and fewer troubles.")
+@click.option(
+    "--day", "day_name", type=click.Choice(DAY_NAMES), default=DAY_NAMES[0], show_default=True, help="Which day."
+)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), help=f"Folder of the results; else one in {FOLDER}/.")
 @needs_lab
-def demo(small: bool, seed: int, out: Path | None) -> int:
+def demo(small: bool, day_name: str, seed: int, out: Path | None) -> int:
     """Play a day on loopback in 40 s: a primary killed, a proxy stopped, backends that drain, crash and fall silent,
     configurations changed. Exit code 1 if a rule broke.
 
@@ -62,7 +67,7 @@
 
     from cranebank.fleetlab import day, judge, report  # noqa: PLC0415
 
-    plan = msgspec.structs.replace(day.SHORT if small else day.DEMO, seed=seed)
+    plan = msgspec.structs.replace(day.SHORT if small else day.DAYS[day_name], seed=seed)
     folder = out or Path(FOLDER) / f"system-{stamp()}"
     played = folder / "processes"  # a day begins with empty disks
     shutil.rmtree(played, ignore_errors=True)
--- a/cranebank/fleetlab/day.py
+++ b/cranebank/fleetlab/day.py
@@ -16,7 +16,7 @@
 from cranebank.fleetlab.records import DayRecord, Trouble
 from cranebank.fleetlab.run_options import RunOptions, TallyLoad, WarmUp
 
-__all__ = ["COLD", "DEMO", "EVACUATION", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
+__all__ = ["COLD", "DAYS", "DEMO", "EVACUATION", "SHORT", "TALLIES", "DayPlan", "StartError", "Step", "play"]
 
 RESTART_S = 0.4
 
@@ -114,6 +114,9 @@
 )
 """A zone that is emptied and taken back, its backends cold; the primary is killed in between."""
 
+DAYS = {"demo": DEMO, "tallies": TALLIES, "cold": COLD, "evacuation": EVACUATION}
+"""By the names of the command line."""
+
 
 class Day(LabRun):
     """Plays one day and writes down what clients, backends and the operator see."""
--- a/tests/test_system_day.py
+++ b/tests/test_system_day.py
@@ -7,8 +7,9 @@
 from click.testing import CliRunner
 
 from cranebank.cli.main import cli
+from cranebank.cli.system import DAY_NAMES
 from cranebank.fleetlab import report
-from cranebank.fleetlab.day import SHORT, play
+from cranebank.fleetlab.day import DAYS, SHORT, play
 from cranebank.fleetlab.judge import judge, served, share
 from cranebank.fleetlab.records import DayRecord
 
@@ -51,3 +52,4 @@
 def test_the_command_line_knows_the_demo() -> None:
     told = CliRunner().invoke(cli, ["system", "demo", "--help"]).output
     assert "--small" in told
+    assert set(DAY_NAMES) == set(DAYS)
