--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,10 +13,12 @@
 from cranebank.fleetlab import campaign
 from cranebank.fleetlab.records import DayRecord
 from cranebank.fleetlab.soak import play
-from cranebank.fleetlab.soak_plan import SHORT, FaultKind, SoakPlan, draw
+from cranebank.fleetlab.soak_plan import SHORT, SHORT_APART, FaultKind, SoakPlan, draw
 from cranebank.fleetlab.soak_verdict import SoakVerdict
+from cranebank.fleetlab.tally_judge import acknowledged_share
 
 CI_SEED = 3  # a controller cut off from the others, resets, a proxy killed: three at once
+APART_SEED = 7  # a zone loses its power, another is emptied, and those two lose each other
 
 
 def test_a_short_run_keeps_the_rules_and_serves(tmp_path: Path) -> None:
@@ -32,6 +34,17 @@
     assert msgspec.json.decode((tmp_path / "plan.json").read_bytes(), type=SoakPlan) == plan
 
 
+def test_zones_apart_lose_no_tally_flood_no_cold_backend_and_keep_to_evacuations(tmp_path: Path) -> None:
+    plan = draw(APART_SEED, SHORT_APART)
+    verdict = play(plan, tmp_path)
+    assert not verdict.failures
+    assert sum(verdict.faults.values()) == len(plan.episodes[0])
+    kept = msgspec.json.decode((tmp_path / "record.json").read_bytes(), type=DayRecord)
+    assert acknowledged_share(kept) >= 0.9
+    assert [order.acked is not None for order in kept.evacuations] == [True, True]
+    assert kept.cold_times
+
+
 def verdict(seed: int, failures: tuple[str, ...] = (), **faults: int) -> SoakVerdict:
     return SoakVerdict(seed, list(failures), faults, {"a + b": 2, "three at once": 1}, {}, 100, 1.0, 9, 0.1, 5)
 
