--- a/cranebank/control/tallies/replica.py
+++ b/cranebank/control/tallies/replica.py
@@ -133,6 +133,10 @@
         """The total; None shortly after a start, when it may lack what this replica has acknowledged before."""
         return self._state.total(tally) if self._is_ready(now) else None
 
+    def holds(self, placed: Placed) -> bool:
+        """Whether an add is part of what this replica tells."""
+        return self._state.applied_of(placed.origin) >= placed.number
+
     def acknowledged_upto(self, now: float, origin: str) -> int:
         """Up to which number the adds of an origin are durable on enough replicas."""
         settings = self._settings
--- a/cranebank/programs/tally_service.py
+++ b/cranebank/programs/tally_service.py
@@ -19,6 +19,7 @@
 
 from cranebank.background import BackgroundTasks
 from cranebank.control.tallies.replica import Figures, Message, Refused, ReplicaSettings, TallyReplica
+from cranebank.invariants import broken
 from cranebank.programs.controller_links import ControllerLinks
 from cranebank.programs.local_state import LAST_S, Storage
 from cranebank.programs.settings import NodeSettings
@@ -79,6 +80,8 @@
             return placed
         self._proceed()
         is_durable = await self._wait(placed.origin, placed.number)
+        if is_durable and not self._replica.holds(placed):
+            raise broken("an acknowledged add is held", f"{placed}")
         self.counts.acknowledged += is_durable
         self.counts.unclear += not is_durable
         return is_durable
