What falls due on a controller's tick goes out with it again

Cause: with the merge of evacuations the tick sent only where these were news; due pushes and Welcomes waited up to 0.5 s for the registry's tick. The test failed before.

--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -327,6 +327,7 @@
         self.publish_registry()
         self._delivery.tick(self.now())
         self._tell_evacuations()
+        send_deliveries(self._delivery)
         self.tallies.tick()
 
     def _registry_tick(self) -> None:
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -39,7 +39,7 @@
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.storage.store import Disk, open_store
 from cranebank.transport.frames import Decoder, encode, encode_items
-from cranebank.transport.links import PULSE_S
+from cranebank.transport.links import PULSE_S, Link
 from cranebank.transport.messages import (
     Backend,
     ConfigAck,
@@ -873,3 +873,18 @@
             assert made.registry.records["i-1"].phase == "ready"
 
     play(story)
+
+
+def test_what_falls_due_on_a_tick_goes_out_with_it(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        store, _ = open_store(tmp_path, "custody")
+        settings = settings_of(ONE, (free_port(), free_port()))
+        consensus = LoneConsensus(ONE, store.values)
+        controller = Controller(settings, lambda now, random: consensus, Disk(store), Random(1), lambda: settings)
+        link = Link(controller._protocol, dialled=False)
+        controller._delivery.join(controller.now(), link, "p", PROXY, True, 0, ())
+        controller._tick()
+        controller._timers[0].cancel()
+        assert controller._delivery.pop_messages() == []
+
+    asyncio.run(scenario())
