A call that was withdrawn counts as no failure of its backend

Cause: a backend that turned cold, or whose zone was evacuated, while a connection came up was backed off as if it had failed. Found in review. The test failed before.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -284,7 +284,7 @@
         backend = leg.seen.backend.id
         if evidence is SendEvidence.NEVER_CONNECTED:
             self._shared.candidates.unreached(now, backend)
-        else:
+        elif evidence is not SendEvidence.BACKEND_WITHDRAWN:
             self._shared.candidates.failed(now, backend)
         self._dispatch.without.add(backend)
         self._shared.count("legs_broken" if evidence.may_have_run else "legs_unsent")
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -657,3 +657,10 @@
     story.do(LegFailed(read.leg, SendEvidence.NEVER_CONNECTED))  # and another is asked
     (told,) = story.shared.load.tell(story.now, [])
     assert told.prefill == pytest.approx(once.prefill)
+
+
+def test_a_call_that_was_withdrawn_is_no_failure_of_its_backend() -> None:
+    story = Story()
+    (call,) = calls(story.begin())
+    story.do(LegFailed(call.leg, SendEvidence.BACKEND_WITHDRAWN))
+    assert not story.shared.candidates.seen[call.backend.id].has_failed
