Tallies: a process that stood still waits for controllers that only seem silent

Change: for a second after a start, and after more than 0.3 s between two ticks, all known controllers count as reached. The bounds on held adds are 150,000 and 10 MiB: an add that came over the wire takes about 400 bytes. A write that fails in an unexpected way is tried again.

--- a/cranebank/control/tallies/replica.py
+++ b/cranebank/control/tallies/replica.py
@@ -30,8 +30,8 @@
 IDLE_VECTOR_S = 2.0
 """The same, while nothing changes."""
 
-MOST_ADDS = 400_000
-MOST_BYTES = 20 << 20
+MOST_ADDS = 150_000
+MOST_BYTES = 10 << 20
 """Of held adds, as `state.ADD_OVERHEAD_BYTES` counts them: the file is at most five times as large."""
 
 MOST_TALLIES = 10_000
@@ -41,8 +41,11 @@
 EMPTY_START_WAIT_S = 5.0
 """The same, where the disk was lost."""
 
-JOIN_S = 0.5
-"""After a start, how long the known replicas count as reached."""
+JOIN_S = 1.0
+"""After a start, or after this process stood still, how long the known replicas count as reached."""
+
+STOOD_STILL_S = 0.3
+"""From one tick to the next: after more, others only seem silent."""
 
 RETAIN_S = 600.0
 """How long an id is held at least after it has come: the same call counts again only later than this."""
@@ -102,7 +105,8 @@
         self._ack_owed: set[str] = set()
         self._looked_at = self._vectors_at = now
         self._vector_told: tuple[dict[str, int], dict[str, int]] | None = None
-        self._started_at = now
+        self._started_at = self._ticked_at = now
+        self._joining_until = now + JOIN_S
         self._wait_s = 0.0
         if not settings.is_first_start:
             self._wait_s = EMPTY_START_WAIT_S if self._state.is_empty else START_WAIT_S
@@ -144,7 +148,7 @@
         held = [Copy(peer.durable.get(origin, 0), peer.domain) for peer in reached]
         held.append(Copy(self._durable.get(origin, 0), settings.domain))
         count = len(held)
-        if now - self._started_at < JOIN_S:
+        if now < self._joining_until or now - self._ticked_at > STOOD_STILL_S:
             count = max(count, len(self._known or ()) + 1)
         domains = len({copy.domain for copy in held})
         return confirmed_upto(held, min(settings.copies, count), min(settings.domains, domains))
@@ -197,6 +201,9 @@
 
     def tick(self, now: float, heard: Mapping[str, float]) -> None:
         """Time passes. ``heard``: when each linked replica was heard."""
+        if now - self._ticked_at > STOOD_STILL_S:
+            self._joining_until = now + JOIN_S
+        self._ticked_at = now
         for ip, at in heard.items():
             peer = self._peers.at(ip)
             peer.heard = max(peer.heard, at)
--- a/cranebank/programs/tally_service.py
+++ b/cranebank/programs/tally_service.py
@@ -17,7 +17,7 @@
 import msgspec
 from loguru import logger
 
-from cranebank.background import BackgroundTasks
+from cranebank.background import BackgroundTasks, report_unhandled
 from cranebank.control.tallies.replica import Figures, Message, Refused, ReplicaSettings, TallyReplica
 from cranebank.invariants import broken
 from cranebank.programs.controller_links import ControllerLinks
@@ -148,13 +148,19 @@
             await self._storage.put(values)
         except StorageError as error:
             logger.warning("disk of the tallies: {}", error)
-            self._replica.refused()
-            await asyncio.sleep(DISK_RETRY_S)
+            await self._write_again_later()
+        except Exception as error:  # the next write is another try, and what waits is told as unclear meanwhile
+            report_unhandled("write of tallies", error)
+            await self._write_again_later()
         else:
             self._replica.stored()
         self._is_writing = False
         self._proceed()
 
+    async def _write_again_later(self) -> None:
+        self._replica.refused()
+        await asyncio.sleep(DISK_RETRY_S)
+
     async def _wait(self, origin: str, number: int) -> bool:
         """Wait until an add is durable; whether it is in time."""
         if self._replica.acknowledged_upto(self._now(), origin) >= number:
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -127,6 +127,12 @@
     return made
 
 
+def _run(made: TallyReplica, begin: float, end: float) -> None:
+    """Ticks as a program's, from one time to another."""
+    for number in range(round((end - begin) / 0.05) + 1):
+        made.tick(begin + 0.05 * number, {})
+
+
 def test_the_same_id_with_two_amounts_counts_alike_everywhere() -> None:
     world = World("ab", 2)
     world.cut("a", "b")
@@ -279,16 +285,36 @@
     made.add(0.0, TALLY, "1", 1)
     assert made.take_writes()
     made.stored()
+    _run(made, 0.0, JOIN_S / 2)
     assert made.acknowledged_upto(JOIN_S / 2, "me") == 0
+    _run(made, JOIN_S / 2, JOIN_S)
     assert made.acknowledged_upto(JOIN_S, "me") == 1
 
 
+@pytest.mark.parametrize("is_ticked", [False, True], ids=["before its first tick", "behind it"])
+def test_a_process_that_stood_still_waits_for_replicas_that_only_seem_silent(is_ticked: bool) -> None:
+    made = _calm(2, ("p",))
+    made.linked(0.0, "p")
+    made.receive(0.0, "p", TallyVector("p1", "y", {}, {}, {}))
+    _run(made, 0.0, 2 * JOIN_S)
+    made.add(2 * JOIN_S, TALLY, "1", 1)
+    assert made.take_writes()
+    made.stored()
+    woken = 2 * JOIN_S + 3.0
+    if is_ticked:
+        made.tick(woken, {})
+    assert made.acknowledged_upto(woken, "me") == 0
+    _run(made, woken, woken + JOIN_S)
+    assert made.acknowledged_upto(woken + JOIN_S, "me") == 1
+
+
 def test_an_add_that_a_peer_has_not_on_its_disk_is_not_acknowledged_on_its_copy() -> None:
     made = _calm(2, ("p",))
     made.linked(0.0, "p")
     made.add(0.0, TALLY, "1", 1)
     assert made.take_writes()
     made.stored()
+    _run(made, 0.0, JOIN_S)
     made.receive(JOIN_S, "p", TallyVector("p1", "y", {"me": 1}, {}, {}))
     assert made.acknowledged_upto(JOIN_S, "me") == 0
     made.receive(JOIN_S, "p", TallyVector("p1", "y", {"me": 1}, {"me": 1}, {}, is_partial=True))
