Permits for cold backends: as many as the rate bears over the time that a permit is in use

Cause: with floor(warmup_per_s) permits, each good for one request in 1.35 s, a cold backend could get three quarters of its rate at most. Change: warmup_per_s x 1.35 s permits, still under the rule's bound in any second; what all proxies send stays within warmup_per_s on average.

--- a/cranebank/control/warm_up.py
+++ b/cranebank/control/warm_up.py
@@ -1,8 +1,9 @@
 """Leases of permits for requests to cold backends, as one controller gives them out: the core, free of I/O.
 
 Guarantee: the permits for one backend that any proxies may use within one second are ``most`` or fewer, summed over all
-controllers, where ``most`` = floor(min(warmup_per_s, warmup_per_s x cold_over + cold_slack)). Since one permit stands
-for one request a second at most (``membership/warm_up.py``), requests under permits stay within the rule's bound.
+controllers, where ``most`` = floor(min(warmup_per_s x PERMIT_S, warmup_per_s x cold_over + cold_slack)). Since one
+permit stands for one request a second at most, and for one in PERMIT_S in the long run (``membership/warm_up.py``),
+requests under permits stay within the rule's bound, and within warmup_per_s on average.
 
 - Each controller leases its own share only, of which no other has to know: ``most`` divided by the number of known
   controllers. As many count at least as bear the tolerated losses (twice those and one), and three at least: one that
@@ -25,7 +26,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cranebank.membership.warm_up import LEASE_MOST_S, RELEASE_S, WarmUpLimit
+from cranebank.membership.warm_up import LEASE_MOST_S, PERMIT_S, RELEASE_S, WarmUpLimit
 from cranebank.transport.messages import WarmUpPermits
 
 CONTROLLERS_LEAST = 3  # that count, however few are known
@@ -53,6 +54,12 @@
     clock: float
 
 
+def most_permits(limit: WarmUpLimit, bound: Bound) -> int:
+    """The permits for one backend, over all controllers: no more than its rate allows over the time that a permit is in
+    use, and no more than the rule's bound allows within one second."""
+    return int(min(limit.per_s * PERMIT_S, limit.per_s * bound.over + bound.slack))
+
+
 class PermitIssuer:
     """The permits of one controller. Times are a steady clock's seconds."""
 
@@ -73,7 +80,7 @@
 
     def share(self, limit: WarmUpLimit, controllers: Set[str]) -> int:
         """This controller's permits for one backend, where these controllers are known."""
-        most = int(min(limit.per_s, limit.per_s * self._bound.over + self._bound.slack))
+        most = most_permits(limit, self._bound)
         known = sorted(controllers | {self._ip})
         count = max(len(known), self._controllers_least)
         has_rest = len(known) >= self._controllers_least and known.index(self._ip) < most % count
