--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -882,6 +882,8 @@
         consensus = LoneConsensus(ONE, store.values)
         controller = Controller(settings, lambda now, random: consensus, Disk(store), Random(1), lambda: settings)
         link = Link(controller._protocol, dialled=False)
+        controller._tick()  # it becomes the primary
+        controller._timers[0].cancel()
         controller._delivery.join(controller.now(), link, "p", PROXY, True, 0, ())
         controller._tick()
         controller._timers[0].cancel()
