Revert "A zone that can't be reached is found out by zone, not by each of its backends"

Suspected, not shown: in the zone that is cut off drains can't be acknowledged, so its own backends that a release replaces end without the proxies' knowing. Dials to two of them let the proxies' own zone stand back; then all zones do, and the choice falls on all backends again.

--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -6,7 +6,6 @@
 
 from cranebank.dataplane.seen import Seen
 from cranebank.dataplane.suspects import Place, Suspects, is_last_resort
-from cranebank.dataplane.zone_silence import ZoneSilence
 from cranebank.invariants import note
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend
@@ -33,7 +32,6 @@
         self.version = 0  # rises whenever the ready ones or the suspects of a service and stage change
         self._check_again_at = float("-inf")
         self._away: set[str] = set()  # those that failed lately or are held off
-        self._silent_zones = ZoneSilence()
         self._gone: dict[str, None] = {}
         self._lost: dict[str, None] = {}
 
@@ -187,37 +185,10 @@
         seen.away_until = now + seen.away_for
         self._away.add(backend)
 
-    def unreached(self, now: float, backend: str) -> None:
-        """No connection to it came up. Where its whole zone seems to be out of reach, all others there stand back."""
-        self.failed(now, backend)
-        failed = self.seen.get(backend)
-        if failed is None:
-            return
-        zone = failed.backend.zone
-        seconds = self._silent_zones.unreached(now, zone, backend)
-        if seconds:
-            there = [seen for seen in self.seen.values() if seen.backend.zone == zone]
-            first = there.index(failed) + 1
-            for turn, seen in enumerate(there[first:] + there[:first]):
-                back_at = now + min(seconds * (1 + turn), AWAY_S[1])
-                seen.away_until = max(seen.away_until, back_at)
-                self._away.add(seen.backend.id)
-
-    def _zone_answered(self, zone: str) -> None:
-        """Take back all that stood back for their zone."""
-        ended = self._silent_zones.answered(zone)
-        if not ended:
-            return
-        for seen in self.seen.values():
-            silence = ended.get(seen.backend.zone)
-            if silence is not None and (not seen.has_failed or seen.backend.id in silence.unreached):
-                seen.away_until = seen.away_for = 0.0
-
     def answered(self, now: float, backend: str) -> None:
         """An answer came."""
         seen = self.seen.get(backend)
         if seen is not None:
-            self._zone_answered(seen.backend.zone)
             seen.answered_at = now
             seen.away_until = seen.away_for = 0.0
             if seen.held_until <= now:
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -282,10 +282,7 @@
             return
         self._legs.close(now, leg)
         backend = leg.seen.backend.id
-        if evidence is SendEvidence.NEVER_CONNECTED:
-            self._shared.candidates.unreached(now, backend)
-        else:
-            self._shared.candidates.failed(now, backend)
+        self._shared.candidates.failed(now, backend)
         self._dispatch.without.add(backend)
         self._shared.count("legs_broken" if evidence.may_have_run else "legs_unsent")
         if not evidence.may_have_run:
