--- a/cranebank/dataplane/cold_backends.py
+++ b/cranebank/dataplane/cold_backends.py
@@ -77,12 +77,6 @@
             state = self._states.setdefault(backend.id, _State())
             state.doubted_until = max(state.doubted_until, until)
 
-    def shorten_doubt(self, backend: Backend, until: float) -> None:
-        """Its zone answers again: whether it is cold will have been told by then."""
-        state = self._states.get(backend.id)
-        if state is not None:
-            state.doubted_until = min(state.doubted_until, until)
-
     def grant(self, now: float, backend: str, permits: int, valid_until: float) -> None:
         """A controller leases permits, until a time of this proxy's clock."""
         if valid_until > now:
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -282,10 +282,8 @@
             return
         self._legs.close(now, leg)
         backend = leg.seen.backend.id
-        if evidence is SendEvidence.NEVER_CONNECTED:
-            self._shared.candidates.unreached(now, backend)
-        elif evidence is not SendEvidence.BACKEND_WITHDRAWN:
-            self._shared.candidates.failed(now, backend)
+        if evidence is not SendEvidence.BACKEND_WITHDRAWN:
+            self._shared.candidates.failed(now, backend, may_be_down=evidence is SendEvidence.NEVER_CONNECTED)
         self._dispatch.without.add(backend)
         self._shared.count("legs_broken" if evidence.may_have_run else "legs_unsent")
         if not evidence.may_have_run:
