A proxy that has lost contact uses an evacuated zone when nobody else is left

Cause: the finish can't reach the side that is cut off. Change: a proxy that has heard no controller in contact with a majority for 2.5 s sends to the evacuated zone's ready backends where it would refuse otherwise; such a proxy isn't in touch. Ruled out: forgetting the evacuation on loss of contact, since other zones may still be reached.

--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Set
+from collections.abc import Callable, Iterable, Set
 
 from cranebank.dataplane.cold_backends import ColdBackends
 from cranebank.dataplane.seen import Seen
@@ -39,6 +39,7 @@
         self._lost: dict[str, None] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
         self._evacuated: dict[str, Seen] = {}  # those there that would be ready or suspects
+        self.has_lost_contact: Callable[[], bool] = lambda: False  # with every controller that knows what is in force
 
     def merge(self, records: Iterable[Backend], now: float = 0.0) -> list[str]:
         """Take records of any source; return the ids of backends that are over."""
@@ -161,9 +162,12 @@
         return tuple(self.cold.as_of(now, record) for record in self.records.values())
 
     def may_take(self, backend: str) -> bool:
-        """Whether a request may be sent there now: neither draining nor over, nor in an evacuated zone."""
+        """Whether a request may be sent there now: neither draining nor over, nor in a zone that is known to be
+        evacuated still."""
         record = self.records.get(backend)
-        return record is not None and record.phase in {"ready", "lost"} and not self.is_evacuated(record)
+        if record is None or record.phase not in {"ready", "lost"}:
+            return False
+        return not self.is_evacuated(record) or self.has_lost_contact()
 
     def may_begin(self, now: float, seen: Seen) -> bool:
         """Whether a call to this backend may begin now: where it is cold, a permit is free."""
@@ -212,10 +216,18 @@
             listed = [seen for seen in listed if not self.cold.is_doubted(now, seen)] or listed
         if not listed:
             listed = self._usable(now, self._suspects.last_resort(now, place), without)
+        if not listed and self._evacuated and self.has_lost_contact():
+            listed = self._usable(now, self._ready_in_evacuated_zones(place), without)
         if not listed:
             self._check_empty(now, place, without)
         return listed
 
+    def _ready_in_evacuated_zones(self, place: Place) -> list[Seen]:
+        """Who is left to a proxy without contact that reaches no other zone: the evacuation may be over."""
+        return [
+            seen for seen in self._evacuated.values() if _place(seen.backend) == place and seen.backend.phase == "ready"
+        ]
+
     def _usable(self, now: float, listed: list[Seen], without: Set[str]) -> list[Seen]:
         listed = [seen for seen in listed if seen.backend.id not in without]
         return [seen for seen in listed if not self.cold.refuses(now, seen)] if self.cold else listed
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -28,6 +28,7 @@
 HOUSEKEEPING_S = 1.0
 LEAVE_S = 2.4  # after SIGTERM clients are still sent for so long: the platform asks every second and forgives once
 MARGIN_S = 0.5  # of the grace
+CONTACT_LOST_S = 2.5  # without a controller that knows the newest configuration; longer than a takeover
 UNTOLD = 1000  # proxies there may be, while no controller has told: its part of what all hold in common is next to none
 
 
@@ -145,6 +146,7 @@
         self._plane = _Plane(self.proxy)
         self._life = secrets.randbits(63)
         self.links = FleetLinks(self._plane, self._hello, settings.ip, settings.link_port)
+        self.proxy.shared.candidates.has_lost_contact = self._has_lost_contact
         if with_neighbours:
             neighbours = Neighbours(
                 self._plane, lambda: self.links.neighbours, settings.ip, settings.link_port, Random()
@@ -154,6 +156,9 @@
                 self.proxy.shared.on_reading = neighbours.reading_begun
         self.stopping = False
 
+    def _has_lost_contact(self) -> bool:
+        return self.links.unconfirmed_s > CONTACT_LOST_S
+
     def _hello(self) -> Hello:
         settings = self._settings
         return Hello(
--- a/tests/mutants_evacuation.py
+++ b/tests/mutants_evacuation.py
@@ -113,8 +113,8 @@
         Point.EVACUATION,
         "the last look before a request is sent overlooks evacuated zones",
         "dataplane/candidates.py",
-        'record.phase in {"ready", "lost"} and not self.is_evacuated(record)',
-        'record.phase in {"ready", "lost"}',
+        "return not self.is_evacuated(record) or self.has_lost_contact()",
+        "return True",
         "test_evacuation.py",
     ),
     Mutant(
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -107,6 +108,23 @@
     assert not violations()
 
 
+def test_a_proxy_that_has_lost_contact_uses_an_evacuated_zone_when_nobody_else_is_left() -> None:
+    candidates = Candidates()
+    candidates.merge(
+        [
+            msgspec.structs.replace(placed(number, "ready", 1), id=name, zone=zone)
+            for number, name, zone in ((1, "a", "x"), (2, "b", "y"))
+        ]
+    )
+    candidates.evacuate(1.0, frozenset("x"))
+    candidates.has_lost_contact = lambda: True
+    assert [seen.backend.id for seen in candidates.ready(1.0, "s", "decode")] == ["b"]
+    assert [seen.backend.id for seen in candidates.ready(1.0, "s", "decode", {"b"})] == ["a"]
+    assert candidates.may_take("a")
+    candidates.has_lost_contact = lambda: False
+    assert not candidates.ready(1.0, "s", "decode", {"b"}) and not candidates.may_take("a")
+
+
 def test_caches_of_the_listed_backends_notice_an_evacuation() -> None:
     candidates = Candidates()
     candidates.merge([placed(number, "ready", 1) for number in range(4)])
