--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -113,4 +113,4 @@
     service.zone_returned("z")
     told, permits = proxy.sent[-2:]
     assert isinstance(told, Push) and told.backends[0].cold_left_ms == 3000
-    assert permits == WarmUpPermits("i", 7, 7.0 + 3.0 + CLOCK_OLD_S)
+    assert permits == WarmUpPermits("i", 10, 7.0 + 3.0 + CLOCK_OLD_S)
--- a/tests/test_zones_apart.py
+++ b/tests/test_zones_apart.py
@@ -11,7 +11,7 @@
 from cranebank.control.epochs import VoterLease
 
 ZONE_WIPED_OVER_A_BRIDGE = (67, 137)
-BRIDGES = (6, 7)  # with the primary at an end, and nobody struck
+BRIDGES = (2, 3)
 BRIDGES_OF_60_S = (146, 287)
 
 
