--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -216,14 +216,21 @@
             listed = [seen for seen in listed if not self.cold.is_doubted(now, seen)] or listed
         if not listed:
             listed = self._usable(now, self._suspects.last_resort(now, place), without)
-        if not listed and self._evacuated and self.has_lost_contact():
-            listed = self._usable(now, self._ready_in_evacuated_zones(place), without)
+        if self._evacuated and self._may_be_cut_off(place):
+            listed = self._usable(now, self._ready_in_evacuated_zones(place), without) or listed
         if not listed:
             self._check_empty(now, place, without)
         return listed
 
+    def _may_be_cut_off(self, place: Place) -> bool:
+        """Whether no controller is heard that knows what is in force, and half of the other zones' backends have failed a
+        call since they answered last: then the evacuated zone may be all that this proxy reaches."""
+        if not self.has_lost_contact():
+            return False
+        others = self._ready.get(place, [])
+        return 2 * sum(seen.has_failed for seen in others) >= len(others)
+
     def _ready_in_evacuated_zones(self, place: Place) -> list[Seen]:
-        """Who is left to a proxy without contact that reaches no other zone: the evacuation may be over."""
         return [
             seen for seen in self._evacuated.values() if _place(seen.backend) == place and seen.backend.phase == "ready"
         ]
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -108,21 +108,25 @@
     assert not violations()
 
 
-def test_a_proxy_that_has_lost_contact_uses_an_evacuated_zone_when_nobody_else_is_left() -> None:
+def test_a_proxy_that_is_cut_off_with_an_evacuated_zone_uses_it_while_most_others_fail() -> None:
     candidates = Candidates()
-    candidates.merge(
-        [
-            msgspec.structs.replace(placed(number, "ready", 1), id=name, zone=zone)
-            for number, name, zone in ((1, "a", "x"), (2, "b", "y"))
-        ]
-    )
+    places = [("a", "x"), ("b", "y"), ("c", "y"), ("d", "z")]
+    candidates.merge([msgspec.structs.replace(placed(0, "ready", 1), id=name, zone=zone) for name, zone in places])
     candidates.evacuate(1.0, frozenset("x"))
+
+    def offered(now: float) -> set[str]:
+        return {seen.backend.id for seen in candidates.ready(now, "s", "decode")}
+
     candidates.has_lost_contact = lambda: True
-    assert [seen.backend.id for seen in candidates.ready(1.0, "s", "decode")] == ["b"]
-    assert [seen.backend.id for seen in candidates.ready(1.0, "s", "decode", {"b"})] == ["a"]
-    assert candidates.may_take("a")
+    candidates.failed(1.0, "b")
+    assert offered(1.0) == {"c", "d"}
+    candidates.failed(1.0, "c")
+    assert offered(1.0) == offered(9.0) == {"a"} and candidates.may_take("a")
+    candidates.answered(9.0, "c")
+    assert offered(9.0) == {"b", "c", "d"}
+    candidates.failed(9.0, "c")
     candidates.has_lost_contact = lambda: False
-    assert not candidates.ready(1.0, "s", "decode", {"b"}) and not candidates.may_take("a")
+    assert "a" not in offered(9.0) and not candidates.may_take("a")
 
 
 def test_caches_of_the_listed_backends_notice_an_evacuation() -> None:
