--- a/cranebank/dataplane/candidates.py
+++ b/cranebank/dataplane/candidates.py
@@ -223,8 +223,8 @@
         return listed
 
     def _may_be_cut_off(self, place: Place) -> bool:
-        """Whether no controller is heard that knows what is in force, and half of the other zones' backends have failed a
-        call since they answered last: then the evacuated zone may be all that this proxy reaches."""
+        """Whether no controller is heard that knows what is in force, and half of the other zones' backends have failed
+        a call since they answered last: then the evacuated zone may be all that this proxy reaches."""
         if not self.has_lost_contact():
             return False
         others = self._ready.get(place, [])
