--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -30,6 +30,7 @@
 
 from cranebank.transport.frames import HEADER_BYTES, encode
 from cranebank.transport.messages import ConfigAck, Hello, LinkHeartbeat, PushAck, Welcome
+from cranebank.transport.revision import msgpack_decoder
 
 ROOT = Path(__file__).parents[1]
 LINK_HEARTBEAT_INTERVAL_S = 0.4
@@ -90,7 +91,7 @@
     document: msgspec.Raw
 
 
-_decoder = msgspec.msgpack.Decoder(LightPush | LightConfigPush | Welcome | LinkHeartbeat)
+_decoder = msgpack_decoder(LightPush | LightConfigPush | Welcome | LinkHeartbeat)
 
 
 class HollowLink(asyncio.Protocol):
--- a/benchmarks/plane.py
+++ b/benchmarks/plane.py
@@ -34,6 +34,7 @@
 from cranebank.membership.outbox import GossipOutbox
 from cranebank.transport.frames import Decoder, decode_datagram, encode
 from cranebank.transport.messages import Backend, ConfigPush, Gossip, Hello, LinkHeartbeat, Load, Push
+from cranebank.transport.revision import Revision
 
 ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6)
 
@@ -287,13 +288,13 @@
         print(json.dumps(measure_registry(count)), flush=True)
     for loads in (0, 7, 38):
         print(json.dumps(measure_gossip(loads)), flush=True)
-    heartbeat, load = encode(LinkHeartbeat(7)), msgspec.msgpack.encode(Load("backend-000001-a1b2c3", 3, 4000))
+    heartbeat, load = encode(LinkHeartbeat(Revision(7))), msgspec.msgpack.encode(Load("backend-000001-a1b2c3", 3, 4000))
     print(
         json.dumps(
             {
                 "pulse_bytes": len(heartbeat),
                 "load_bytes": len(load),
-                "encode_pulse_us": measure_us(lambda: encode(LinkHeartbeat(7)), 2000),
+                "encode_pulse_us": measure_us(lambda: encode(LinkHeartbeat(Revision(7))), 2000),
                 "decode_pulse_us": measure_us(lambda: Decoder().feed(heartbeat), 2000),
                 "push_of_one_bytes": len(encode(Push(1000, (backend(1),)))),
             }
--- a/cranebank/control/call_table.py
+++ b/cranebank/control/call_table.py
@@ -10,14 +10,17 @@
 
 import msgspec
 
+from cranebank.transport.revision import NO_REVISION, Revision
+
 MAX_CALLS = 1024
-"""Entries of at most 28 bytes on the wire and on disk, 28 KiB in total; 3 hours of calls at 7,800 changes a day."""
+"""Entries of at most 28 bytes on the wire and on disk for revisions of 64 bits, 28 KiB in total (of at most 74 bytes
+and 74 KiB for longer ones); 3 hours of calls at 7,800 changes a day."""
 
 
 class AppliedCall(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """An applied call: the revision that it put in force, and the digest (16 bytes) of call, base revision and body."""
 
-    revision: int
+    revision: Revision
     digest: bytes
 
 
@@ -25,9 +28,9 @@
     """The newest calls, oldest first. ``forgotten`` is the highest revision whose call was evicted, 0 for none."""
 
     calls: tuple[AppliedCall, ...] = ()
-    forgotten: int = 0
+    forgotten: Revision = NO_REVISION
 
-    def with_call(self, revision: int, digest: bytes) -> CallTable:
+    def with_call(self, revision: Revision, digest: bytes) -> CallTable:
         """Return the table with one more call, whose revision must be above all others."""
         calls = (*self.calls, AppliedCall(revision, digest))
         surplus = len(calls) - MAX_CALLS
@@ -35,7 +38,7 @@
             return CallTable(calls, self.forgotten)
         return CallTable(calls[surplus:], calls[surplus - 1].revision)
 
-    def revision_of(self, digest: bytes) -> int | None:
+    def revision_of(self, digest: bytes) -> Revision | None:
         """Return the revision that this call put in force, None when the call is not in the table."""
         return next((call.revision for call in reversed(self.calls) if call.digest == digest), None)
 
--- a/cranebank/control/configuration.py
+++ b/cranebank/control/configuration.py
@@ -12,6 +12,10 @@
 import msgspec
 import voluptuous as vol
 
+from cranebank.transport.revision import MAX_REVISION, MAX_REVISION_DIGITS, NO_REVISION, Revision
+
+DIGEST_BYTES = 16
+PERSON_BYTES = hashlib.blake2b.PERSON_SIZE
 SLOW_BYTES = 100_000  # larger bodies are validated in a thread, as the check would block the event loop for too long
 
 _decoder = msgspec.json.Decoder()
@@ -31,7 +35,7 @@
 class Configuration(msgspec.Struct, frozen=True):
     """A complete, validated configuration; ``document`` is its JSON."""
 
-    revision: int
+    revision: Revision
     document: bytes
 
 
@@ -47,10 +51,10 @@
     return isinstance(value, (int, float)) and not isinstance(value, bool)
 
 
-def _revision(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise _Fault("revision", "an integer, 0 or more")
-    return value
+def _revision(value: object) -> Revision:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= MAX_REVISION:
+        raise _Fault("revision", f"an integer from 0, of at most {MAX_REVISION_DIGITS} digits")
+    return Revision(value)
 
 
 def _name(value: object) -> str:
@@ -176,16 +180,16 @@
         hosts_and_prefixes.add(host_and_prefix)
 
 
-def _check_whole(document: Document, current_revision: int) -> int:
+def _check_whole(document: Document, current_revision: int) -> Revision:
     _validate(_CONFIGURATION, document)
     _check_routes(document)
     return _check_revision_rises(document["revision"], current_revision)
 
 
-def _check_revision_rises(revision: int, current_revision: int) -> int:
+def _check_revision_rises(revision: int, current_revision: int) -> Revision:
     if revision <= current_revision:
         raise InvalidConfiguration("revision", "revision", f"an integer above {current_revision}")
-    return revision
+    return Revision(revision)
 
 
 def check(body: bytes, current_revision: int) -> Configuration:
@@ -223,14 +227,17 @@
     return Configuration(revision, _encoder.encode(document))
 
 
-def revision_of(body: bytes) -> int:
-    """Return the revision that a call names, 0 if it is unreadable; used only to recognise repeated calls."""
+def revision_of(body: bytes) -> Revision:
+    """Return the revision that a call names, NO_REVISION if it is unreadable; used only to recognise repeated calls."""
     try:
         return _revision(_read(body).get("revision"))
     except (InvalidConfiguration, _Fault):
-        return 0
+        return NO_REVISION
 
 
 def digest_of(call: str, base: int, body: bytes) -> bytes:
     """Return the digest by which an unchanged repetition of a call is recognised."""
-    return hashlib.blake2b(body, digest_size=16, person=f"{call[:4]}{base}".encode()[:16]).digest()
+    text = f"{call[:4]}{base}".encode()
+    digest = hashlib.blake2b(text[PERSON_BYTES:], digest_size=DIGEST_BYTES, person=text[:PERSON_BYTES])
+    digest.update(body)
+    return digest.digest()
--- a/cranebank/control/consensus.py
+++ b/cranebank/control/consensus.py
@@ -10,13 +10,14 @@
 from typing import Protocol
 
 from cranebank.control import events
+from cranebank.transport.revision import Revision
 
 
 class ConsensusCore(Protocol):
     """A replica of the configuration and of the epoch record, which names the primary."""
 
     @property
-    def current(self) -> tuple[int, bytes, bytes] | None:
+    def current(self) -> tuple[Revision, bytes, bytes] | None:
         """Revision, document and digest of the committed configuration; None unless primary and known."""
 
     def handle(self, now: float, event: events.Event) -> list[events.Action]:
@@ -37,7 +38,7 @@
     def is_current(self, now: float, revision: int) -> bool:
         """Return whether this revision was the newest committed one at some time within the last lease's length."""
 
-    def known_call(self, digest: bytes) -> int | None:
+    def known_call(self, digest: bytes) -> Revision | None:
         """Return the revision that a call put in force, from the committed call table."""
 
     def may_be_forgotten(self, revision: int) -> bool:
--- a/cranebank/control/consensus_file.py
+++ b/cranebank/control/consensus_file.py
@@ -18,8 +18,12 @@
 from cranebank.control.epochs import DurableState
 from cranebank.storage.records import Contents, DamagedFile, encode_batch, read_records
 from cranebank.storage.store import Folder
+from cranebank.transport.revision import NO_REVISION, Revision, msgpack_decoder
 
 _NEW = f"{CONSENSUS_FILE}.new"
+_decode_value = msgpack_decoder(Value).decode
+decode_published = msgpack_decoder(tuple[Revision, bytes]).decode
+"""Decode the value of PUBLISHED_KEY: revision and document."""
 
 
 class ConsensusFileCode(enum.StrEnum):
@@ -129,10 +133,10 @@
     values = contents.values
     try:
         chosen = msgspec.msgpack.decode(values["control"], type=DurableState).chosen if "control" in values else None
-        stored = msgspec.msgpack.decode(values["value"], type=Value).revision if "value" in values else 0
-        committed, document = 0, b""
+        stored = _decode_value(values["value"]).revision if "value" in values else NO_REVISION
+        committed, document = NO_REVISION, b""
         if PUBLISHED_KEY in values:
-            committed, document = msgspec.msgpack.decode(values[PUBLISHED_KEY], type=tuple[int, bytes])
+            committed, document = decode_published(values[PUBLISHED_KEY])
             if check(document, -1).revision != committed:
                 raise ConsensusFileError(ConsensusFileCode.DAMAGED, path, f"a configuration of revision {committed}")
     except (msgspec.MsgspecError, InvalidConfiguration) as error:
--- a/cranebank/control/consensus_types.py
+++ b/cranebank/control/consensus_types.py
@@ -11,6 +11,7 @@
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
 from cranebank.control.epochs import HeldLease, OrderIntent
 from cranebank.control.evacuation_queue import EvacuationQueue
+from cranebank.transport.revision import NO_REVISION, Revision
 
 CONSENSUS_FILE = "custody"
 """Name of the replica's file in the data folder."""
@@ -49,7 +50,7 @@
     """The replicated document under one primary's term; within a term the revision only increases."""
 
     term: int
-    revision: int
+    revision: Revision
     digest: bytes
     document: bytes
     calls: CallTable = EMPTY_TABLE
@@ -60,7 +61,7 @@
         return self.term, self.revision
 
 
-NO_VALUE = Value(-1, 0, b"", b"")
+NO_VALUE = Value(-1, NO_REVISION, b"", b"")
 
 
 class PendingPersist(msgspec.Struct):
@@ -90,9 +91,9 @@
         self.establish_by = now + lease.length_s
         self.stamps: dict[str, ev.Stamp] = {}  # newest stamp of each voter, returned with the next lease request
         self.next_lease_request_at = now
-        self.held_revisions: dict[str, int] = {}  # highest revision that a replica reported as durable in this term
-        self.first_sent: dict[str, tuple[int, float]] = {}  # revision and time of its first Store, by replica
-        self.last_sent: dict[str, tuple[int, float]] = {}  # revision and time of the last Store, by replica
+        self.held_revisions: dict[str, Revision] = {}  # highest revision reported as durable in this term
+        self.first_sent: dict[str, tuple[Revision, float]] = {}  # revision and time of its first Store, by replica
+        self.last_sent: dict[str, tuple[Revision, float]] = {}  # revision and time of the last Store, by replica
         self.committed: Value | None = None
         self.change: PendingChange | None = None
         self.wanted_intents: tuple[OrderIntent, ...] | None = None  # None: keep the record's intents unchanged
--- a/cranebank/control/delivery.py
+++ b/cranebank/control/delivery.py
@@ -14,6 +14,7 @@
 from bitarray import bitarray
 
 from cranebank.transport.messages import Backend, ConfigPush, Evacuations, Message, Push, Welcome
+from cranebank.transport.revision import NO_REVISION, Revision
 
 BACKUP_PUSH_DELAY_S = 0.3  # how long controllers other than the primary wait for the effect of its push
 CONTROLLER_PUSH_DELAY_S = 0.5  # how long a controller may take to learn of a configuration by consensus
@@ -88,7 +89,7 @@
         self._controllers: tuple[str, ...] = ()
         self._stale_welcome = False
         self._stale_since: float | None = None
-        self.revision, self.document = 0, b""
+        self.revision, self.document = NO_REVISION, b""
         self._config_push: ConfigPush | None = None
         self.is_primary = False
 
@@ -168,7 +169,7 @@
             acks.acknowledge(peer.slot, number)
         self._sweep()
 
-    def committed(self, now: float, revision: int, document: bytes) -> bool:
+    def committed(self, now: float, revision: Revision, document: bytes) -> bool:
         """Publish a committed configuration; return whether it is newer than the last published one."""
         if revision <= self.revision:
             return False
--- a/cranebank/control/events.py
+++ b/cranebank/control/events.py
@@ -1,4 +1,4 @@
-"""Events, actions and messages of the consensus core. Messages are tagged and can be encoded with msgspec.msgpack."""
+"""Events, actions and messages of the consensus core. Messages are tagged, and encoded by ``transport.revision``."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from cranebank.control.call_table import EMPTY_TABLE, CallTable
 from cranebank.control.epochs import Ballot, EpochRecord, OrderIntent
+from cranebank.transport.revision import NO_REVISION, Revision
 
 # Messages between controllers.
 
@@ -77,7 +78,7 @@
     record: EpochRecord
     number: int
     stamp: Stamp | None = None
-    committed: int = 0
+    committed: Revision = NO_REVISION
 
 
 class GrantLease(Message, frozen=True, tag=True):
@@ -99,7 +100,7 @@
     """The primary's value, for a copy or a member that is to become one."""
 
     record: EpochRecord
-    revision: int
+    revision: Revision
     digest: bytes
     document: bytes
     calls: CallTable = EMPTY_TABLE
@@ -109,7 +110,7 @@
     """The value of this term and revision is durable at the sender."""
 
     term: int
-    revision: int
+    revision: Revision
 
 
 class Join(Message, frozen=True, tag=True):
@@ -176,7 +177,7 @@
 
     request: int
     base: int
-    revision: int
+    revision: Revision
     document: bytes
     digest: bytes
 
@@ -267,7 +268,7 @@
 class Committed(msgspec.Struct, frozen=True):
     """This revision is in force and durable; to be pushed to all proxies."""
 
-    revision: int
+    revision: Revision
     document: bytes
     digest: bytes
 
@@ -296,7 +297,7 @@
     is_primary: bool
     copies: tuple[str, ...]
     members: tuple[str, ...]
-    revision: int
+    revision: Revision
     term: int = -1  # epoch at which that primary took over
     intents: tuple[OrderIntent, ...] | None = None  # named by the newest record and also by a proposed one
     evacuated: tuple[str, ...] = ()  # zones that the newest chosen record names
--- a/cranebank/control/operator_api.py
+++ b/cranebank/control/operator_api.py
@@ -27,11 +27,11 @@
 )
 from cranebank.control.delivery import PendingAcks
 from cranebank.control.registry import ENDING_PHASES, BadHeartbeat, Registry
+from cranebank.transport.revision import MAX_REVISION_DIGITS, Revision, json_encoder
 
 MAX_CONFIGURATION_BYTES = 9 << 20
 MAX_HEARTBEAT_BYTES = 64 << 10
 MAX_EVACUATION_BYTES = 1 << 10  # no body is needed, and one that is sent is ignored
-MAX_REVISION_DIGITS = 18
 WRITE_TIMEOUT_S = 4.0  # the consensus core answers earlier by itself
 REVISION_ACK_TIMEOUT_S = 0.4  # how long a successful answer waits for the proxies
 EVACUATION_ACK_TIMEOUT_S = 0.4  # how long the answer to an evacuation waits for the proxies
@@ -41,6 +41,7 @@
 
 _RETRY = (("Retry-After", RETRY_AFTER_S),)
 _OK = Response(200)
+_encode_json = json_encoder().encode
 
 
 Arguments = ParamSpec("Arguments")
@@ -58,7 +59,7 @@
     base: int
     body: bytes
     digest: bytes
-    revision: int
+    revision: Revision
 
 
 class ControlPlane(Protocol):
@@ -80,16 +81,16 @@
     def control_port(self) -> int:
         """Return the port of all controllers."""
 
-    def current(self) -> tuple[int, bytes, bytes] | None:
+    def current(self) -> tuple[Revision, bytes, bytes] | None:
         """Return revision, document and digest of the committed configuration."""
 
-    def known_call(self, digest: bytes) -> int | None:
+    def known_call(self, digest: bytes) -> Revision | None:
         """Return the revision that this call put in force, if it is still in the call table."""
 
     def may_be_forgotten(self, revision: int) -> bool:
         """Return whether a call with this revision may have been applied and evicted from the call table."""
 
-    async def write(self, base: int, revision: int, document: bytes, digest: bytes) -> events.Result:
+    async def write(self, base: int, revision: Revision, document: bytes, digest: bytes) -> events.Result:
         """Put a configuration in force; return the consensus core's result."""
 
     def await_revision(self, revision: int) -> PendingAcks:
@@ -213,7 +214,7 @@
 
     async def status(self, _request: Request) -> Response:
         """Return the controller's state, for people."""
-        return Response(200, msgspec.json.encode(self._plane.overview()))
+        return Response(200, _encode_json(self._plane.overview()))
 
     async def _confirm_ending(self, backend_id: str) -> Response:
         if await self._plane.confirm_ending(backend_id, ENDING_TIMEOUT_S):
@@ -232,7 +233,7 @@
             return self._redirect(request)
         base = _base_of(request)
         if base is None:
-            return refusal(400, "base", "X-Base-Version", "a revision")
+            return refusal(400, "base", "X-Base-Version", f"a revision, of at most {MAX_REVISION_DIGITS} digits")
         change = await _in_thread_if(len(request.body) > SLOW_BYTES, _identify, call, base, request.body)
         in_force = self._plane.known_call(change.digest)
         if in_force is not None:
--- a/cranebank/control/primary.py
+++ b/cranebank/control/primary.py
@@ -18,6 +18,7 @@
 from cranebank.control.epochs import EpochRecord, choose_by_zone, is_majority
 from cranebank.control.membership import View, next_members
 from cranebank.control.replica import MEMBER_SILENCE_S
+from cranebank.transport.revision import NO_REVISION, Revision
 
 LEASE_REQUEST_INTERVAL_S = 0.25  # between requests for the lease
 STORE_ACK_TIMEOUT_S = 0.4  # within which a copy must have stored a value
@@ -30,14 +31,14 @@
     """Holder of the lease and source of the value. Extended by ``consensus_replica.ConsensusReplica``."""
 
     @property
-    def current(self) -> tuple[int, bytes, bytes] | None:
+    def current(self) -> tuple[Revision, bytes, bytes] | None:
         """Committed revision, document and digest (revision 0 before the first); None unless primary and known."""
         if self._leadership is None or self._leadership.committed is None:
             return None
         value = self._leadership.committed
         return value.revision, value.document, value.digest
 
-    def known_call(self, digest: bytes) -> int | None:
+    def known_call(self, digest: bytes) -> Revision | None:
         """Return the revision that a call put in force; None when unknown or when this is not the primary."""
         if self._leadership is None or self._leadership.committed is None:
             return None
@@ -124,7 +125,7 @@
     def _on_stored(self, message: ev.Stored) -> None:
         if self._leadership is not None and message.term == self._leadership.term:
             held_revisions = self._leadership.held_revisions
-            held_revisions[message.sender] = max(message.revision, held_revisions.get(message.sender, 0))
+            held_revisions[message.sender] = max(message.revision, held_revisions.get(message.sender, NO_REVISION))
 
     def _is_store_overdue(self, replica: str) -> bool:
         """Return whether a replica has not acknowledged the value within the timeout."""
--- a/cranebank/control/replica.py
+++ b/cranebank/control/replica.py
@@ -36,6 +36,7 @@
 )
 from cranebank.control.membership import group_size
 from cranebank.invariants import invariant_error
+from cranebank.transport.revision import NO_REVISION, msgpack_decoder, msgpack_encoder
 
 LEASE_MARGIN_S = 0.1  # the primary stops acting this long before its lease expires
 ELECTION_TIMEOUT_S = (0.05, 0.25)  # bounds of the random wait before a candidacy, so that candidacies rarely coincide
@@ -45,6 +46,9 @@
 JOIN_REQUEST_TTL_S = 1.0  # age up to which a Join request counts
 LEAVING_TTL_S = 0.4  # age up to which a Leaving message counts; shorter than the restart of a process
 
+_encode_value = msgpack_encoder().encode
+_decode_value = msgpack_decoder(Value).decode
+
 
 class Replica:
     """Identity, durable state, outgoing messages and last contact with peers. Extended by ``voter.Voter``."""
@@ -76,16 +80,16 @@
         self._no_campaign_before = now
         self._next_join_at = now
         self._primary_heard_at = now
-        self._committed_revision = 0
+        self._committed_revision = NO_REVISION
         self._incarnation = random.getrandbits(48)  # distinguishes stamps of this process from those of an earlier one
         self._contact_at = float("-inf")
-        self._newest_committed = 0
+        self._newest_committed = NO_REVISION
         self.state_reason = "start"
         self._value = NO_VALUE
         self._value_durable = True
         if "id" in stored:
             if "value" in stored:
-                self._value = msgspec.msgpack.decode(stored["value"], type=Value)
+                self._value = _decode_value(stored["value"])
             self._id = stored["id"].decode()
             state = msgspec.msgpack.decode(stored["control"], type=DurableState)
             quarantine_until = now + settings.lease_s
@@ -217,7 +221,7 @@
             values["id"] = self._id.encode()
             values["control"] = msgspec.msgpack.encode(self._acceptor.state)
         if "value" in keys:
-            values["value"] = msgspec.msgpack.encode(self._value)
+            values["value"] = _encode_value(self._value)
         self._token += 1
         self._writes_in_flight[self._token] = PendingPersist(keys, since, callbacks)
         self._actions.append(ev.Persist(self._token, values))
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -47,6 +47,7 @@
 from cranebank.dataplane.shared import Shared
 from cranebank.dataplane.stage_watch import StageWatch
 from cranebank.transport.messages import Backend, PrefillBegun, StageLoad, WarmUpPermits
+from cranebank.transport.revision import NO_REVISION, Revision
 
 PROXY_HEADERS = frozenset({"x-deadline-left", "last-event-id", "x-target-instance", "x-stage", "kv-from", "priority"})
 MAX_PROMPT_TOKENS = 1 << 24  # of one prompt; larger numbers are invalid
@@ -276,9 +277,9 @@
         return found
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Return the revision of the configuration in force; 0: none."""
-        return self.table.revision if self.table is not None else 0
+        return self.table.revision if self.table is not None else NO_REVISION
 
     def configure(self, document: bytes) -> bool:
         """Put a committed configuration in force, unless one at least as new is. Return whether it could be read."""
--- a/cranebank/dataplane/routes.py
+++ b/cranebank/dataplane/routes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cranebank.membership.warm_up import Limits, WarmUpLimit
+from cranebank.transport.revision import Revision, json_decoder
 
 
 class Branch(msgspec.Struct, frozen=True):
@@ -81,13 +82,13 @@
 class Document(msgspec.Struct, frozen=True):
     """A whole configuration; unknown fields are skipped."""
 
-    revision: int
+    revision: Revision
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: ClientLimits = ClientLimits()
 
 
-_decoder = msgspec.json.Decoder(Document, strict=False)
+_decoder = json_decoder(Document, strict=False)
 
 
 class RouteTable:
--- a/cranebank/membership/fleet.py
+++ b/cranebank/membership/fleet.py
@@ -28,6 +28,7 @@
     WarmUpPermits,
     Welcome,
 )
+from cranebank.transport.revision import Revision
 
 UNNAMED_CONTROLLER_TTL_S = 20.0  # an unreachable controller that no other names is no longer dialled after this
 
@@ -36,7 +37,7 @@
     """The data plane, as driven by the control plane."""
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision of the configuration in force."""
 
     def configure(self, document: bytes) -> bool:
--- a/cranebank/membership/neighbours.py
+++ b/cranebank/membership/neighbours.py
@@ -46,6 +46,7 @@
     Push,
     Shuffle,
 )
+from cranebank.transport.revision import Revision
 
 TICK_S = 0.1
 FETCH_TIMEOUT_S = 3.0
@@ -59,7 +60,7 @@
     """The data plane, as read and updated by the gossip."""
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision of the configuration in force."""
 
     @property
--- a/cranebank/membership/outbox.py
+++ b/cranebank/membership/outbox.py
@@ -8,6 +8,7 @@
 
 from cranebank.membership.backends import newer
 from cranebank.transport.messages import Backend, CachedPrefix, Gossip, Load
+from cranebank.transport.revision import Revision
 
 LOADS_INTERVAL_S = 0.2  # between datagrams with loads, while there are any
 IDLE_INTERVAL_S = 1.0  # between datagrams without any items
@@ -60,7 +61,7 @@
                 del self._changed_backends[next(iter(self._changed_backends))]
                 self.left_out += 1
 
-    def next(self, now: float, revision: int, digest: int, out: Iterable[tuple[str, int, int]]) -> Gossip | None:
+    def next(self, now: float, revision: Revision, digest: int, out: Iterable[tuple[str, int, int]]) -> Gossip | None:
         """Return the datagram that is due, if any. ``out``: calls and tokens outstanding at each backend."""
         changed_backends = [
             self._changed_backends.pop(key) for key in list(self._changed_backends)[:RECORDS_PER_DATAGRAM]
--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -23,15 +23,16 @@
 from cranebank.storage.records import StorageError
 from cranebank.transport.links import Link
 from cranebank.transport.messages import ConsensusEnvelope
+from cranebank.transport.revision import Revision, msgpack_decoder, msgpack_encoder
 
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(events.AnyMessage).decode
+_encode = msgpack_encoder().encode
+_decode: Callable[[bytes], events.AnyMessage] = msgpack_decoder(events.AnyMessage).decode
 
 
 class Listener(Protocol):
     """Receives the core's decisions."""
 
-    def committed(self, revision: int, document: bytes) -> None:
+    def committed(self, revision: Revision, document: bytes) -> None:
         """Handle a configuration that is in force."""
 
     def leadership_changed(self, is_primary: bool) -> None:
@@ -100,7 +101,7 @@
             return
         self.feed(events.Received(link.peer, message))
 
-    async def write(self, base: int, revision: int, document: bytes, digest: bytes) -> events.Result:
+    async def write(self, base: int, revision: Revision, document: bytes, digest: bytes) -> events.Result:
         """Pass a write to the core and return its result."""
         result = await self._submit(lambda request: events.Write(request, base, revision, document, digest))
         kind = type(result).__name__
--- a/cranebank/programs/control.py
+++ b/cranebank/programs/control.py
@@ -13,10 +13,10 @@
 from pathlib import Path
 from random import Random, SystemRandom
 
-import msgspec
 from loguru import logger
 
 from cranebank.control.consensus import ConsensusCore
+from cranebank.control.consensus_file import decode_published
 from cranebank.control.consensus_replica import CONSENSUS_FILE, PUBLISHED_KEY, ConsensusReplica, ConsensusSettings
 from cranebank.programs import log_ring as ring_module
 from cranebank.programs.controller import Controller
@@ -84,9 +84,7 @@
         )
         return core
 
-    published = (
-        msgspec.msgpack.decode(stored[PUBLISHED_KEY], type=tuple[int, bytes]) if PUBLISHED_KEY in stored else None
-    )
+    published = decode_published(stored[PUBLISHED_KEY]) if PUBLISHED_KEY in stored else None
     tally_disk = TallyDisk(stored_tallies, tally_storage)
     stored_backends = decode_registry_records(stored)
     return Controller(settings, make_consensus, storage, SystemRandom(), reload, published, stored_backends, tally_disk)
--- a/cranebank/programs/controller.py
+++ b/cranebank/programs/controller.py
@@ -34,6 +34,7 @@
 from cranebank.programs.tally_service import TallyDisk, TallyService
 from cranebank.transport.links import LINK_HEARTBEAT_INTERVAL_S, Link, listen
 from cranebank.transport.messages import Backend, ConfigAck, Message
+from cranebank.transport.revision import Revision
 
 TICK_S = 0.05
 REGISTRY_INTERVAL_S = 0.5
@@ -55,7 +56,7 @@
         storage: Storage,
         random: Random,
         reload: Callable[[], NodeSettings],
-        published: tuple[int, bytes] | None = None,
+        published: tuple[Revision, bytes] | None = None,
         stored_backends: tuple[Backend, ...] = (),
         tally_disk: TallyDisk | None = None,
     ) -> None:
@@ -205,11 +206,11 @@
         """Return the API port, which is the same on all controllers."""
         return self._settings.control_port
 
-    def current(self) -> tuple[int, bytes, bytes] | None:
+    def current(self) -> tuple[Revision, bytes, bytes] | None:
         """Return the committed configuration: revision, document and digest."""
         return self._consensus.current
 
-    def known_call(self, digest: bytes) -> int | None:
+    def known_call(self, digest: bytes) -> Revision | None:
         """Return the revision that the call with this digest put in force, or None if unknown or forgotten."""
         return self._consensus.known_call(digest)
 
@@ -217,7 +218,7 @@
         """Whether a call for this revision may have been put in force and then dropped from the table of calls."""
         return self._consensus.may_be_forgotten(revision)
 
-    async def write(self, base: int, revision: int, document: bytes, digest: bytes) -> events.Result:
+    async def write(self, base: int, revision: Revision, document: bytes, digest: bytes) -> events.Result:
         """Write a configuration through the consensus core and return its result."""
         return await self._driver.write(base, revision, document, digest)
 
@@ -271,7 +272,7 @@
         return {"prefill": sum(load.prefill for load in loads), "decode": sum(load.decode for load in loads)}
 
     @property
-    def published_revision(self) -> int:
+    def published_revision(self) -> Revision:
         """The revision of the configuration that is being published to proxies; 0 if there is none yet."""
         return self._delivery.revision
 
@@ -295,7 +296,7 @@
 
     # Decisions of the consensus core.
 
-    def committed(self, revision: int, document: bytes) -> None:
+    def committed(self, revision: Revision, document: bytes) -> None:
         """Publish a configuration that has been committed."""
         self._publish(revision, document)
         send_deliveries(self._delivery)
@@ -321,7 +322,7 @@
         self._delivery.set_primary(self.now(), is_primary)
         send_deliveries(self._delivery)
 
-    def _publish(self, revision: int, document: bytes) -> None:
+    def _publish(self, revision: Revision, document: bytes) -> None:
         """Publish a committed configuration, from the consensus core or passed on by another controller."""
         if self._delivery.committed(self.now(), revision, document):
             self._links.broadcast(ConfigAck(revision))
--- a/cranebank/programs/controller_protocol.py
+++ b/cranebank/programs/controller_protocol.py
@@ -36,6 +36,7 @@
     TallyVector,
     Welcome,
 )
+from cranebank.transport.revision import Revision
 
 MS_PER_S = 1000.0
 
@@ -54,7 +55,7 @@
         delivery: Delivery,
         registry: RegistryService,
         tallies: TallyService,
-        publish: Callable[[int, bytes], None],
+        publish: Callable[[Revision, bytes], None],
     ) -> None:
         """``publish`` takes a committed configuration that another controller passed on."""
         self.settings = settings  # replaced on reload
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -21,6 +21,7 @@
 from cranebank.programs.log_ring import LogRing
 from cranebank.programs.settings import NodeSettings, SettingsError, load
 from cranebank.transport.messages import Backend, CachedPrefix, Hello, PrefillBegun, StageLoad, WarmUpPermits
+from cranebank.transport.revision import Revision
 
 if TYPE_CHECKING:
     from cranebank.programs.metrics import Exporter
@@ -43,7 +44,7 @@
         self.document = b""  # the configuration in force; kept only to serve it to neighbours
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """The revision of the configuration in force."""
         return self._proxy.revision
 
--- a/cranebank/programs/local_state.py
+++ b/cranebank/programs/local_state.py
@@ -19,6 +19,7 @@
 from cranebank.control.consensus_replica import PUBLISHED_KEY
 from cranebank.storage.records import StorageError
 from cranebank.transport.messages import Backend
+from cranebank.transport.revision import Revision, msgpack_encoder
 
 REGISTRY_KEY = "known"  # key of the registry's records
 ENDINGS_KEY = "ended"  # key of the records of backends that are draining or gone
@@ -26,7 +27,7 @@
 REGISTRY_WRITE_INTERVAL_S, FEW_RECORDS, LARGE_REGISTRY_WRITE_INTERVAL_S = 0.4, 500, 5.0
 FINAL_WRITE_TIMEOUT_S = 0.5  # for the last write at shutdown
 
-_encode = msgspec.msgpack.Encoder().encode
+_encode = msgpack_encoder().encode
 
 
 class Storage(Protocol):
@@ -62,7 +63,7 @@
         """Run a write in the background."""
         self._writes.start(work)
 
-    def write_published(self, revision: int, document: bytes) -> None:
+    def write_published(self, revision: Revision, document: bytes) -> None:
         """Store the last published configuration for the next start."""
         self.start_task(self._put_in_background(PUBLISHED_KEY, _encode((revision, document))))
 
--- a/cranebank/transport/frames.py
+++ b/cranebank/transport/frames.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cranebank.transport.messages import Message
+from cranebank.transport.revision import msgpack_decoder, msgpack_encoder
 
 MAGIC = 0x6372
 MAX_BODY_BYTES = 9 << 20  # a configuration of 4 MiB, as a document within a message, and headroom
@@ -23,8 +24,8 @@
 ).compile()
 HEADER_BYTES = 12
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgpack_encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgpack_decoder(Message)
 
 
 class BadFrame(Exception):
--- a/cranebank/transport/messages.py
+++ b/cranebank/transport/messages.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from cranebank.transport.revision import NO_REVISION, Revision
+
 
 class Backend(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One incarnation of a backend, as reported by its newest heartbeat. ``phase``: ready, draining, gone (it has left
@@ -42,7 +44,7 @@
     ip: str
     zone: str
     life: int
-    revision: int = 0  # of the sender's configuration; 0: none
+    revision: Revision = NO_REVISION  # of the sender's configuration; 0: none
     backends: tuple[Backend, ...] = ()  # all that the sender knows: a controller rebuilds a lost registry from them
 
 
@@ -78,14 +80,14 @@
 class ConfigPush(msgspec.Struct, frozen=True, tag=5, array_like=True):
     """A committed configuration; ``document`` is JSON as in the operator's API."""
 
-    revision: int
+    revision: Revision
     document: bytes
 
 
 class ConfigAck(msgspec.Struct, frozen=True, tag=6, array_like=True):
     """This revision, or a later one, is in force at the sender."""
 
-    revision: int
+    revision: Revision
 
 
 class StageLoad(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -102,7 +104,7 @@
     configuration is newer. A proxy adds the load that it offers to each service, and its steady clock (0: it needs no
     permits)."""
 
-    revision: int = 0
+    revision: Revision = NO_REVISION
     is_current: bool = False
     epoch: int = 0
     loads: tuple[StageLoad, ...] = ()
@@ -186,7 +188,7 @@
     older configuration sends Fetch."""
 
     view: tuple[tuple[str, int], ...]
-    revision: int
+    revision: Revision
     digest: int  # CRC-32 of the configuration's document
     is_reply: bool = False
     exchange: int = 0
@@ -195,7 +197,7 @@
 class Fetch(msgspec.Struct, frozen=True, tag=11, array_like=True):
     """Requests the receiver's configuration (ConfigPush) if it is newer than this revision."""
 
-    revision: int
+    revision: Revision
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -232,7 +234,7 @@
     and backends whose phase changed. ``number`` increases with each datagram and orders the loads."""
 
     number: int
-    revision: int
+    revision: Revision
     digest: int
     loads: tuple[Load, ...] = ()
     cached_prefixes: tuple[CachedPrefix, ...] = ()
--- a/tests/controlsim/world.py
+++ b/tests/controlsim/world.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cranebank.control.consensus_file import decode_published
 from cranebank.control.consensus_replica import PUBLISHED_KEY, ConsensusReplica, ConsensusSettings
 from cranebank.membership.backends import newer
 from cranebank.membership.fleet import FleetLinks
@@ -17,6 +18,7 @@
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.transport.links import Link
 from cranebank.transport.messages import Backend, ConfigPush, Hello, Message, StageLoad, WarmUpPermits
+from cranebank.transport.revision import Revision
 
 from .actors import CONTROL_PORT, Operator, Reader
 from .actors import Backend as BackendActor
@@ -79,7 +81,7 @@
     """Test double of a proxy's data plane: records the newest configuration and the state of backends."""
 
     def __init__(self, get_loads: Callable[[], tuple[StageLoad, ...]]) -> None:
-        self.revision = 0
+        self.revision = Revision()
         self.records: dict[str, Backend] = {}
         self.held: dict[str, float] = {}
         self.loads = get_loads
@@ -88,7 +90,7 @@
 
     def configure(self, document: bytes) -> bool:
         """Apply a configuration, as the data plane does."""
-        self.revision = max(self.revision, int(msgspec.json.decode(document)["revision"]))
+        self.revision = max(self.revision, Revision(msgspec.json.decode(document)["revision"]))
         return True
 
     def learn(self, backends: Iterable[Backend]) -> None:
@@ -397,7 +399,7 @@
             machine.storage,
             Random(f"{self.seed} {machine.ip} {machine.lives}"),
             lambda: msgspec.structs.replace(settings, seed_addrs=self._seed_addrs(False)),
-            msgspec.msgpack.decode(stored[PUBLISHED_KEY], type=tuple[int, bytes]) if PUBLISHED_KEY in stored else None,
+            decode_published(stored[PUBLISHED_KEY]) if PUBLISHED_KEY in stored else None,
             decode_registry_records(stored),
         )
         machine.loop.create_task(machine.controller.start())
--- a/tests/simulated_control.py
+++ b/tests/simulated_control.py
@@ -20,6 +20,7 @@
 from cranebank.control import events as ev
 from cranebank.control.consensus_replica import ConsensusReplica, ConsensusSettings, InvariantBroken
 from cranebank.control.epochs import ip_of
+from cranebank.transport.revision import Revision, msgpack_decoder, msgpack_encoder
 
 FAULTS_S = 14.0
 RECOVER_S = 5.0
@@ -28,7 +29,8 @@
 CONTACT_S = 1.2 * 1.01 + 0.001  # a lease's length by the slowest clock
 TICK_S = 0.05
 GRACE_S = 4.0  # time for a retiring process to end
-_MESSAGE = msgspec.msgpack.Decoder(ev.AnyMessage)
+_encode = msgpack_encoder().encode
+_MESSAGE: msgspec.msgpack.Decoder[ev.AnyMessage] = msgpack_decoder(ev.AnyMessage)
 
 
 class Violation(Exception):
@@ -292,7 +294,7 @@
             return
         if self.now < machine.cut_pairs.get(action.ip, 0.0):
             return
-        encoded = msgspec.msgpack.encode(action.message)
+        encoded = _encode(action.message)
         for _ in range(2 if self.random.random() < self.duplicate_probability else 1):
             delay = self.random.uniform(0.0003, 0.002)
             if self.now < machine.late_out_until:
@@ -649,7 +651,7 @@
         self._requests[request] = (operator, attempt)
         process = self.machines[ip].process
         if process is not None:
-            write = ev.Write(request, attempt.base, attempt.revision, b"doc" + attempt.digest, attempt.digest)
+            write = ev.Write(request, attempt.base, Revision(attempt.revision), b"doc" + attempt.digest, attempt.digest)
             self.at(self.random.uniform(0.001, 0.003), partial(self.deliver, process, write))
         return request
 
--- a/tests/single_node_consensus.py
+++ b/tests/single_node_consensus.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from cranebank.control import events
+from cranebank.transport.revision import NO_REVISION, Revision
 
 
 class SingleNodeConsensus:
@@ -13,19 +14,19 @@
 
     def __init__(self, ip: str, stored: Mapping[str, bytes], leader_ip: str | None = None) -> None:
         self.ip, self.leader_ip = ip, leader_ip or ip
-        self.current: tuple[int, bytes, bytes] | None = (0, b"", b"")
+        self.current: tuple[Revision, bytes, bytes] | None = (NO_REVISION, b"", b"")
         self._pending: dict[int, events.Write] = {}
         self._tokens = itertools.count(1)
         self._said = False
         self.is_in_contact = True
         self.members: tuple[str, ...] = (ip,)
-        self.calls: dict[bytes, int] = {}
+        self.calls: dict[bytes, Revision] = {}
         self.forgotten_below = 0
         self.evacuated: tuple[str, ...] = ()
         self.evacuation_number = 0
         if "revision" in stored:
-            self.current = int(stored["revision"]), stored["document"], stored["digest"]
-            self.calls[stored["digest"]] = int(stored["revision"])
+            self.current = Revision(int(stored["revision"])), stored["document"], stored["digest"]
+            self.calls[stored["digest"]] = self.current[0]
 
     def holds_lease(self, now: float) -> bool:
         """Return whether this node is the leader."""
@@ -39,7 +40,7 @@
         """Return whether it is in contact and the revision is no older than its own."""
         return self.is_in_contact and (self.current is None or revision >= self.current[0])
 
-    def known_call(self, digest: bytes) -> int | None:
+    def known_call(self, digest: bytes) -> Revision | None:
         """Return the revision that a call put in force."""
         return self.calls.get(digest)
 
@@ -58,7 +59,7 @@
     def status(self, now: float) -> events.Status:
         """Return the status of the single node."""
         leads = self.holds_lease(now)
-        revision = self.current[0] if self.current else 0
+        revision = self.current[0] if self.current else NO_REVISION
         return events.Status(
             self.ip,
             "primary" if leads else "backup",
--- a/tests/test_call_table.py
+++ b/tests/test_call_table.py
@@ -8,6 +8,7 @@
 from cranebank.control import call_table
 from cranebank.control import events as ev
 from cranebank.control.call_table import EMPTY_TABLE, AppliedCall, CallTable
+from cranebank.transport.revision import Revision
 
 SMALL_TABLE_CALLS = 3
 DISK_AND_LINK_S = 0.05  # within which a write is on its copy's disk and answered
@@ -25,7 +26,7 @@
 def table_of(*revisions: int) -> CallTable:
     table = EMPTY_TABLE
     for revision in revisions:
-        table = table.with_call(revision, digest_of(revision))
+        table = table.with_call(Revision(revision), digest_of(revision))
     return table
 
 
@@ -43,7 +44,7 @@
 
 def test_the_table_holds_the_newest_calls_and_tells_which_may_have_fallen_out() -> None:
     table = table_of(2, 3, 5)
-    assert (table.calls[0], table.forgotten) == (AppliedCall(2, digest_of(2)), 0)
+    assert (table.calls[0], table.forgotten) == (AppliedCall(Revision(2), digest_of(2)), 0)
     assert not table.may_be_forgotten(1)
     table = table_of(2, 3, 5, 8, 9)
     assert [call.revision for call in table.calls] == [5, 8, 9]
--- a/tests/test_cold_backends_wire.py
+++ b/tests/test_cold_backends_wire.py
@@ -39,7 +39,7 @@
     controller = Controller(settings, single_replica, AsyncStore(store), Random(1), lambda: settings)
     await controller.start()
     proxy = Proxy(RetryRule(0.1, 10, 1.0, True), Random(2), controller.now())
-    links = FleetLinks(DataPlane(proxy), lambda: Hello("edge-1", "proxy", PROXY, "z", 1, 0, ()), PROXY, ports[0])
+    links = FleetLinks(DataPlane(proxy), lambda: Hello("edge-1", "proxy", PROXY, "z", 1), PROXY, ports[0])
     links.name((ONE,))
     allowed: list[int] = []
     try:
--- a/tests/test_consensus_replica.py
+++ b/tests/test_consensus_replica.py
@@ -11,6 +11,7 @@
 from cranebank.control.consensus_replica import ConsensusReplica, ConsensusSettings, InvariantBroken, State, Value
 from cranebank.control.epochs import EpochRecord, HeldLease, VoterLease, choose_by_zone
 from cranebank.control.membership import View, group_size, next_members
+from cranebank.transport.revision import Revision
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
@@ -85,7 +86,7 @@
 
     def write(self, request: int, base: int, revision: int, digest: bytes = b"", ip: str = "") -> None:
         digest = digest or b"d%d" % revision
-        self.deliver(ip or self.primary, ev.Write(request, base, revision, b"doc%d" % revision, digest))
+        self.deliver(ip or self.primary, ev.Write(request, base, Revision(revision), b"doc%d" % revision, digest))
 
 
 def ready(ips: tuple[str, ...] = SEEDS) -> Group:
@@ -435,7 +436,7 @@
     group.deliver(old, ev.Retire())
     group.run(0.5)
     copy = group.nodes[group.primary]
-    copy.handle(group.now, ev.Received(old, ev.Store(old, before, 9, b"late", b"late")))
+    copy.handle(group.now, ev.Received(old, ev.Store(old, before, Revision(9), b"late", b"late")))
     assert copy.status(group.now).revision == 3
 
 
@@ -454,7 +455,7 @@
     group.run(0.05)
     copy, record = copy_of(group), group.nodes[group.primary].record
     assert record is not None and copy.status(group.now).revision == 3
-    copy.handle(group.now, ev.Received(group.primary, ev.Store(record.primary, record, 2, b"d2", b"doc2")))
+    copy.handle(group.now, ev.Received(group.primary, ev.Store(record.primary, record, Revision(2), b"d2", b"doc2")))
     assert copy.status(group.now).revision == 3
 
 
@@ -467,7 +468,7 @@
     term = earlier.epoch + 1
     record = EpochRecord(term, term, earlier.primary, earlier.copies, earlier.members)
     copy.handle(group.now, ev.Received(group.primary, ev.Chosen(record.primary, record)))
-    late = ev.Store(earlier.primary, earlier, 9, b"late", b"late")
+    late = ev.Store(earlier.primary, earlier, Revision(9), b"late", b"late")
     actions = copy.handle(group.now, ev.Received(group.primary, late))
     assert copy.status(group.now).revision == 3
     sent = [one.message for one in actions if isinstance(one, ev.Send)]
@@ -505,7 +506,7 @@
         assert not node.in_contact(group.now)
         stamp = ev.Stamp(incarnation, group.now + 1000.0)
         record = node.record or record
-        group.deliver(follower, ev.Received(record.primary, ev.AskLease(record.primary, record, 1, stamp, 0)))
+        group.deliver(follower, ev.Received(record.primary, ev.AskLease(record.primary, record, 1, stamp, Revision(0))))
         assert node.in_contact(group.now) is is_own
 
 
@@ -551,7 +552,7 @@
     node._acceptor.chosen = EpochRecord(9, 9, "nobody", (), SEEDS)
     with pytest.raises(InvariantBroken):
         node._check_invariants()
-    assert Value(1, 9, b"", b"").age < Value(2, 1, b"", b"").age
+    assert Value(1, Revision(9), b"", b"").age < Value(2, Revision(1), b"", b"").age
 
 
 def test_a_newcomer_that_was_wiped_while_it_asked_is_admitted_once() -> None:
@@ -576,10 +577,10 @@
     record = group.nodes[group.primary].record
     assert record is not None
     copy = next(ip for ip in record.copies if ip != group.primary)
-    node, store = group.nodes[copy], ev.Store(group.primary, record, 3, b"digest", b"document")
+    node, store = group.nodes[copy], ev.Store(group.primary, record, Revision(3), b"digest", b"document")
     first = persisted(node.handle(group.now, ev.Received(group.primary, store)))
     newer = EpochRecord(record.epoch + 1, record.term, record.primary, record.copies, record.members)
-    again = ev.Store(group.primary, newer, 3, b"digest", b"document")
+    again = ev.Store(group.primary, newer, Revision(3), b"digest", b"document")
     second = persisted(node.handle(group.now, ev.Received(group.primary, again)))
     assert stored(node.handle(group.now, ev.PersistFailed(first))) == 0
     assert stored(node.handle(group.now, ev.Persisted(second))) == 0
--- a/tests/test_control_cut_off.py
+++ b/tests/test_control_cut_off.py
@@ -27,6 +27,7 @@
 
 from cranebank.programs.settings import SETTINGS_FILE_VARIABLE
 from cranebank.transport.messages import ConfigPush, LinkHeartbeat, Message
+from cranebank.transport.revision import Revision
 
 IPS = ("127.0.13.1", "127.0.13.2", "127.0.13.3")
 LAST_REVISION = 250
@@ -145,7 +146,7 @@
             assert (await controllers.call(survivor, "POST", "/api/Servers.Heartbeat/i-1", beat(1)))[0] == 200
             async with proxy(ports, survivor) as kept:
                 assert (await kept.next(ConfigPush)).revision == 7
-                kept.send(LinkHeartbeat(7))
+                kept.send(LinkHeartbeat(Revision(7)))
                 controllers.signal(signal.SIGSTOP, others)
                 await endings_are_unconfirmed(controllers, survivor)
                 await refused_within(controllers, survivor, NOTICED_S)
--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -54,6 +54,7 @@
     RegistrySync,
     Welcome,
 )
+from cranebank.transport.revision import Revision
 
 ONE, TWO, PROXY = "127.0.11.1", "127.0.11.2", "127.0.11.9"
 REPLACE, AMEND, READ = "/api/Configuration.Replace", "/api/Configuration.Amend", "/api/Configuration.Read"
@@ -189,7 +190,7 @@
     """Connect as a proxy: send Hello and wait for the Welcome."""
     reader, writer = await asyncio.open_connection(ip, ports[0], local_addr=(PROXY, 0))
     found = Proxy(reader, writer)
-    found.send(Hello("edge-1", "proxy", PROXY, "z", 1, revision, records))
+    found.send(Hello("edge-1", "proxy", PROXY, "z", 1, Revision(revision), records))
     await found.next(Welcome)
     heartbeats = asyncio.create_task(found.send_heartbeats())
     try:
@@ -505,14 +506,14 @@
             assert (await client.call("POST", REPLACE, body(document(revision=7)), 0))[0] == 200
             consensus = made._consensus
             assert isinstance(consensus, SingleNodeConsensus) and consensus.is_in_contact
-            consensus.current = 8, b"", b""
+            consensus.current = Revision(8), b"", b""
             async with proxy(ports) as edge:
                 seen = await edge.until_heartbeats(2)
                 assert not any(isinstance(message, ConfigPush) for message in seen)
-                assert seen[-1] == LinkHeartbeat(7, is_current=False, epoch=1)
-                consensus.current = 7, b"", b""
+                assert seen[-1] == LinkHeartbeat(Revision(7), is_current=False, epoch=1)
+                consensus.current = Revision(7), b"", b""
                 assert (await edge.next(ConfigPush)).revision == 7
-                assert await edge.next(LinkHeartbeat) == LinkHeartbeat(7, is_current=True, epoch=1)
+                assert await edge.next(LinkHeartbeat) == LinkHeartbeat(Revision(7), is_current=True, epoch=1)
 
     play(scenario)
 
@@ -627,16 +628,16 @@
         sent = body(document(revision=7))
         async with controller(tmp_path, ports), proxy(ports) as edge, caller(ports) as client:
             answering = asyncio.create_task(client.call("POST", REPLACE, sent, 0))
-            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            assert await edge.next(ConfigPush) == ConfigPush(Revision(7), sent)
             async with caller(ports) as other:  # another call's round trip leaves time for a premature answer
                 assert (await other.call("GET", "/api/System.Status"))[0] == 200
             assert not answering.done()
-            edge.send(ConfigAck(7))
+            edge.send(ConfigAck(Revision(7)))
             assert (await answering)[0] == 200
             status = json.loads((await client.call("GET", "/api/System.Status"))[2])
             assert [(peer["name"], peer["revision"]) for peer in status["proxies"]] == [("edge-1", 7)]
         async with controller(tmp_path, ports), proxy(ports, revision=5) as edge:
-            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            assert await edge.next(ConfigPush) == ConfigPush(Revision(7), sent)
 
     play(scenario)
 
@@ -663,7 +664,7 @@
             async with proxy(ports) as edge:
                 seen = await edge.until_heartbeats(3)
                 assert not any(isinstance(message, ConfigPush) for message in seen)
-                assert seen[-1] == LinkHeartbeat(7, is_current=False, epoch=-1)  # no epoch is known
+                assert seen[-1] == LinkHeartbeat(Revision(7), is_current=False, epoch=-1)  # no epoch is known
                 assert not made.holds_lease()
         finally:
             await made.stop()
@@ -762,10 +763,10 @@
             planes[ip] = await make_controller(settings, lambda settings=settings: settings)  # type: ignore[misc]
             await planes[ip].start()
         async with proxy(ports, TWO) as edge:
-            edge.send(LinkHeartbeat(0))
+            edge.send(LinkHeartbeat(Revision(0)))
             answering = asyncio.create_task(follow(ports, ONE, "POST", REPLACE, sent))
-            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
-            edge.send(ConfigAck(7))
+            assert await edge.next(ConfigPush) == ConfigPush(Revision(7), sent)
+            edge.send(ConfigAck(Revision(7)))
             answer, primary = await answering
             assert answer[0] == 200
         await planes.pop(primary).stop()
@@ -810,7 +811,7 @@
             caller(ports) as client,
         ):
             assert (await client.call("POST", REPLACE, sent, 0))[0] == 200
-            assert await edge.next(ConfigPush) == ConfigPush(7, sent)
+            assert await edge.next(ConfigPush) == ConfigPush(Revision(7), sent)
 
     for name in "12":
         (tmp_path / name).mkdir()
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -33,6 +33,7 @@
 from cranebank.programs.consensus_driver import ConsensusDriver
 from cranebank.programs.stage_balancer_driver import StageBalancerDriver
 from cranebank.transport.messages import Evacuations
+from cranebank.transport.revision import Revision
 
 DEFAULT_SCHEDULES = 10
 SCHEDULES_BY_POINT = {"loads": 30, "evacuations": 20}  # scenarios with rarer cases
@@ -148,7 +149,7 @@
     committed = Delivery.committed
 
     def dropped(self: Delivery, now: float, revision: int, document: bytes) -> bool:
-        return revision % 7 != 0 and committed(self, now, revision, document)
+        return revision % 7 != 0 and committed(self, now, Revision(revision), document)
 
     patch.setattr(Delivery, "committed", dropped)
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -19,6 +19,7 @@
     PendingAcks,
 )
 from cranebank.transport.messages import Backend, ConfigPush, Message, Push, Welcome
+from cranebank.transport.revision import Revision
 
 
 def backend(name: str, phase: str = "ready") -> Backend:
@@ -118,7 +119,7 @@
     delivery.join(0, "c", "c-2", "10.0.1.1", False, 0, ())
     delivery.join(0, "d", "c-3", "10.0.1.2", False, 0, ())
     delivery.observe_revision(1, 9)
-    assert delivery.committed(1, 7, b"{}")
+    assert delivery.committed(1, Revision(7), b"{}")
     assert configured(delivery.pop_messages()) == [(0, 7)]
     delivery.observe_revision("d", 7)
     delivery.tick(1 + CONTROLLER_PUSH_DELAY_S)
@@ -132,7 +133,7 @@
 def test_others_wait_for_the_primary() -> None:
     """They send it only to peers that still show an older one after a delay."""
     delivery = made(2)
-    delivery.committed(1, 7, b"{}")
+    delivery.committed(1, Revision(7), b"{}")
     delivery.tick(0.9 + BACKUP_PUSH_DELAY_S)
     assert configured(delivery.pop_messages()) == []
     delivery.observe_revision(0, 7)
@@ -149,11 +150,11 @@
     """The delay before a peer is sent the newest configuration starts with the first change, not with the last."""
     delivery = made(1)
     delivery.join(0, "c", "c-2", "10.0.1.1", False, 0, ())
-    delivery.committed(1.0, 1, b"{}")
+    delivery.committed(1.0, Revision(1), b"{}")
     sent: dict[Hashable, float] = {}
     for step in range(1, 20):
         now = 1.0 + step * 0.1
-        delivery.committed(now, 1 + step, b"{}")
+        delivery.committed(now, Revision(1 + step), b"{}")
         delivery.tick(now)
         for link, _ in configured(delivery.pop_messages()):
             sent.setdefault(link, now)
@@ -165,7 +166,7 @@
     delivery = made(1)
     for step in range(20):
         now = 1.0 + step * 0.1
-        delivery.committed(now, 1 + step, b"{}")
+        delivery.committed(now, Revision(1 + step), b"{}")
         delivery.observe_revision(0, 1 + step)
         delivery.tick(now)
     assert configured(delivery.pop_messages()) == []
@@ -174,7 +175,7 @@
 def test_a_proxy_without_any_configuration_gets_one_from_whoever_has_it() -> None:
     """Without one it serves no requests, and there may be no primary for a while."""
     delivery = made(1)
-    delivery.committed(1, 7, b"{}")
+    delivery.committed(1, Revision(7), b"{}")
     delivery.pop_messages()
     join(delivery, 5, 5)
     assert configured(delivery.pop_messages()) == [(5, 7)]
@@ -186,7 +187,7 @@
     delivery = Delivery("c-1", Random(1), lambda _now, _revision: in_contact[0])
     delivery.set_primary(0, True)
     join(delivery, 0, 0)
-    delivery.committed(1, 7, b"{}")
+    delivery.committed(1, Revision(7), b"{}")
     join(delivery, 2, 1, revision=3)
     delivery.join(2, "c", "c-2", "10.0.1.1", False, 0, ())
     delivery.tick(9)
@@ -200,11 +201,11 @@
     """A configuration from disk, or of a controller that lags behind, may be outdated despite contact."""
     newest = [8]
     delivery = Delivery("c-1", Random(1), lambda _now, revision: revision >= newest[0])
-    delivery.committed(0, 7, b"{}")
+    delivery.committed(0, Revision(7), b"{}")
     join(delivery, 0, 0)
     delivery.tick(9)
     assert configured(delivery.pop_messages()) == []
-    delivery.committed(10, 8, b"{ }")
+    delivery.committed(10, Revision(8), b"{ }")
     delivery.tick(11)
     assert configured(delivery.pop_messages()) == [(0, 8)]
 
@@ -212,7 +213,7 @@
 def test_a_new_primary_hands_out_what_is_missing() -> None:
     """A new primary pushes at once to outdated proxies."""
     delivery = made(2)
-    delivery.committed(1, 7, b"{}")
+    delivery.committed(1, Revision(7), b"{}")
     delivery.set_primary(1.01, True)
     assert configured(delivery.pop_messages()) == [(0, 7), (1, 7)]
 
@@ -220,9 +221,9 @@
 def test_nothing_older_is_handed_out() -> None:
     """An earlier revision, or another document of the same revision, is ignored."""
     delivery = made(1, is_primary=True)
-    assert delivery.committed(1, 7, b"7")
-    assert not delivery.committed(2, 7, b"x")
-    assert not delivery.committed(2, 5, b"5")
+    assert delivery.committed(1, Revision(7), b"7")
+    assert not delivery.committed(2, Revision(7), b"x")
+    assert not delivery.committed(2, Revision(5), b"5")
     assert configured(delivery.pop_messages()) == [(0, 7)]
     assert delivery.document == b"7"
 
@@ -230,7 +231,7 @@
 def test_waiting_for_a_revision() -> None:
     """The wait is done when all linked proxies show the revision or a later one."""
     delivery = made(3, is_primary=True)
-    delivery.committed(1, 7, b"{}")
+    delivery.committed(1, Revision(7), b"{}")
     acks = delivery.await_revision(7)
     delivery.observe_revision(0, 7)
     delivery.observe_revision(1, 6)
@@ -295,8 +296,8 @@
                     if waits.get(link, number + 1) <= number:
                         del waits[link]
             case 4:
-                revision += random.randint(-1, 2)
-                delivery.committed(now, revision, b"{}")
+                revision = max(0, revision + random.randint(-1, 2))
+                delivery.committed(now, Revision(revision), b"{}")
             case 5:
                 delivery.set_primary(now, random.random() < 0.5)
             case _:
@@ -316,10 +317,10 @@
 def test_one_message_for_all_links() -> None:
     """A configuration may be large: one message object, encoded once, is sent on all links."""
     delivery = made(5, is_primary=True)
-    delivery.committed(1, 3, b"{}")
+    delivery.committed(1, Revision(3), b"{}")
     handed = [message for _, message in delivery.pop_messages() if isinstance(message, ConfigPush)]
     assert len(handed) == 5 and all(message is handed[0] for message in handed)
-    delivery.committed(2, 4, b"{ }")
+    delivery.committed(2, Revision(4), b"{ }")
     handed = [message for _, message in delivery.pop_messages() if isinstance(message, ConfigPush)]
     assert [(message.revision, message.document) for message in handed] == [(4, b"{ }")] * 5
 
--- a/tests/test_durable_endings.py
+++ b/tests/test_durable_endings.py
@@ -22,6 +22,7 @@
 from cranebank.storage.records import DiskRefused
 from cranebank.transport.links import Link
 from cranebank.transport.messages import Backend, RegistryAck, RegistrySync
+from cranebank.transport.revision import Revision
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 DRAINING = Backend("i", "s", "10.0.0.9:80", "z", "decode", 4, "draining", 2)
@@ -49,7 +50,7 @@
     """A consensus core that knows three members."""
 
     def status(self, now: float) -> Status:
-        return Status("1", "follower", 1, "", "", False, (), IPS, 0)
+        return Status("1", "follower", 1, "", "", False, (), IPS, Revision(0))
 
 
 class RecordingLink:
--- a/tests/test_flat_over_changes.py
+++ b/tests/test_flat_over_changes.py
@@ -36,6 +36,7 @@
 from cranebank.programs.control import Controller
 from cranebank.storage.store import AsyncStore, open_store
 from cranebank.transport.messages import Backend, Hello, StageLoad, WarmUpPermits
+from cranebank.transport.revision import Revision
 
 CHANGES = 1000
 EARLY = range(100, 200)
@@ -74,7 +75,7 @@
         self._proxy = proxy
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """The revision of the configuration in force."""
         return self._proxy.revision
 
@@ -128,7 +129,7 @@
     controller = Controller(settings, single_replica, AsyncStore(store), Random(1), lambda: settings)
     await controller.start()
     proxy = Proxy(RetryRule(0.1, 10, 1.0, True), Random(2), controller.now())
-    hello = Hello("edge-1", "proxy", PROXY, "z", 1, 0, ())
+    hello = Hello("edge-1", "proxy", PROXY, "z", 1)
     links = FleetLinks(DataPlane(proxy), lambda: hello, PROXY, ports[0])
     links.name((ONE,))
     while not (controller.holds_lease() and links.up):
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -30,6 +30,7 @@
     WarmUpPermits,
     Welcome,
 )
+from cranebank.transport.revision import Revision
 
 PROXY, CONTROLLERS = "127.0.12.9", ("127.0.12.1", "127.0.12.2", "127.0.12.3")
 
@@ -37,11 +38,11 @@
 class FakeDataPlane:
     """A data plane that accepts everything."""
 
-    revision = 0
+    revision = Revision(0)
 
     def configure(self, document: bytes) -> bool:
         """Put it in force."""
-        self.revision = int(document)
+        self.revision = Revision(int(document))
         return True
 
     def learn(self, backends: Iterable[Backend]) -> None:
@@ -112,12 +113,12 @@
         ends = [link for link, _ in owner.of(Hello)]
         ends[1].send(Push(1, ()))
         await until(owner, PushAck, 1)
-        ends[0].send(ConfigPush(7, b"7"))
+        ends[0].send(ConfigPush(Revision(7), b"7"))
         await until(owner, ConfigAck, 1)
         await until(owner, LinkHeartbeat, 6)
         assert [link for link, _ in owner.of(PushAck)] == [ends[1]]
-        assert owner.of(ConfigAck) == [(ends[0], ConfigAck(7))]
-        assert {link for link, message in owner.of(LinkHeartbeat) if message == LinkHeartbeat(7)} == set(ends)
+        assert owner.of(ConfigAck) == [(ends[0], ConfigAck(Revision(7)))]
+        assert {link for link, message in owner.of(LinkHeartbeat) if message == LinkHeartbeat(Revision(7))} == set(ends)
     finally:
         links.stop()
         for server in servers:
@@ -165,17 +166,17 @@
 async def confirming() -> None:
     """Check which of a controller's heartbeats confirm the revision in force."""
     plane = FakeDataPlane()
-    plane.revision = 7
+    plane.revision = Revision(7)
     links = FleetLinks(plane, lambda: Hello("p", "proxy", PROXY, "z", 1), PROXY, free_port())
     link = Link(Controllers(), True)
     for pulse, confirms in (
-        (LinkHeartbeat(7, is_current=False, epoch=4), False),
-        (LinkHeartbeat(8, is_current=True, epoch=4), False),  # the proxy's revision is older
-        (LinkHeartbeat(0, is_current=True, epoch=4), False),  # the controller has no configuration yet
-        (LinkHeartbeat(7, is_current=True, epoch=3), False),  # an older epoch than the newest received
-        (LinkHeartbeat(7, is_current=True, epoch=4), True),
-        (LinkHeartbeat(6, is_current=True, epoch=5), True),
-        (LinkHeartbeat(7, is_current=True, epoch=4), False),
+        (LinkHeartbeat(Revision(7), is_current=False, epoch=4), False),
+        (LinkHeartbeat(Revision(8), is_current=True, epoch=4), False),  # the proxy's revision is older
+        (LinkHeartbeat(Revision(0), is_current=True, epoch=4), False),  # the controller has no configuration yet
+        (LinkHeartbeat(Revision(7), is_current=True, epoch=3), False),  # an older epoch than the newest received
+        (LinkHeartbeat(Revision(7), is_current=True, epoch=4), True),
+        (LinkHeartbeat(Revision(6), is_current=True, epoch=5), True),
+        (LinkHeartbeat(Revision(7), is_current=True, epoch=4), False),
     ):
         links._confirmed_at -= 100
         links.link_message(link, pulse)
@@ -244,7 +245,7 @@
     """Otherwise the link stays up forever without reads or heartbeats, and its dialer waits for its end."""
     transport, link = Reset(), Link(Controllers(), True)
     link.connection_made(transport)
-    assert transport.aborted and not link.up and not link.send(LinkHeartbeat(1))
+    assert transport.aborted and not link.up and not link.send(LinkHeartbeat(Revision(1)))
     link.connection_lost(None)
 
 
--- a/tests/test_link_faults.py
+++ b/tests/test_link_faults.py
@@ -19,9 +19,10 @@
 from cranebank.transport.frames import BadFrame, Decoder, encode
 from cranebank.transport.links import Dialer, Link, listen
 from cranebank.transport.messages import ConfigAck, Hello, LinkHeartbeat, Message, Push, PushAck
+from cranebank.transport.revision import Revision
 
 HERE = "127.0.0.1"
-SENT: tuple[Message, ...] = (Hello("p", "proxy", HERE, "z", 7), PushAck(3), ConfigAck(2))
+SENT: tuple[Message, ...] = (Hello("p", "proxy", HERE, "z", 7), PushAck(3), ConfigAck(Revision(2)))
 STREAM = b"".join(encode(message) for message in SENT)
 ENDS = [sum(len(encode(message)) for message in SENT[: count + 1]) for count in range(len(SENT))]
 
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -16,6 +16,7 @@
 from cranebank.membership.outbox import MAX_PREFIX_BYTES, MAX_QUEUED_PREFIXES, GossipOutbox
 from cranebank.transport.frames import encode
 from cranebank.transport.messages import Backend, CachedPrefix, Gossip, Load
+from cranebank.transport.revision import Revision
 
 
 def test_the_newest_figures_of_each_neighbour_are_summed() -> None:
@@ -68,7 +69,7 @@
 
 def play(outbox: GossipOutbox, steps: int, out: list[tuple[str, int, int]], start: float = 0.0) -> list[Gossip]:
     """Return the datagrams of ``steps`` tenths of a second."""
-    made = [outbox.next(start + step * 0.1, 3, 9, out) for step in range(steps)]
+    made = [outbox.next(start + step * 0.1, Revision(3), 9, out) for step in range(steps)]
     return [gossip for gossip in made if gossip is not None]
 
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -18,6 +18,7 @@
 from cranebank.transport import links
 from cranebank.transport.frames import BadFrame, decode_datagram, encode
 from cranebank.transport.messages import Backend, CachedPrefix, Fetch, Gossip, Load, PrefillBegun, Push, Shuffle
+from cranebank.transport.revision import Revision
 
 A, B = "127.0.0.11", "127.0.0.12"
 
@@ -26,7 +27,7 @@
     """A data plane that records updates; its candidates are real."""
 
     def __init__(self) -> None:
-        self.candidates, self.revision, self.document = Candidates(), 0, b""
+        self.candidates, self.revision, self.document = Candidates(), Revision(0), b""
         self.end: Neighbours | None = None
         self.load: list[tuple[str, int, int]] = []
         self.cached_prefixes: list[CachedPrefix] = []
@@ -36,7 +37,7 @@
         self.changed = asyncio.Event()
 
     def configure(self, document: bytes) -> bool:
-        revision = int(document.split()[0])
+        revision = Revision(int(document.split()[0]))
         if revision > self.revision:
             self.revision, self.document = revision, document
             self.changed.set()
@@ -181,8 +182,10 @@
 def test_damaged_datagrams_are_dropped_and_counted() -> None:
     async def scenario(a: FakeDataPlane, b: FakeDataPlane, first: Neighbours, second: Neighbours) -> None:
         random = Random(3)
-        whole = encode(Gossip(1, 0, 0, (Load("i-1", 1, 1),), (CachedPrefix("i-1", "x", 1),), (_backend("gone", 5),)))
-        bad = [b"", b"x", whole[:-1], whole + b"x", whole + whole, encode(Push(1, ())), encode(Fetch(1))]
+        whole = encode(
+            Gossip(1, Revision(0), 0, (Load("i-1", 1, 1),), (CachedPrefix("i-1", "x", 1),), (_backend("gone", 5),))
+        )
+        bad = [b"", b"x", whole[:-1], whole + b"x", whole + whole, encode(Push(1, ())), encode(Fetch(Revision(1)))]
         bad += [random.randbytes(random.randrange(200)) for _ in range(200)]
         for place in range(len(whole)):
             bad.append(whole[:place] + bytes([whole[place] ^ 0x55]) + whole[place + 1 :])
@@ -197,9 +200,9 @@
 def test_two_configurations_of_one_revision_are_counted() -> None:
     async def scenario(a: FakeDataPlane, b: FakeDataPlane, first: Neighbours, second: Neighbours) -> None:
         a.configure(b"4 routes")
-        first.datagram(1.0, B, encode(Shuffle((), 4, first.digest, True)))
+        first.datagram(1.0, B, encode(Shuffle((), Revision(4), first.digest, True)))
         assert "digests_differ" not in first.counters
-        first.datagram(1.0, B, encode(Shuffle((), 4, first.digest ^ 1, True)))
+        first.datagram(1.0, B, encode(Shuffle((), Revision(4), first.digest ^ 1, True)))
         assert first.counters["digests_differ"] == 1
 
     play(scenario)
@@ -224,7 +227,7 @@
         plane = FakeDataPlane()
         end = Neighbours(plane, lambda: (), A, _port(), Random(1))
         for now in (0.0, 0.1, 0.7):
-            end.datagram(now, B, encode(Gossip(1, 7, 0)))
+            end.datagram(now, B, encode(Gossip(1, Revision(7), 0)))
             end.tick(now)
         fetch = end._fetch
         assert fetch is not None
@@ -235,8 +238,8 @@
 
 
 def test_a_datagram_is_one_whole_frame() -> None:
-    frame = encode(Fetch(3))
-    assert decode_datagram(frame) == Fetch(3)
+    frame = encode(Fetch(Revision(3)))
+    assert decode_datagram(frame) == Fetch(Revision(3))
     for data in (b"", frame[:-1], frame + b"\x00", frame + frame):
         with pytest.raises(BadFrame):
             decode_datagram(data)
@@ -279,7 +282,12 @@
         seen.calls, seen.tokens = 2, 500
         assert list(edge._plane.out()) == [("i-1", 2, 500)]
         gossip = Gossip(
-            1, 3, end.digest, (Load("i-1", 4, 90),), (CachedPrefix("i-1", "s", 5000),), (_backend("draining", 2),)
+            1,
+            Revision(3),
+            end.digest,
+            (Load("i-1", 4, 90),),
+            (CachedPrefix("i-1", "s", 5000),),
+            (_backend("draining", 2),),
         )
         end.datagram(1.0, B, encode(gossip))
         assert (seen.others_calls, seen.others_tokens) == (4, 90) and not shared.candidates.may_take("i-1")
--- a/tests/test_pair.py
+++ b/tests/test_pair.py
@@ -23,6 +23,7 @@
 from cranebank.dataplane.routes import Document, Engine, Route, RouteTable
 from cranebank.invariants import violations
 from cranebank.transport.messages import Backend
+from cranebank.transport.revision import Revision
 
 ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6)
 SHORT = prompts.read({"x-token-counts": "383,6", "x-prompt-prefix": "a:55,b:37,c:291"})
@@ -325,7 +326,10 @@
 
 def test_routes_match_the_longest_prefix_of_the_host() -> None:
     table = RouteTable(
-        Document(3, (Route("r1", "a.example", "/x/"), Route("r2", "a.example", "/x/y/"), Route("r3", "b.example", "/")))
+        Document(
+            Revision(3),
+            (Route("r1", "a.example", "/x/"), Route("r2", "a.example", "/x/y/"), Route("r3", "b.example", "/")),
+        )
     )
     found = [
         table.match(host, path)
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -20,6 +20,7 @@
 from cranebank.transport.frames import Decoder
 from cranebank.transport.links import Link, Owner
 from cranebank.transport.messages import Message, Push, RegistrySync, WarmUpPermits
+from cranebank.transport.revision import Revision
 
 HERE, THERE = IPS = ("10.0.0.1", "10.0.0.2")
 
@@ -31,7 +32,7 @@
         return set(IPS)
 
     def status(self, now: float) -> Status:
-        return Status("1", "follower", 1, "", "", False, (), IPS, 0)
+        return Status("1", "follower", 1, "", "", False, (), IPS, Revision(0))
 
 
 class Recorder(Link):
@@ -103,7 +104,7 @@
     """To a proxy that has reported its clock."""
     clock = 0.0
     delivery, proxy = Delivery(HERE, Random(1), lambda _now, _revision: True), Recorder()
-    delivery.committed(0.0, 1, b'{"services":[{"name":"s","warmup_per_s":23,"cold_s":3}]}')
+    delivery.committed(0.0, Revision(1), b'{"services":[{"name":"s","warmup_per_s":23,"cold_s":3}]}')
     service = service_of(HERE, lambda: clock, Links(), delivery)
     delivery.join(0.0, proxy, "p", "10.0.1.1", True, 1, ())
     clock = MAX_PERMIT_LEASE_S + PERMIT_RELEASE_DELAY_S
--- a/tests/test_stage_load.py
+++ b/tests/test_stage_load.py
@@ -21,6 +21,7 @@
 from cranebank.programs.stage_balancer_driver import StageBalancerDriver
 from cranebank.transport.frames import Decoder, encode
 from cranebank.transport.messages import Backend, HoldOff, LinkHeartbeat, Push, StageLoad, Welcome
+from cranebank.transport.revision import Revision
 
 
 def backend(name: str = "i-1", stage: str = "decode", call_seq: int = 1, phase: str = "ready") -> Backend:
@@ -101,9 +102,9 @@
 
 
 def test_a_heartbeat_carries_loads_and_one_without_them_is_read_too() -> None:
-    pulse = LinkHeartbeat(7, loads=(StageLoad("s", 0.5, 0.25),))
+    pulse = LinkHeartbeat(Revision(7), loads=(StageLoad("s", 0.5, 0.25),))
     assert Decoder().feed(encode(pulse)) == [pulse]
-    assert Decoder().feed(encode(LinkHeartbeat(7))) == [LinkHeartbeat(7)]
+    assert Decoder().feed(encode(LinkHeartbeat(Revision(7)))) == [LinkHeartbeat(Revision(7))]
     hold = HoldOff("i-1", 2.5)
     assert Decoder().feed(encode(hold)) == [hold]
 
--- a/tests/test_system_commands.py
+++ b/tests/test_system_commands.py
@@ -14,7 +14,6 @@
 from random import Random
 from typing import Any
 
-import msgspec
 import pytest
 from syrupy.assertion import SnapshotAssertion
 from test_configuration import body, document, route
@@ -27,6 +26,7 @@
 from cranebank.programs.control import make_controller
 from cranebank.programs.settings import NodeSettings
 from cranebank.storage.records import encode_batch, read_records
+from cranebank.transport.revision import Revision, msgpack_encoder
 
 SETTINGS = """\
 node_name: edge-1
@@ -93,11 +93,11 @@
 def custody_values(revision: int, committed: int) -> dict[str, bytes]:
     """Return the values on a primary's disk."""
     record = EpochRecord(3, 3, "10.1.0.1", ("10.1.0.1",), ("10.1.0.1", "10.1.0.2", "10.1.0.3"))
-    encode = msgspec.msgpack.encode
+    encode = msgpack_encoder().encode
     return {
         "id": b"10.1.0.1",
         "control": encode(DurableState(record, NO_BALLOT, None)),
-        "value": encode(Value(3, revision, b"d", body(document(revision=revision)))),
+        "value": encode(Value(3, Revision(revision), b"d", body(document(revision=revision)))),
         "handed": encode((committed, body(document(revision=committed)))),
     }
 
@@ -272,7 +272,7 @@
     assert {path.name for path in Path("new").iterdir()} == {"custody"}
     restored = read_records(Path("new/custody").read_bytes()).values
     assert set(restored) == {"handed"}
-    assert msgspec.msgpack.decode(restored["handed"], type=tuple[int, bytes]) == (7, body(document(revision=7)))
+    assert consensus_file.decode_published(restored["handed"]) == (7, body(document(revision=7)))
 
 
 def test_what_stands_in_the_way_is_refused_or_kept(
