Count answers that are broken off by reason, rejected calls and silent backends

A proxy counted that, rejections and silent backends, but exported none of them, so the possible causes (the time was up, no attempt was left, a backend broke off) could not be told apart from outside.

Change: Break names its reason; broken_off_total{reason}, rejected_total and silent_total in a proxy's metrics.

--- a/cranebank/dataplane/client_answer.py
+++ b/cranebank/dataplane/client_answer.py
@@ -7,7 +7,7 @@
 
 from cranebank.dataplane.errors import NotRun, OutOfTime, RequestError, Unknown
 from cranebank.dataplane.events_stream import EventSplitter
-from cranebank.dataplane.exchange_events import Break, Data, Finish, Head, Reply
+from cranebank.dataplane.exchange_events import Break, BreakReason, Data, Finish, Head, Reply
 from cranebank.dataplane.open_legs import Leg
 from cranebank.invariants import invariant_error
 
@@ -66,13 +66,13 @@
     def give_up(self) -> Break | Reply:
         """Return the end of a request for which no further attempt is possible."""
         if self.is_begun:
-            return Break()
+            return Break(BreakReason.NO_ATTEMPT_LEFT)
         return self._reply(Unknown() if self.may_have_run else NotRun())
 
     def out_of_time(self, is_running: bool) -> Break | Reply:
         """Return the end of a request that is out of time. ``is_running``: a call that may run it is in flight."""
         if self.is_begun:
-            return Break()
+            return Break(BreakReason.OUT_OF_TIME)
         return self._reply(OutOfTime() if self.may_have_run or is_running else NotRun())
 
     def _begin(self, leg: Leg) -> list[Head]:
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -17,10 +17,12 @@
 from cranebank.dataplane.events_stream import EventTooLong
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.dataplane.exchange_events import (
+    BROKEN_OFF_PREFIX,
     Abort,
     Action,
     Begin,
     Break,
+    BreakReason,
     Call,
     ClientGone,
     Event,
@@ -209,7 +211,7 @@
             self._pass(self._answer.pass_on(leg, data))
         except EventTooLong:
             self._abort(now, leg)
-            self._finish_with(now, Break())
+            self._finish_with(now, Break(BreakReason.EVENT_TOO_LONG))
 
     def _pass(self, actions: Iterable[Action]) -> None:
         self._actions += actions
@@ -360,7 +362,10 @@
             self._finish_with(now, self._answer.give_up())
 
     def _finish_with(self, now: float, end: Break | Reply) -> None:
-        self._shared.count("broken_off" if isinstance(end, Break) else f"replied_{end.error.status}")
+        if isinstance(end, Break):
+            self._shared.count(f"{BROKEN_OFF_PREFIX}{end.reason.value}")
+        else:
+            self._shared.count(f"replied_{end.error.status}")
         self._actions.append(end)
         self._close(now)
 
--- a/cranebank/dataplane/exchange_events.py
+++ b/cranebank/dataplane/exchange_events.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 
 from cranebank.dataplane.errors import RequestError
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.transport.messages import Backend
 
+BROKEN_OFF_PREFIX = "broken_off_"  # of the counters of answers that were broken off, by reason
+
 
 class Begin(msgspec.Struct, frozen=True):
     """The request has arrived completely."""
@@ -84,9 +88,19 @@
     """The answer is complete."""
 
 
+class BreakReason(Enum):
+    """Why an answer that has begun is broken off."""
+
+    OUT_OF_TIME = "out_of_time"  # the client's deadline or the route's timeout has passed
+    NO_ATTEMPT_LEFT = "no_attempt_left"  # the last attempt has ended, and no other one may or can continue
+    EVENT_TOO_LONG = "event_too_long"
+
+
 class Break(msgspec.Struct, frozen=True):
     """Close the client's connection in such a way that the answer does not look complete."""
 
+    reason: BreakReason
+
 
 class Reply(msgspec.Struct, frozen=True):
     """Send an answer of the proxy's own."""
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -18,6 +18,7 @@
 
 from cranebank.control.api_calls import Call, Request, Response
 from cranebank.control.web import Server
+from cranebank.dataplane.exchange_events import BROKEN_OFF_PREFIX, BreakReason
 from cranebank.invariants import violations
 from cranebank.programs.settings import NodeSettings
 
@@ -126,6 +127,15 @@
             label="status",
             values=answers,
         ),
+        Metric(
+            f"{prefix}broken_off_total",
+            "counter",
+            "Answers broken off after they had begun, by reason.",
+            label="reason",
+            values={reason.value: count(f"{BROKEN_OFF_PREFIX}{reason.value}", 0) for reason in BreakReason},
+        ),
+        counter("rejected", "Calls that a backend rejected without running them.", count("rejected", 0)),
+        counter("silent", "Calls whose backend was silent for too long.", count("silent", 0)),
         counter("repeats", "Retries covered by the retry budget.", count("repeats", 0)),
         counter("budget_empty", "Retries not made because the retry budget was empty.", count("budget_empty", 0)),
         Metric(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -98,7 +98,17 @@
     async def scenario() -> None:
         port = free_port()
         edge = Edge(NodeSettings("n", "127.0.0.1", "z", (port - 1, port), ("127.0.0.1:1",)), with_neighbours=False)
-        edge.proxy.counters.update(requests=9, served=5, replied_503=3, replied_504=1, reads=4, makes=7, repeats=2)
+        edge.proxy.counters.update(
+            requests=9,
+            served=5,
+            replied_503=3,
+            replied_504=1,
+            reads=4,
+            makes=7,
+            repeats=2,
+            broken_off_out_of_time=6,
+            rejected=8,
+        )
         exporter = metrics.Exporter(lambda: metrics.edge_metrics(edge))
         await exporter.start(NodeSettings("n", "127.0.0.1", "z", (port - 1, port), ("x:1",)))
         assert await scrape("127.0.0.1", port) == snapshot
