Keep a resting stream's call open until the answer of its copy begins

Cause: after 0.6 s without an event Exchange._on_silence ended the call of a resumable stream and only then asked another backend. Tries, budget and the existence of a candidate were looked at, but a candidate may be full; after its rejection no call and no try was left.

In every cut request the end follows the last event by 0.6 s and comes with another backend's 503 X-Not-Run.

Change: the call stays open and a copy goes out beside it. The copy's 200 ends the call; an event of the stream ends the copy; a failure of the copy changes nothing for the stream, its unfinished event included. A rejected copy is sent elsewhere while tries and budget last. Metric resting_streams_total{outcome}.

Same cause elsewhere: a second copy before the first event already left the first call open. A silent prefill is still ended first: what follows is at worst a 503, which is a whole and true answer, as nothing has run; left as it is.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -187,13 +187,23 @@
             self._answer.may_have_run = True
         if kind is not AnswerKind.SEALED:
             return
+        self._begin_answer(now, leg)
+        if read_tokens:
+            self._shared.choices.pairs.latency(self._service, "decode").learn(read_tokens, (now - leg.sent_at) * 1e3)
+            self._report_cached_prefix(leg, read_tokens)
+
+    def _begin_answer(self, now: float, leg: Leg) -> None:
+        """Pass on this leg's answer from now on, in place of all others."""
+        if any(other.answering for other in self._legs):
+            self._shared.count("streams_moved")
+            self._answer.drop_rest()
         leg.answering = True
+        self._abort_others(now, leg)
+
+    def _abort_others(self, now: float, leg: Leg) -> None:
         for other in self._legs:
             if other is not leg:
                 self._abort(now, other)
-        if read_tokens:
-            self._shared.choices.pairs.latency(self._service, "decode").learn(read_tokens, (now - leg.sent_at) * 1e3)
-            self._report_cached_prefix(leg, read_tokens)
 
     def _data(self, now: float, leg: Leg | None, data: bytes) -> None:
         if leg is None:
@@ -206,13 +216,21 @@
             leg.body += data
             return
         if self._answer.is_resumable:
-            leg.silent_at = now + STREAM_SILENCE_TIMEOUT_S if self._attempts.are_left else None
+            self._stream_goes_on(now, leg)
         try:
             self._pass(self._answer.pass_on(leg, data))
         except EventTooLong:
             self._abort(now, leg)
             self._finish_with(now, Break(BreakReason.EVENT_TOO_LONG))
 
+    def _stream_goes_on(self, now: float, leg: Leg) -> None:
+        """Restart the timer of a stream's silence; a stream that has rested no longer needs its copy."""
+        if leg.is_resting:
+            leg.is_resting = False
+            self._shared.count("streams_resumed")
+            self._abort_others(now, leg)
+        leg.silent_at = now + STREAM_SILENCE_TIMEOUT_S if self._attempts.are_left else None
+
     def _pass(self, actions: Iterable[Action]) -> None:
         self._actions += actions
         if self._answer.is_begun and self.state is not State.STREAMING:
@@ -277,7 +295,7 @@
         self._dispatch.without.add(leg.view.backend.id)
         if leg.status == MISDIRECTED:
             self._shared.candidates.failed(now, leg.view.backend.id)
-        if not self._legs:  # otherwise another copy is in flight
+        if self._needs_call():
             self._send_next(now)
 
     def _failed(self, now: float, leg: Leg | None, evidence: SendEvidence) -> None:
@@ -303,11 +321,15 @@
         self._dispatch.unsent(now, leg)
         if self._attempts.has_too_many_unsent:
             self._give_up(now)
-        elif not self._legs:
+        elif self._needs_call():
             self._send_next(now)
 
     # Further attempts.
 
+    def _needs_call(self) -> bool:
+        """Return whether no open call is known to make progress: there is none, or only a stream that rests."""
+        return all(leg.is_resting for leg in self._legs)
+
     def _may_repeat_run(self) -> bool:
         return self._route.repeatable and self._attempts.are_left and self._answer.can_continue
 
@@ -318,8 +340,9 @@
     def _retry_or_give_up(self, now: float, leg: Leg) -> None:
         """Process the failure of an attempt that may have begun to run."""
         self._dispatch.without.add(leg.view.backend.id)
-        self._answer.drop_rest()
-        if self._legs:
+        if leg.answering:
+            self._answer.drop_rest()
+        if not self._needs_call():
             return
         if self._may_repeat_run():
             self._send_next(now)
@@ -346,13 +369,10 @@
         if leg.is_prefill:
             self._abort(now, leg)
             self._send_next(now)
-        elif not self._can_retry(now):
-            return  # silence alone is no reason to end it
-        elif leg.answering:
-            self._abort(now, leg)
-            self._retry_or_give_up(now, leg)
-        else:
-            self._send_next(now)  # a second copy beside the first; the first one to answer is passed on
+        elif self._can_retry(now):
+            # A copy beside it. Silence alone is no reason to end a call: it goes on until the copy's answer begins.
+            leg.is_resting = leg.answering
+            self._send_next(now)
 
     # Ends of the request.
 
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -30,6 +30,7 @@
         "headers",
         "is_counted",
         "is_prefill",
+        "is_resting",
         "number",
         "prefill_load_s",
         "sent_at",
@@ -52,6 +53,7 @@
         self.headers: dict[str, str] = {}
         self.body = b""
         self.answering = False
+        self.is_resting = False  # answering, and silent for so long that a copy of the request may replace it
         self.is_counted = not is_prefill  # whether it takes one of the route's tries
         self.handle: Handle | None = None  # the KV cache that this call fetches
 
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -136,6 +136,13 @@
         ),
         counter("rejected", "Calls that a backend rejected without running them.", count("rejected", 0)),
         counter("silent", "Calls whose backend was silent for too long.", count("silent", 0)),
+        Metric(
+            f"{prefix}resting_streams_total",
+            "counter",
+            "Streams that were silent for too long and got a copy, by what went on.",
+            label="outcome",
+            values={outcome: count(f"streams_{outcome}", 0) for outcome in ("resumed", "moved")},
+        ),
         counter("repeats", "Retries covered by the retry budget.", count("repeats", 0)),
         counter("budget_empty", "Retries not made because the retry budget was empty.", count("budget_empty", 0)),
         Metric(
