--- a/tests/mutants_replication.py
+++ b/tests/mutants_replication.py
@@ -5,6 +5,30 @@
 from mutant import Mutant, Point
 
 REPLICATION_MUTANTS = (
+    Mutant(
+        Point.TWO_OPERATORS,
+        "a revision of more than 64 bits is encoded as an integer",
+        "transport/revision.py",
+        "    if number <= MAX_MSGPACK_INTEGER:\n        return number\n",
+        "    if number:\n        return number\n",
+        "test_revisions.py",
+    ),
+    Mutant(
+        Point.TWO_OPERATORS,
+        "a change on top of a revision of 19 digits is refused",
+        "control/operator_api.py",
+        "len(text) <= MAX_REVISION_DIGITS",
+        "len(text) <= 18",
+        "test_revisions.py",
+    ),
+    Mutant(
+        Point.TWO_OPERATORS,
+        "calls on two bases with the same first digits have the same digest",
+        "control/configuration.py",
+        "blake2b(text[PERSON_BYTES:], ",
+        "blake2b(",
+        "test_revisions.py",
+    ),
     Mutant(
         Point.CUT_OFF,
         "a backend's end from another controller is acknowledged before it is on the disk",
