Bound the tokens that a request's headers state

What a client sees of it was not run.

Change: a number above 2^40 or below 0 counts as not stated, as what can't be parsed always did; sums over a header and over all open calls then fit 64 bits.

Test: test_a_prompt_of_any_stated_size_is_sent_and_its_loads_fit_a_message, five headers; two of them fail before, with OverflowError from the encoder.

--- a/cranebank/dataplane/prompt.py
+++ b/cranebank/dataplane/prompt.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+MAX_TOKENS = 2**40  # of one count or part: sums over a header and over all open calls then fit a message's 64 bits
 SHARED_LONG = 1024  # tokens from which a shared prefix has a home: what a decode backend prefills in one chunk
 
 
@@ -30,6 +31,14 @@
         return self.parts[-2][0] if self.shared_tokens >= SHARED_LONG else ""
 
 
+def _token_count(text: str) -> int:
+    """Parse a number of tokens. Raises ValueError."""
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"expected 0 to {MAX_TOKENS} tokens")
+    return count
+
+
 def read(headers: dict[str, str]) -> Prompt:
     """Parse ``X-Token-Counts`` and ``X-Prompt-Prefix`` (names in lower case); what cannot be parsed counts as
     nothing."""
@@ -37,11 +46,11 @@
     try:
         counts = headers.get("x-token-counts", "")
         if counts:
-            tokens, out = (int(part) for part in counts.split(",")[:2])
+            tokens, out = (_token_count(part) for part in counts.split(",")[:2])
         parts: list[tuple[str, int]] = []
         for part in filter(None, headers.get("x-prompt-prefix", "").split(",")):
             name, _, size = part.partition(":")
-            parts.append((name.strip(), int(size)))
+            parts.append((name.strip(), _token_count(size)))
     except ValueError:
-        return Prompt(max(tokens, 0), max(out, 0))
+        return Prompt(tokens, out)
     return Prompt(max(tokens, sum(size for _, size in parts)), out, tuple(parts))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -41,7 +41,9 @@
 from cranebank.dataplane.prefill_queue import PrefillQueue
 from cranebank.dataplane.routes import Engine, Route
 from cranebank.dataplane.shared import Shared
-from cranebank.transport.messages import Backend, PrefillBegun
+from cranebank.transport.frames import Decoder, encode
+from cranebank.transport.messages import Backend, Gossip, Load, PrefillBegun
+from cranebank.transport.revision import Revision
 
 ENGINE = Engine(capacity=32, cache_tokens=400_000, token_bytes=163_840, link_mbps=1.4e6, handle_ttl_s=5.0)
 SEALED = {"x-server-seal": "s", "content-type": "text/event-stream"}
@@ -360,6 +362,29 @@
     assert reported[2] == PrefillBegun("p0", 1_500), "no part of it is shared"
 
 
+@pytest.mark.parametrize(
+    ("counts", "parts"),
+    [
+        ("99999999999999999999,6", "s:13300,o:3720"),
+        ("17020,6", "s:99999999999999999999,o:3720"),
+        (f"{2**41},6", f"s:{2**41},o:1"),
+        ("-5,6", "s:-13300,o:-3720"),
+        (f"{2**40},6", f"s:{2**40},o:{2**40}"),
+    ],
+)
+def test_a_prompt_of_any_stated_size_is_sent_and_its_loads_fit_a_message(counts: str, parts: str) -> None:
+    """Guards against a client's header whose number of tokens makes reports to neighbours that fit no message."""
+    harness = ExchangeHarness()
+    reports: list[PrefillBegun] = []
+    harness.shared.on_prefill_begun = reports.append
+    assert calls(harness.begin(counts, parts))
+    views = harness.shared.candidates.views.values()
+    loads = tuple(Load(view.backend.id, view.calls, view.tokens) for view in views)
+    gossip = Gossip(1, Revision(1), 0, loads)
+    assert all(load.tokens >= 0 for load in loads)
+    assert all(Decoder().feed(encode(message)) == [message] for message in (gossip, *reports))
+
+
 def test_a_long_shared_prefix_read_by_a_decode_backend_is_reported_once() -> None:
     harness, reported = (
         ExchangeHarness(decode_backends=1, prefill_backends=0, tries=1, resumable=False),
