Bound the permits for one cold backend

At 10^20 a second their encoding raises in each controller whenever a backend is cold (max_permits and the encoder run on the source before: OverflowError). A proxy also keeps a record of each permit.

Change: at most 4,096 permits for one backend at a time.

Looked at and bounded before: heartbeats and backends' reports (MAX_COUNT), tallies (MAX_AMOUNT, totals as decimal text). The other numbers of a configuration stay in the process that reads them.

Test: test_a_rate_without_reason_leaves_a_bounded_number_of_permits, three rates.

--- a/cranebank/control/warm_up.py
+++ b/cranebank/control/warm_up.py
@@ -35,6 +35,7 @@
 )
 from cranebank.transport.messages import WarmUpPermits
 
+MAX_PERMITS = 4096  # for one backend; proxies keep a record of each
 MIN_CONTROLLERS = 3  # smallest divisor of the permits, however few controllers are known
 CLOCK_MAX_AGE_S = 1.0  # a proxy whose clock was reported longer ago gets no permits: it has missed two heartbeats
 MIN_COLD_S = 0.1  # a backend that is cold for less gets no permits
@@ -65,7 +66,8 @@
 
     It exceeds neither what the backend's rate allows over the duration of a permit, nor the bound within one second.
     """
-    return int(min(limit.per_s * PERMIT_REUSE_INTERVAL_S, limit.per_s * bound.over + bound.slack))
+    permits = min(limit.per_s * PERMIT_REUSE_INTERVAL_S, limit.per_s * bound.over + bound.slack)
+    return int(min(permits, MAX_PERMITS))
 
 
 class PermitIssuer:
--- a/tests/test_warm_up.py
+++ b/tests/test_warm_up.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranebank.control.warm_up import ColdBackend, PermitIssuer, RateBound, max_permits
+from cranebank.control.warm_up import MAX_PERMITS, ColdBackend, PermitIssuer, RateBound, max_permits
 from cranebank.dataplane.cold_backends import ColdBackends
 from cranebank.membership.warm_up import (
     MAX_PERMIT_LEASE_S,
@@ -20,6 +20,7 @@
     WarmUpLimit,
     read_limits,
 )
+from cranebank.transport.frames import Decoder, encode
 from cranebank.transport.messages import Backend, WarmUpPermits
 
 LIMIT = WarmUpLimit(per_s=23.0, cold_s=3.0)
@@ -54,6 +55,17 @@
     assert sum(shares) <= most and (count < 3 or sum(shares) == most)
 
 
+@pytest.mark.parametrize("per_s", [1e6, 1e20, 1e308])
+def test_a_rate_without_reason_leaves_a_bounded_number_of_permits(per_s: float) -> None:
+    """Guards against a service's rate whose permits fit no message, which ended each look for cold backends."""
+    limit = WarmUpLimit(per_s, 3.0)
+    assert max_permits(limit, BOUND) == MAX_PERMITS
+    made = issuer(tolerated=1)
+    made.report_clock(QUIET_S, "link", QUIET_S)
+    granted = made.hand_out(QUIET_S, [ColdBackend("i", limit, QUIET_S + 3.0)], set(ips(3)))
+    assert granted and all(Decoder().feed(encode(permits)) == [permits] for _, permits in granted)
+
+
 def test_a_controller_that_knows_no_other_takes_no_more_than_its_share() -> None:
     assert issuer().share(LIMIT, set()) <= max_permits(LIMIT, BOUND) // 5 + 1
 
