Stop a controller whose consensus core raises in the middle of an event

The driver caught violated invariants only, so the error went to the caller as a 500 and the core was fed on, with a value whose write to the disk had not been asked for and never would be.

No such error is known now; the invariant of the data is what this guards.

Test: test_a_core_that_raises_is_fed_no_more, fails before (the error reaches the caller, and the core gets a second event).

--- a/cranebank/programs/consensus_driver.py
+++ b/cranebank/programs/consensus_driver.py
@@ -1,8 +1,8 @@
 """Runs the consensus core: feeds it events, executes the actions that it returns in order, and awaits its results.
 
 A write's result is returned once; a write without a result in time counts as unknown. If the core violates an invariant
-or an action fails, the core is fed no more events, holds no lease and counts as out of contact: a missing replica is
-better than one that is wrong or waits forever.
+or raises another error, or an action fails, the core is fed no more events, holds no lease and counts as out of
+contact: a missing replica is better than one that is wrong or waits forever.
 """
 
 from __future__ import annotations
@@ -80,6 +80,10 @@
             logger.opt(exception=True).critical("consensus core violated an invariant: {}", error)
             self.broken.set()
             return
+        except Exception as error:  # the event may be half processed, so the state cannot be relied on
+            logger.opt(exception=True).critical("consensus core failed on {}: {!r}", type(event).__name__, error)
+            self.broken.set()
+            return
         try:
             for action in actions:
                 self._execute(action)
--- a/tests/test_consensus_driver.py
+++ b/tests/test_consensus_driver.py
@@ -103,6 +103,26 @@
     asyncio.run(run())
 
 
+def test_a_core_that_raises_is_fed_no_more() -> None:
+    """Guards against a core that goes on with an event half processed: a value that could not be encoded was set in
+    memory, and its write to the disk was never asked for."""
+
+    class Raising(Core):
+        def handle(self, now: float, event: ev.Event) -> list[ev.Action]:
+            self.fed.append(event)
+            raise OverflowError
+
+    async def run() -> None:
+        core = Raising()
+        driver = driver_of(core, Storage(), Links(None))
+        for _ in range(2):
+            driver.feed(ev.Tick())
+        assert driver.broken.is_set()
+        assert core.fed == [ev.Tick()]
+
+    asyncio.run(run())
+
+
 def test_a_core_whose_write_ended_in_no_way_that_it_knows_is_fed_no_more() -> None:
     """The core would wait forever for the result of that write."""
 
