Refuse a configuration that no proxy can read

What callers see: a configuration with "tries": "x", a rank of 1.5, a null gap_aim_ms, a timeout_ms of 10^400 or a max_conns of "many" is acknowledged, and each proxy logs that it can't be parsed and keeps the one before; a proxy that starts then has none. Two shares of 10^308 are acknowledged, and every request on their route raises.

Ruled out: listing the fields in the check's schema, as it would be out of date with the next field.

Change: the check reads the whole document, of an amendment the result, as proxies do, after the schema's own faults. What can't be read is refused with 400, the key and what was expected; shares need a finite sum. A document that was readable is accepted as before.

Tests: six documents and the shares, all fail before.

--- a/cranebank/control/configuration.py
+++ b/cranebank/control/configuration.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import Any
 
 import msgspec
 import voluptuous as vol
 
+from cranebank.dataplane.routes import read_document
 from cranebank.transport.revision import MAX_REVISION, MAX_REVISION_DIGITS, NO_REVISION, Revision
 
 DIGEST_BYTES = 16
@@ -154,6 +156,14 @@
     return value
 
 
+def _check_shares(branches: list[Document], key: str) -> None:
+    total = sum(branch["share"] for branch in branches)
+    if not total > 0:
+        raise InvalidConfiguration("no_share", key, "shares with a sum above 0")
+    if not math.isfinite(total):
+        raise InvalidConfiguration("share", key, "shares with a finite sum")
+
+
 def _check_routes(document: Document) -> None:
     services = {service["name"] for service in document["services"]}
     hosts_and_prefixes: set[tuple[str, str]] = set()
@@ -170,20 +180,28 @@
                     raise InvalidConfiguration(
                         "unknown_service", f"{key}.branches[{branch_index}].target", "the name of a service"
                     )
-            if (route["branches"] or "target" not in route) and not sum(
-                branch["share"] for branch in route["branches"]
-            ) > 0:
-                raise InvalidConfiguration("no_share", f"{key}.branches", "shares with a sum above 0")
+            if route["branches"] or "target" not in route:
+                _check_shares(route["branches"], f"{key}.branches")
         host_and_prefix = (route["hostname"].lower(), route["path_prefix"])
         if host_and_prefix in hosts_and_prefixes:
             raise InvalidConfiguration("route_twice", f"{key}.path_prefix", "one route for a host and prefix")
         hosts_and_prefixes.add(host_and_prefix)
 
 
-def _check_whole(document: Document, current_revision: int) -> Revision:
+def _check_readable(body: bytes) -> None:
+    """Check that proxies can read the configuration."""
+    try:
+        read_document(body)
+    except msgspec.MsgspecError as error:
+        expected, _, key = str(error).partition(" - at `$.")
+        raise InvalidConfiguration("shape", key.rstrip("`"), expected.removeprefix("Expected ")) from None
+
+
+def _check_whole(document: Document, body: bytes, current_revision: int) -> Configuration:
     _validate(_CONFIGURATION, document)
+    _check_readable(body)
     _check_routes(document)
-    return _check_revision_rises(document["revision"], current_revision)
+    return Configuration(_check_revision_rises(document["revision"], current_revision), body)
 
 
 def _check_revision_rises(revision: int, current_revision: int) -> Revision:
@@ -194,7 +212,7 @@
 
 def check(body: bytes, current_revision: int) -> Configuration:
     """Validate a complete configuration as the operator sent it. Raises InvalidConfiguration."""
-    return Configuration(_check_whole(_read(body), current_revision), body)
+    return _check_whole(_read(body), body, current_revision)
 
 
 def _named_items(values: object, key: str) -> list[Document]:
@@ -223,8 +241,7 @@
         document[key] = [fresh.pop(item["name"], item) for item in _named_items(document.get(key, []), key)]
         document[key] += fresh.values()
     document["revision"] = amendment["revision"]
-    revision = _check_whole(document, current_revision)
-    return Configuration(revision, _encoder.encode(document))
+    return _check_whole(document, _encoder.encode(document), current_revision)
 
 
 def revision_of(body: bytes) -> Revision:
--- a/cranebank/dataplane/routes.py
+++ b/cranebank/dataplane/routes.py
@@ -91,6 +91,11 @@
 _decoder = json_decoder(Document, strict=False)
 
 
+def read_document(document: bytes) -> Document:
+    """Parse a configuration as proxies do. Raises msgspec.MsgspecError."""
+    return _decoder.decode(document)
+
+
 class RouteTable:
     """A configuration in force."""
 
@@ -111,7 +116,7 @@
     @classmethod
     def read(cls, document: bytes) -> RouteTable:
         """Parse a committed document. Raises msgspec.MsgspecError."""
-        return cls(_decoder.decode(document))
+        return cls(read_document(document))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cranebank.control.configuration import InvalidConfiguration, amend, check, digest_of, revision_of
+from cranebank.dataplane.routes import RouteTable
 
 Document = dict[str, Any]
 
@@ -213,3 +215,35 @@
             check(sent, 0) if whole else amend(body(document()), sent)
         except InvalidConfiguration as error:
             assert error.code
+
+
+UNREADABLE: tuple[Callable[[Document], object], ...] = (
+    lambda d: d["routes"][0].update(tries="x"),
+    lambda d: d["routes"][0].update(rank=1.5),
+    lambda d: d["routes"][0].update(gap_aim_ms=None),
+    lambda d: d["routes"][0].update(timeout_ms=10**400),
+    lambda d: d["services"][0].update(max_conns="many"),
+    lambda d: d["limits"].update(idle_ms="long"),
+)
+
+
+@pytest.mark.parametrize("change", UNREADABLE)
+def test_a_configuration_that_no_proxy_can_read_is_refused(change: Callable[[Document], object]) -> None:
+    """Guards against an acknowledged configuration that is put in force nowhere, and without which no proxy starts."""
+    sent = broken(change)
+    with pytest.raises(msgspec.MsgspecError) as unreadable:
+        RouteTable.read(sent)
+    with pytest.raises(InvalidConfiguration) as refused:
+        check(sent, 5)
+    assert refused.value.key and str(unreadable.value).endswith(f"`$.{refused.value.key}`")
+    parts = ("routes", "services")
+    items = {part: json.loads(sent)[part] for part in parts if json.loads(sent)[part] != document()[part]}
+    if items:
+        with pytest.raises(InvalidConfiguration):
+            amend(body(document()), body({"revision": 8, "upsert": items}))
+
+
+def test_shares_without_a_finite_sum_are_refused() -> None:
+    """Guards against a route on which each request fails, as no branch can be drawn."""
+    with pytest.raises(InvalidConfiguration, match="finite"):
+        check(broken(lambda d: [branch.update(share=1e308) for branch in d["routes"][1]["branches"]]), 5)
