Refuse integer shares whose sum exceeds the range of a float

What callers see: two shares of 10^308, written as integers, get 500 in place of 400. The shares are added as floats now, as a proxy reads them.

Test: test_integer_shares_beyond_the_range_of_a_float_are_refused, fails before with OverflowError.

--- a/cranebank/control/configuration.py
+++ b/cranebank/control/configuration.py
@@ -157,7 +157,7 @@
 
 
 def _check_shares(branches: list[Document], key: str) -> None:
-    total = sum(branch["share"] for branch in branches)
+    total = sum(float(branch["share"]) for branch in branches)
     if not total > 0:
         raise InvalidConfiguration("no_share", key, "shares with a sum above 0")
     if not math.isfinite(total):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -247,3 +247,9 @@
     """Guards against a route on which each request fails, as no branch can be drawn."""
     with pytest.raises(InvalidConfiguration, match="finite"):
         check(broken(lambda d: [branch.update(share=1e308) for branch in d["routes"][1]["branches"]]), 5)
+
+
+def test_integer_shares_beyond_the_range_of_a_float_are_refused() -> None:
+    """Guards against an error of the server in place of a refusal that names the key."""
+    with pytest.raises(InvalidConfiguration, match="finite"):
+        check(broken(lambda d: [branch.update(share=10**308) for branch in d["routes"][1]["branches"]]), 5)
