--- a/review/rig.py
+++ b/review/rig.py
@@ -514,16 +514,17 @@
     except CannotRun as error:
         print(error)
         sys.exit(UNPLAYED)
-    code = UNPLAYED
+    code, verdict = UNPLAYED, "could not run"
     try:
         found = asyncio.run(_bounded(case(rig)))
         code = HELD if found is None else BROKEN
         verdict = "the rule held" if found is None else f"the rule was broken: {found}"
-    except (CannotRun, TimeoutError) as error:
+    except Exception as error:
         verdict = f"could not run: {error!r}"
-    rig.note(verdict)
+    finally:
+        rig.note(verdict)
+        rig.stop_all()
     print(verdict)
-    rig.stop_all()
     sys.exit(code)
 
 
