Count calls to backends that were lost, by how their connection ended

Cause: a call without a complete answer was logged nowhere, and the error with which the event loop reports the loss of its connection was dropped.

Change: counters by end (closed, reset, timed_out, invalid_answer), the metric cranebank_edge_calls_lost_total{end}, and a debug line that names the request and the backend.

--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -15,7 +15,9 @@
 from typing import Protocol, cast
 
 import httptools
+from loguru import logger
 
+from cranebank.dataplane.connection_end import LOST_CALLS_PREFIX, ConnectionEnd, end_by_error
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.http.socket_state import readable
 from cranebank.transport.messages import Backend
@@ -124,7 +126,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._done:
-                self._fail()
+                self._fail(ConnectionEnd.INVALID_ANSWER)
             self._close()
             return
         if self._done:
@@ -134,7 +136,7 @@
             else:
                 self._close()
         elif self._wire_bytes > MAX_ANSWER_BYTES:
-            self._fail()
+            self._fail(ConnectionEnd.INVALID_ANSWER)
             self._close()
 
     def _is_all_sent(self) -> bool:
@@ -152,11 +154,13 @@
         """The connection is closed."""
         self._pool.forget(self)
         if self._busy and not self._done:
-            self._fail()
+            self._fail(end_by_error(exc))
         self.transport = None
 
-    def _fail(self) -> None:
+    def _fail(self, end: ConnectionEnd) -> None:
         self._busy = False
+        self._pool.count(f"{LOST_CALLS_PREFIX}{end.value}")
+        logger.debug("request {}: connection to backend {} ended: {}", self._attempt, self.backend.id, end.value)
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.leg_failed(self._leg, SendEvidence.WRITTEN)
@@ -298,9 +302,13 @@
         except BaseException:
             self.forget(connection)
             raise
-        self._counters["dialled"] = self._counters.get("dialled", 0) + 1
+        self.count("dialled")
         return connection
 
+    def count(self, event: str) -> None:
+        """Count an event."""
+        self._counters[event] = self._counters.get(event, 0) + 1
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for its next request."""
         connection.idle_from = asyncio.get_running_loop().time()
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -18,6 +18,7 @@
 
 from cranebank.control.api_calls import Call, Request, Response
 from cranebank.control.web import Server
+from cranebank.dataplane.connection_end import LOST_CALLS_PREFIX, ConnectionEnd
 from cranebank.dataplane.exchange_events import BROKEN_OFF_PREFIX, BreakReason
 from cranebank.invariants import violations
 from cranebank.programs.settings import NodeSettings
@@ -136,6 +137,13 @@
         ),
         counter("rejected", "Calls that a backend rejected without running them.", count("rejected", 0)),
         counter("silent", "Calls whose backend was silent for too long.", count("silent", 0)),
+        Metric(
+            f"{prefix}calls_lost_total",
+            "counter",
+            "Calls whose connection to the backend ended before the answer was complete, by how it ended.",
+            label="end",
+            values={end.value: count(f"{LOST_CALLS_PREFIX}{end.value}", 0) for end in ConnectionEnd},
+        ),
         Metric(
             f"{prefix}resting_streams_total",
             "counter",
