Wait for a backend that is slow to read a request; notice one that is gone as before

What callers saw: a backend that answers before it has read a long body, and reads on 2 s later, had its connection ended by the proxy after 1.3 s. The client's answer broke off in the middle, or the client got 502 if there was no answer yet.

Cause: TCP_USER_TIMEOUT, 1 s, is meant for a machine that is gone. Linux counts the time of a closed receive window, too, whether or not the peer answers the window probes.

Evidence: calls_lost{end} of the commit before has timed_out for 4 of 4 calls of the case; no reset, no close, no timer of the proxy. On two plain sockets TCP_INFO has window 0, nothing in flight, 72,727 bytes unsent and a growing tcpi_segs_in until ETIMEDOUT at 1.3 s, also while the peer sends data each 50 ms.

Ruled out: the backend (it ends nothing), the proxy's parser, the timer of a stream's silence, the SIGTERM (the same without it).

Change: while part of a request is unacknowledged, the proxy looks at TCP_INFO each 0.25 s. With a closed window and a peer that is heard the timeout is renewed for 0.75 s, which also bounds the kernel's pause between probes; after 1 s of silence it isn't, and a peer that was slow before is given up after 1.75 s of silence in any state. With an open window the timeout stays 1 s. Where the kernel doesn't count segments nothing changes. New metric sends_stalled_total; the 2 s are compared with reuse_after_s by check-settings.

Same cause elsewhere, by each socket with a limit: links between processes (1.3 s) keep it, since one event loop reads and sends heartbeats, and 1.3 s without one ends a link anyway; argued, not tried. Clients' connections have no limit while an answer is sent, the controllers' server 60 s, orders to backends one for the whole call; by reading. The balancer's connections don't set the option.

--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -21,10 +21,11 @@
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.http.socket_state import readable
 from cranebank.transport.messages import Backend
+from cranebank.transport.send_watch import LOOK_INTERVAL_S, SendGuard, SendState
 
 # Many times the latency between zones; a request loses no more than this on an unreachable backend.
 CONNECT_TIMEOUT_S = 0.3
-TCP_USER_TIMEOUT_MS = 1000  # a connection is closed if bytes stay unacknowledged for so long
+TCP_USER_TIMEOUT_MS = 1000  # a connection is closed if bytes stay unacknowledged for so long (see ``send_watch.py``)
 REUSE_DELAY_S = 0.005  # before a connection is reused: bytes that belong to no answer arrive right after one
 DEFAULT_IDLE_S = 4.0  # idle time of a connection if the backend announces none
 IDLE_CLOSE_MARGIN_S = 0.6  # closed so long before the backend would close it, so that no request crosses the close
@@ -77,7 +78,9 @@
         self._all_identified = self._all_identified and bool(attempt)
         self._headers: dict[str, str] = {}
         self._wire_bytes = 0
+        self._guard.begin()
         self.transport.write(request)
+        self._pool.watch(self)
 
     def abort(self) -> None:
         """Close the connection; its listener gets no further calls."""
@@ -95,6 +98,23 @@
             return False
         return not readable(self.transport.get_extra_info("socket"))
 
+    def look_at_send(self, now: float) -> bool:
+        """Give a backend that is slow to read its request more time, and end the call if the backend is gone.
+
+        Return whether to look again, as part of the request is not acknowledged yet.
+        """
+        if not self._busy or self.transport is None or self.transport.is_closing():
+            return False
+        had_stalled = self._guard.has_stalled
+        state = self._guard.look(now)
+        if self._guard.has_stalled and not had_stalled:
+            self._pool.count("sends_stalled")
+        if state is SendState.GONE:
+            if not self._done:
+                self._fail(ConnectionEnd.TIMED_OUT)
+            self._close()
+        return state in (SendState.UNDER_WAY, SendState.STALLED)
+
     def pause(self, paused: bool) -> None:
         """Pause or resume reading, so that the backend is slowed down while the client reads slowly."""
         if self.transport is not None and not self.transport.is_closing():
@@ -114,7 +134,7 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        self._guard = SendGuard(sock, TCP_USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Part of an answer, or bytes that belong to none."""
@@ -262,7 +282,8 @@
         self._local = local_ip
         self.max_connections: Callable[[Backend], int] = lambda backend: 64
         self._timer: asyncio.TimerHandle | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._sending: set[Connection] = set()  # whose requests may not be acknowledged yet
+        self._send_timer: asyncio.TimerHandle | None = None
 
     def take(self, backend: Backend) -> Connection | None:
         """Return an idle connection that has waited long enough to be reused, or None."""
@@ -319,8 +340,22 @@
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def watch(self, connection: Connection) -> None:
+        """Look at the connection's send until the backend has acknowledged the whole request."""
+        self._sending.add(connection)
+        if self._send_timer is None:
+            self._send_timer = asyncio.get_running_loop().call_later(LOOK_INTERVAL_S, self._look_at_sends)
+
+    def _look_at_sends(self) -> None:
+        loop = asyncio.get_running_loop()
+        for connection in list(self._sending):
+            if not connection.look_at_send(loop.time()):
+                self._sending.discard(connection)
+        self._send_timer = loop.call_later(LOOK_INTERVAL_S, self._look_at_sends) if self._sending else None
+
     def forget(self, connection: Connection) -> None:
         """Remove a closed connection."""
+        self._sending.discard(connection)
         key = connection.backend.id
         connections = self._all.get(key)
         if connections is not None:
--- a/cranebank/programs/metrics.py
+++ b/cranebank/programs/metrics.py
@@ -137,6 +137,11 @@
         ),
         counter("rejected", "Calls that a backend rejected without running them.", count("rejected", 0)),
         counter("silent", "Calls whose backend was silent for too long.", count("silent", 0)),
+        counter(
+            "sends_stalled",
+            "Requests whose backend closed its receive window before it had taken them whole.",
+            count("sends_stalled", 0),
+        ),
         Metric(
             f"{prefix}calls_lost_total",
             "counter",
--- a/cranebank/programs/timing.py
+++ b/cranebank/programs/timing.py
@@ -87,7 +87,7 @@
 def _proxy_requirements() -> Iterable[TimingRequirement]:
     from cranebank.dataplane import backend_connections  # noqa: PLC0415
     from cranebank.membership import partial_view  # noqa: PLC0415
-    from cranebank.transport import links  # noqa: PLC0415
+    from cranebank.transport import links, send_watch  # noqa: PLC0415
 
     redial_s = links.LINK_TIMEOUT_S + links.DIAL_TIMEOUT_S
     fetch_s = partial_view.FETCH_DELAY_S + partial_view.SHUFFLE_INTERVAL_S + partial_view.SHUFFLE_REPLY_TIMEOUT_S
@@ -100,3 +100,8 @@
         backend_connections.TCP_USER_TIMEOUT_MS / MS_PER_S,
         "reuse_after_s",
     )
+    yield TimingRequirement(
+        "the end of a connection to a backend that fell silent while it was slow to read",
+        send_watch.NOTICE_S,
+        "reuse_after_s",
+    )
