Take a stream that a close ends within an event for lost: resume it or break it off

Cause: the orderly end of the connection is the end of an answer without a length, and a crash may look the same. The proxy passed on the unfinished event that it held back, though that shows that the stream broke off.

Evidence: calls_lost{end} stays empty in the case and one connection is dialled, so no call failed: the end was taken for complete. Ruled out by that: a failed call that is finished, and a rest that is joined to a resumed stream.

Change: the end of a call states whether only the close showed it. Then a stream of events is complete only behind the end of an event; one without any event only if it continues an earlier one. Else the call is lost (counted as closed_within_event), its rest is dropped, and another backend resumes, or the client's connection is broken off.

Same cause elsewhere: streams that may not be resumed, idempotent streams, and streams that end before their first event are judged alike. By each framing, each byte and both ends (closed, reset), with a try left or none: tried, only the close-delimited ones were wrong. Not decidable: an end between two events, and bodies of another type, which stay as they are, as do answers whose length or last chunk has come. The balancer and the controllers' client carry no streams of events, and the latter never takes a close for an end; by reading.

--- a/cranebank/dataplane/backend_answers.py
+++ b/cranebank/dataplane/backend_answers.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from cranebank.dataplane.events_stream import EVENT_STREAM_TYPE
+
 SEAL = "x-server-seal"
 NOT_RUN_MARK = "x-not-run"
 MISDIRECTED = 421  # sent by a backend that is another one or has another stage than the call expects
@@ -34,6 +36,14 @@
     return AnswerKind.UNPROVEN if status in NOT_RUN_STATUSES else AnswerKind.FAILED
 
 
+def is_event_stream(headers: Mapping[str, str], *, by_default: bool) -> bool:
+    """Return whether an answer's body is a stream of events; ``by_default`` applies where it states no type."""
+    content_type = headers.get("content-type")
+    if content_type is None:
+        return by_default
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 class _Reading(msgspec.Struct):
     prompt_handle: str = ""
 
--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -45,8 +45,8 @@
     def leg_data(self, leg: int, data: bytes) -> None:
         """Part of the body has arrived."""
 
-    def leg_end(self, leg: int) -> None:
-        """The answer is complete."""
+    def leg_end(self, leg: int, by_close: bool) -> None:
+        """The answer is complete. ``by_close``: it has no length, and ended as the backend closed the connection."""
 
     def leg_failed(self, leg: int, evidence: SendEvidence) -> None:
         """No complete answer will arrive."""
@@ -168,7 +168,7 @@
         if self._busy and not self._done and self._until_close:
             self._done = True
             if self._listener is not None:
-                self._listener.leg_end(self._leg)
+                self._listener.leg_end(self._leg, by_close=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is closed."""
@@ -253,7 +253,7 @@
         self.idle_for = _idle_for(self._headers)
         listener, self._listener = self._listener, None
         if listener is not None:
-            listener.leg_end(self._leg)
+            listener.leg_end(self._leg, by_close=False)
 
 
 def _check_no_status_line(text: bytes) -> None:
@@ -400,7 +400,7 @@
     def leg_data(self, leg: int, data: bytes) -> None:
         """Do nothing."""
 
-    def leg_end(self, leg: int) -> None:
+    def leg_end(self, leg: int, by_close: bool) -> None:
         """Do nothing."""
 
     def leg_failed(self, leg: int, evidence: SendEvidence) -> None:
--- a/cranebank/dataplane/client_answer.py
+++ b/cranebank/dataplane/client_answer.py
@@ -41,12 +41,22 @@
 
     def pass_on(self, leg: Leg, data: bytes) -> list[Head | Data]:
         """Pass on part of a leg's body; of a resumable stream, only whole events. Raises EventTooLong."""
+        leg.boundary.feed(data)
         if self._splitter is not None:
             data = self._splitter.feed(data)
         if not data:
             return []
         return [Data(data)] if self.is_begun else [*self._begin(leg), Data(data)]
 
+    def may_be_whole(self, leg: Leg) -> bool:
+        """Return whether a leg's stream of events may be complete where it ends without a length: between two events.
+
+        A stream without any event is complete only if it continues an earlier one, of which nothing was left.
+        """
+        if leg.boundary.is_empty:
+            return self.is_begun or self.last_event_id is not None
+        return leg.boundary.is_reached
+
     def finish(self, leg: Leg) -> list[Head | Data | Finish]:
         """Pass on the end of a leg's successful answer."""
         rest = self._splitter.take_rest() if self._splitter is not None else b""
--- a/cranebank/dataplane/connection_end.py
+++ b/cranebank/dataplane/connection_end.py
@@ -13,6 +13,7 @@
     CLOSED = "closed"  # the backend closed it in order
     RESET = "reset"  # the backend, or its machine, reset it
     TIMED_OUT = "timed_out"  # bytes stayed unacknowledged for too long
+    CLOSED_WITHIN_EVENT = "closed_within_event"  # the same, in the middle of an event of a stream without a length
     INVALID_ANSWER = "invalid_answer"  # this process ended it, as what arrived is no answer to the call
 
 
--- a/cranebank/dataplane/events_stream.py
+++ b/cranebank/dataplane/events_stream.py
@@ -5,6 +5,35 @@
 MAX_EVENT_BYTES = 1 << 20  # of one unfinished event; an engine's events have some hundred bytes
 
 
+EVENT_STREAM_TYPE = "text/event-stream"
+_BOUNDARY_BYTES = 4  # of the longest end of an event: two line ends of two bytes each
+
+
+class EventBoundary:
+    """Tells whether the bytes of a stream so far end with a whole event."""
+
+    __slots__ = ("_end",)
+
+    def __init__(self) -> None:
+        self._end = b""
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes of the stream."""
+        if len(data) < _BOUNDARY_BYTES:
+            data = self._end + data
+        self._end = data[-_BOUNDARY_BYTES:]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no byte has been added."""
+        return not self._end
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether the bytes end with the blank line that ends an event."""
+        return self._end.replace(b"\r\n", b"\n").replace(b"\r", b"\n").endswith(b"\n\n")
+
+
 class EventTooLong(Exception):
     """An event exceeds the limit. ``code`` is 'event_too_long'."""
 
--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -11,8 +11,16 @@
 from enum import Enum, auto
 
 from cranebank.dataplane.attempts import Attempts
-from cranebank.dataplane.backend_answers import MISDIRECTED, REJECTIONS, AnswerKind, handle_in, kind_of
+from cranebank.dataplane.backend_answers import (
+    MISDIRECTED,
+    REJECTIONS,
+    AnswerKind,
+    handle_in,
+    is_event_stream,
+    kind_of,
+)
 from cranebank.dataplane.client_answer import ClientAnswer
+from cranebank.dataplane.connection_end import LOST_CALLS_PREFIX, ConnectionEnd
 from cranebank.dataplane.dispatch import Dispatch
 from cranebank.dataplane.events_stream import EventTooLong
 from cranebank.dataplane.evidence import SendEvidence
@@ -117,8 +125,8 @@
                 self._data(now, self._legs.get(number), data)
             case LegHead(number, status, headers):
                 self._head(now, self._legs.get(number), status, headers)
-            case LegEnd(number):
-                self._end(now, self._legs.get(number))
+            case LegEnd(number, by_close):
+                self._end(now, self._legs.get(number), by_close)
             case LegFailed(number, evidence):
                 self._failed(now, self._legs.get(number), evidence)
             case Begin():
@@ -236,9 +244,13 @@
         if self._answer.is_begun and self.state is not State.STREAMING:
             self._enter_state(State.STREAMING)
 
-    def _end(self, now: float, leg: Leg | None) -> None:
+    def _end(self, now: float, leg: Leg | None, by_close: bool) -> None:
         if leg is None:
             return
+        if by_close and self._is_torn(leg):
+            self._shared.count(f"{LOST_CALLS_PREFIX}{ConnectionEnd.CLOSED_WITHIN_EVENT.value}")
+            self._failed(now, leg, SendEvidence.WRITTEN)
+            return
         self._legs.close(now, leg)
         if leg.is_prefill:
             self._prefill_ended(now, leg)
@@ -249,6 +261,12 @@
         else:
             self._failure_ended(now, leg)
 
+    def _is_torn(self, leg: Leg) -> bool:
+        """Return whether a stream of events that ended without a length must have broken off: a backend that crashes
+        may close its connections in order."""
+        is_stream = is_event_stream(leg.headers, by_default=self._route.variant == "streaming")
+        return leg.answering and is_stream and not self._answer.may_be_whole(leg)
+
     def _failure_ended(self, now: float, leg: Leg) -> None:
         """Process the end of an answer that is not a success."""
         kind = kind_of(leg.status, leg.headers)
--- a/cranebank/dataplane/exchange_events.py
+++ b/cranebank/dataplane/exchange_events.py
@@ -33,9 +33,11 @@
 
 
 class LegEnd(msgspec.Struct, frozen=True):
-    """A leg's answer is complete."""
+    """A leg's answer is complete. ``by_close``: it has no length, and ended as the backend closed the connection, which
+    looks the same if the backend has crashed."""
 
     leg: int
+    by_close: bool = False
 
 
 class LegFailed(msgspec.Struct, frozen=True):
--- a/cranebank/dataplane/open_legs.py
+++ b/cranebank/dataplane/open_legs.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cranebank.dataplane.backend_view import BackendView
+from cranebank.dataplane.events_stream import EventBoundary
 from cranebank.dataplane.prefill_queue import Ticket
 from cranebank.transport.messages import Backend
 
@@ -25,6 +26,7 @@
     __slots__ = (
         "answering",
         "body",
+        "boundary",
         "found_idle",
         "handle",
         "headers",
@@ -52,6 +54,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b""
+        self.boundary = EventBoundary()  # of the body, once it is passed on
         self.answering = False
         self.is_resting = False  # answering, and silent for so long that a copy of the request may replace it
         self.is_counted = not is_prefill  # whether it takes one of the route's tries
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -222,10 +222,10 @@
         """Part of a body has arrived."""
         self.handle_event(LegData(leg, data))
 
-    def leg_end(self, leg: int) -> None:
+    def leg_end(self, leg: int, by_close: bool) -> None:
         """An answer is complete."""
         self.legs.pop(leg, None)
-        self.handle_event(LegEnd(leg))
+        self.handle_event(LegEnd(leg, by_close))
 
     def leg_failed(self, leg: int, evidence: SendEvidence) -> None:
         """No complete answer will arrive."""
