Take no byte of an event that follows blank lines at the start of a stream

Cause: the offset behind the last "\r\n\r\n" was computed as -1 + 4 = 3 where there is none, which beats the offset 2 of a blank line at the very start.

Change: one function gives the offset behind the last occurrence, 0 for none.

Measured: of the four new cases "\n\n" fails before; all pass now.

--- a/cranebank/dataplane/events_stream.py
+++ b/cranebank/dataplane/events_stream.py
@@ -51,9 +51,7 @@
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that these bytes complete, unchanged. Raises EventTooLong."""
         held = self._rest + data
-        end = max(held.rfind(b"\n\n") + 2, held.rfind(b"\r\n\r\n") + 4)
-        if end < 2 or (end < 4 and b"\n\n" not in held):
-            end = 0
+        end = max(_end_of_last(b"\n\n", held), _end_of_last(b"\r\n\r\n", held))
         whole, self._rest = held[:end], held[end:]
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EventTooLong
@@ -73,3 +71,9 @@
     def drop_rest(self) -> None:
         """Drop an unfinished event: its attempt has broken off, and the next one sends it whole."""
         self._rest = b""
+
+
+def _end_of_last(part: bytes, data: bytes) -> int:
+    """Return the offset behind the last occurrence of a part; 0 if there is none."""
+    at = data.rfind(part)
+    return 0 if at < 0 else at + len(part)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -337,6 +337,15 @@
         assert found == stream and splitter.last_id == "3" and not splitter.take_rest()
 
 
+@pytest.mark.parametrize("blank", [b"\n\n", b"\r\n\r\n", b"\n", b"\r\n"])
+def test_blank_lines_ahead_of_an_event_take_no_byte_of_it(blank: bytes) -> None:
+    """Guards against a byte of an unfinished event that is passed on, and stays when the event is sent anew."""
+    splitter = EventSplitter()
+    assert splitter.feed(blank + b"id: 1\nda") in (b"", blank)
+    splitter.drop_rest()
+    assert splitter.feed(b"id: 1\ndata: x\n\n") == b"id: 1\ndata: x\n\n" and splitter.last_id == "1"
+
+
 def test_a_prefill_is_reported_as_it_begins_with_its_uncached_tokens() -> None:
     harness, reported = (
         ExchangeHarness(prefill_backends=1, tries=1, resumable=False, goal_ms=600.0),
