Resume reading before a connection to a backend is kept

Cause: reading is paused while the client's buffer is full. If the bytes that fill it hold the end of the answer, too, the request ends in the same call, and no open request is left to resume reading when the client has room again.

Ruled out: a connection that is kept while bytes are due (it would be closed at the first of them).

Change: a connection knows whether its reading is paused, and resumes it before it goes back to the pool. The field of an open request that was meant for this and never used is gone.

Same cause elsewhere, by reading: clients' connections resume when the bytes that wait are parsed, the controllers' server behind each answer of a connection that it keeps, links never pause.

--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -67,6 +67,7 @@
         self._leg = 0
         self.idle_from, self.idle_for = 0.0, DEFAULT_IDLE_S
         self._busy = self._done = self._is_other_attempt = False
+        self._is_paused = False  # whether reading is paused
         self._all_identified = True  # whether all earlier calls on this connection carried an attempt id
 
     def call(self, listener: Listener, leg: int, attempt: str, request: bytes, is_head: bool = False) -> None:
@@ -118,9 +119,11 @@
 
     def pause(self, paused: bool) -> None:
         """Pause or resume reading, so that the backend is slowed down while the client reads slowly."""
-        if self.transport is not None and not self.transport.is_closing():
-            with contextlib.suppress(RuntimeError):
-                (self.transport.pause_reading if paused else self.transport.resume_reading)()
+        if paused is self._is_paused or self.transport is None or self.transport.is_closing():
+            return
+        self._is_paused = paused
+        with contextlib.suppress(RuntimeError):
+            (self.transport.pause_reading if paused else self.transport.resume_reading)()
 
     def _close(self) -> None:
         self._pool.forget(self)
@@ -153,6 +156,7 @@
         if self._done:
             self._busy = False
             if self._keep and not self._is_surplus and self._is_all_sent():
+                self.pause(False)  # the client of this answer may still be reading it; the next one is not slow
                 self._pool.give_back(self)
             else:
                 self._close()
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -72,7 +72,6 @@
         "dialling",
         "exchange",
         "legs",
-        "paused",
         "prefix",
         "proxy",
         "request",
@@ -90,7 +89,6 @@
         self.dialling: dict[int, asyncio.Task[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.wakes_at = 0.0
-        self.paused = False
         lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
         lines += [f"{name}: {value}\r\n" for name, value in request.headers if name.lower() not in PROXY_HEADERS]
         if request.body or "content-length" in request.fields or "transfer-encoding" in request.fields:
