Keep looking at sends if a connection has just ended

Cause: setting an option of a socket whose connection has just ended may raise OSError, in the timer that looks at all sends; none would be looked at after it. By reading, not seen. Change: that error is passed over, as the event loop reports the end itself.

--- a/cranebank/transport/send_watch.py
+++ b/cranebank/transport/send_watch.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from enum import Enum, auto
 from typing import Any
@@ -105,4 +106,5 @@
         return state
 
     def _set_timeout(self, timeout_ms: int) -> None:
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        with contextlib.suppress(OSError):  # the connection has just ended
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
