--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -22,6 +22,7 @@
 
 from mutant import Mutant, Point
 from mutants_cold import COLD_MUTANTS
+from mutants_connections import CONNECTION_MUTANTS
 from mutants_control import CONTROL_MUTANTS
 from mutants_data_plane import DATA_PLANE_MUTANTS
 from mutants_evacuation import EVACUATION_MUTANTS
@@ -46,6 +47,7 @@
     *REPLICATION_MUTANTS,
     *STORAGE_MUTANTS,
     *DATA_PLANE_MUTANTS,
+    *CONNECTION_MUTANTS,
     *STAGE_MUTANTS,
     *LIVENESS_MUTANTS,
     *TALLY_MUTANTS,
