Tests: measure two of the controllers' tests by its ticks and a set clock

One had 0.175 s of margin between a heartbeat and the time after which its backend is lost; the other needed 50 ms to be enough between two lines.

Change: the first counts ticks of the registry, and sends the heartbeat right before the process stands still, which is still longer than a backend may be silent; the second sets the clock by which pushes are batched. What they assert is as before.

--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -29,13 +29,13 @@
 from cranebank.programs.controller import (
     OPEN_CALLS_TIMEOUT_S,
     PRIMARY_CONTACT_TIMEOUT_S,
-    REGISTRY_INTERVAL_S,
     SUCCESSOR_TIMEOUT_S,
     TICK_S,
     Controller,
 )
 from cranebank.programs.local_state import FINAL_WRITE_TIMEOUT_S
 from cranebank.programs.log_ring import LogRing, install
+from cranebank.programs.registry_service import PUSH_BATCH_S
 from cranebank.programs.settings import NodeSettings, Tolerance
 from cranebank.storage.store import AsyncStore, open_store
 from cranebank.transport.frames import Decoder, encode, encode_items
@@ -394,6 +394,8 @@
 
     async def scenario(ports: tuple[int, int]) -> None:
         async with controller(tmp_path, ports) as made, proxy(ports) as edge:
+            clock = made.now()
+            made._registry_service._now = lambda: clock
 
             def hear(name: str, call_seq: int = 1, phase: str = "ready") -> None:
                 made.registry.heartbeat(made.now(), name, beat(call_seq, phase, f"10.0.0.{name[1:]}:80"))
@@ -406,8 +408,9 @@
             for name in ("i1", "i2", "i3"):
                 hear(name)
             assert await pushed() == [("i1", "ready")]
+            clock += PUSH_BATCH_S
             assert await pushed() == [("i2", "ready"), ("i3", "ready")]
-            await asyncio.sleep(2 * TICK_S)
+            clock += PUSH_BATCH_S
             for name in ("i4", "i5"):
                 hear(name)
             hear("i1", 2, "draining")
@@ -874,6 +877,15 @@
         logger.remove()
 
 
+async def registry_ticks(made: Controller, count: int) -> None:
+    """Wait until the registry has looked for silent backends so many times."""
+    service = made._registry_service
+    for _ in range(count):
+        before = service._last_tick_at
+        while service._last_tick_at == before:
+            await asyncio.sleep(TICK_S)
+
+
 def test_a_controller_that_stood_still_takes_nobody_for_lost_before_it_has_listened(tmp_path: Path) -> None:
     """Guards against false losses: after a suspension all heartbeats looked old, and all backends were reported as
     lost."""
@@ -882,9 +894,10 @@
         async with controller(tmp_path, ports) as made:
             made._registry_service.registry = Registry(made.now() - 5.0, 0.05)
             made.registry.heartbeat(made.now(), "i-1", beat(1))
-            await asyncio.sleep(2 * REGISTRY_INTERVAL_S)
+            await registry_ticks(made, 2)
+            made.registry.heartbeat(made.now(), "i-1", beat(2))
             time.sleep(2.0)
-            await asyncio.sleep(2 * REGISTRY_INTERVAL_S)
+            await registry_ticks(made, 2)
             assert made.registry.records["i-1"].phase == "ready"
 
     play(scenario)
