Look at a send until no part of the request waits in this process either

Cause: the look at a send ended if the kernel held nothing unacknowledged. uvloop runs timers before it serves a writable socket, so behind a stall of the loop the kernel can be empty for that moment, with the rest of the request still in the transport's buffer. Nothing renewed TCP_USER_TIMEOUT from there on.

Ruled out: the same on asyncio's own loop, which handles a writable socket before timers (the test passes there without the change), and a wrong state of TCP_INFO (the kernel is right that it holds nothing).

Evidence: the new test stalls the loop while the backend reads what was sent and then stops reading. Before: the call is lost as timed_out on uvloop, which the programs use; with the change both loops wait for the answer.

Change: the look goes on while the transport has bytes.

--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -115,7 +115,9 @@
             if not self._done:
                 self._fail(ConnectionEnd.TIMED_OUT)
             self._close()
-        return state in (SendState.UNDER_WAY, SendState.STALLED)
+            return False
+        # The kernel may have sent all that it was given while the rest still waits in this process.
+        return state is not SendState.ACKNOWLEDGED or self.transport.get_write_buffer_size() > 0
 
     def pause(self, paused: bool) -> None:
         """Pause or resume reading, so that the backend is slowed down while the client reads slowly."""
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -38,6 +38,14 @@
         "",
         "test_slow_backends.py::test_a_kernel_that_counts_no_segments_leaves_the_timeout_as_it_is",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a request counts as sent while its rest waits in this process",
+        "dataplane/backend_connections.py",
+        "return state is not SendState.ACKNOWLEDGED or self.transport.get_write_buffer_size() > 0",
+        "return state is not SendState.ACKNOWLEDGED",
+        "test_slow_backends.py::test_a_request_of_which_the_kernel_holds_nothing_for_a_moment_is_still_looked_at",
+    ),
     Mutant(
         Point.RIGHT_CALLER,
         "a connection is kept while the kernel still holds part of its last request",
--- a/tests/test_slow_backends.py
+++ b/tests/test_slow_backends.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import socket
 import struct
+import threading
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
+import uvloop
 from test_call_faults import Address, Record, ScriptedBackend, answer, ask, body_of, event, request, run_scenario
 
+from cranebank.dataplane.backend_connections import Pool
+from cranebank.dataplane.evidence import SendEvidence
 from cranebank.dataplane.proxy import Proxy
+from cranebank.transport.messages import Backend
 from cranebank.transport.send_watch import (
     LOOK_INTERVAL_S,
     NOTICE_S,
@@ -30,6 +37,30 @@
 SO_ATTACH_FILTER = 26  # of Linux
 DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)  # one instruction of a socket filter: BPF_RET | BPF_K, 0 bytes
 SLACK_S = 1.0  # for a busy machine
+SMALL_BUFFER_BYTES = 64 << 10  # of a socket
+PAUSE_S = 0.1  # without data, after which a reader has got all that the sender's kernel held
+ANSWER_TIMEOUT_S = 3 * READS_AFTER_S
+
+
+class AnswerListener:
+    """The listener of one call. ``has_answer`` becomes true once the answer is complete, false if it is lost."""
+
+    def __init__(self) -> None:
+        self.has_answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    def leg_head(self, leg: int, status: int, headers: dict[str, str]) -> None:
+        """The head has arrived."""
+
+    def leg_data(self, leg: int, data: bytes) -> None:
+        """Part of the body has arrived."""
+
+    def leg_end(self, leg: int, by_close: bool) -> None:
+        """The answer is complete."""
+        self.has_answer.set_result(True)
+
+    def leg_failed(self, leg: int, evidence: SendEvidence) -> None:
+        """No complete answer will arrive."""
+        self.has_answer.set_result(False)
 
 
 def long_request(attempt: str) -> bytes:
@@ -132,6 +163,72 @@
     run_scenario(monkeypatch, scenario, backends=1)
 
 
+class HaltingReader(threading.Thread):
+    """A backend that reads what has been sent to it so far, stops reading for a while, then reads on and answers."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self._listening = socket.create_server(("127.0.0.1", 0))
+        self._listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        self.address = "{}:{}".format(*self._listening.getsockname())
+        self.has_stopped = threading.Event()
+
+    def run(self) -> None:
+        """Serve one connection."""
+        connection, _ = self._listening.accept()
+        with self._listening, connection:
+            connection.settimeout(PAUSE_S)
+            left = LONG_BODY_BYTES
+            with contextlib.suppress(TimeoutError):
+                while True:
+                    left -= len(connection.recv(SMALL_BUFFER_BYTES))
+            self.has_stopped.set()
+            time.sleep(READS_AFTER_S)
+            while left > 0 and (data := connection.recv(SMALL_BUFFER_BYTES)):
+                left -= len(data)
+            if not left:
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Attempt-Id: a\r\n\r\nhi")
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_a_request_of_which_the_kernel_holds_nothing_for_a_moment_is_still_looked_at(
+    loop_factory: type[asyncio.AbstractEventLoop],
+) -> None:
+    """Guards against a late reader that is given up because, at one look, the rest of the request was in this process
+    alone."""
+
+    async def run() -> None:
+        reader = HaltingReader()
+        reader.start()
+        pool = Pool({})
+        connection = await pool.dial(Backend("d0", "svc", reader.address, "z", "decode", 4, "ready", 1))
+        transport = cast(asyncio.Transport, connection.transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        listener = AnswerListener()
+        connection.call(listener, 1, "a", b"x" * LONG_BODY_BYTES)
+        stalled = asyncio.Event()
+
+        def stall() -> None:
+            """Stop the event loop until the kernel has sent all that it holds and the next look is due."""
+            asyncio.get_running_loop().remove_reader(readable)
+            assert reader.has_stopped.wait(ANSWER_TIMEOUT_S)
+            time.sleep(LOOK_INTERVAL_S)
+            assert transport.get_write_buffer_size() and not unacknowledged_bytes(transport.get_extra_info("socket"))
+            stalled.set()
+
+        readable, writable = socket.socketpair()
+        with readable, writable:
+            asyncio.get_running_loop().add_reader(readable, stall)
+            writable.send(b"x")
+            async with asyncio.timeout(2 * ANSWER_TIMEOUT_S):
+                await stalled.wait()
+                assert await listener.has_answer
+        connection.abort()
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(run())
+
+
 # The decision by itself.
 
 OPEN_WINDOW = TcpInfo(segments_in_flight=2, segments_received=5, unsent_bytes=0, window_bytes=60_000)
