Pause a backend's answer also if the client's buffer was full before it began

What would be seen: a client that pipelines requests and reads slowly makes a proxy hold whole answers in memory, up to 64 MB each; nothing bounds them but that.

Cause: reading from a backend is paused at the moment at which the client's write buffer becomes full. An answer that begins while the buffer is still full of the one before gets no such moment: the buffer reports once, and then no request was open, or the call had not begun (a copy, or a resumed stream).

Change: the client's connection knows whether its buffer is full, and reading from a request's backends follows that at each event, once the answer is being passed on. A prefill's answer, or one that isn't passed on yet, is read in any case.

--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -34,8 +34,8 @@
     def gone(self, client: ClientConnection) -> None:
         """The client has disconnected during its request."""
 
-    def set_write_paused(self, client: ClientConnection, paused: bool) -> None:
-        """The client's write buffer is full, or has room again."""
+    def write_paused_changed(self, client: ClientConnection) -> None:
+        """The client's write buffer is full, or has room again (``client.is_write_paused``)."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -47,6 +47,7 @@
         self._parser = RequestParser(front.limits, self._allow_body)
         self._pipelined = b""  # arrived while a request was open; parsed as soon as its answer is complete
         self.open = False  # whether a request is with the handler
+        self.is_write_paused = False  # whether the write buffer is full, as the client reads slowly
         self._is_reading = False  # whether part of a request has arrived
         self._is_undrained = False  # whether the last answer may not have left this process yet
         self._is_ending = False
@@ -74,11 +75,13 @@
 
     def pause_writing(self) -> None:
         """The client reads slowly."""
-        self._front.handler.set_write_paused(self, True)
+        self.is_write_paused = True
+        self._front.handler.write_paused_changed(self)
 
     def resume_writing(self) -> None:
         """The write buffer has room again."""
-        self._front.handler.set_write_paused(self, False)
+        self.is_write_paused = False
+        self._front.handler.write_paused_changed(self)
 
     def eof_received(self) -> bool:
         """The client has closed its side, which usual clients do only when they leave."""
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -20,7 +20,7 @@
 from cranebank.dataplane.client_request import ClientRequest
 from cranebank.dataplane.errors import Malformed, NoRoute, NotRun
 from cranebank.dataplane.evidence import SendEvidence
-from cranebank.dataplane.exchange import Exchange
+from cranebank.dataplane.exchange import Exchange, State
 from cranebank.dataplane.exchange_events import (
     Abort,
     Action,
@@ -138,6 +138,7 @@
                     self.proxy.free(backend, handle)
         if chunks:
             self.client.write(b"".join(chunks))
+        self.pause_legs()
         if self.exchange.is_over:
             if self.timer is not None:
                 self.timer.cancel()
@@ -201,6 +202,7 @@
         self.legs[call.leg] = connection
         request = head.encode("latin-1") + self.request.body
         connection.call(self, call.leg, self.attempt, request, self.request.method == "HEAD")
+        self.pause_legs()
 
     def _abort(self, leg: int) -> None:
         task = self.dialling.pop(leg, None)
@@ -230,10 +232,12 @@
         self.legs.pop(leg, None)
         self.handle_event(LegFailed(leg, evidence))
 
-    def pause_legs(self, paused: bool) -> None:
-        """Pause or resume reading from backends, as the client reads slowly."""
+    def pause_legs(self) -> None:
+        """Pause or resume reading from backends, as the client reads slowly or not. Answers that are not passed on are
+        read in any case."""
+        is_paused = self.client.is_write_paused and self.exchange.state is State.STREAMING
         for connection in self.legs.values():
-            connection.pause(paused)
+            connection.pause(is_paused)
 
 
 class Proxy(Handler):
@@ -402,11 +406,11 @@
         if opened is not None:
             opened.handle_event(ClientGone())
 
-    def set_write_paused(self, client: ClientConnection, paused: bool) -> None:
+    def write_paused_changed(self, client: ClientConnection) -> None:
         """The client's write buffer is full, or has room again."""
         opened = self._open.get(client)
         if opened is not None:
-            opened.pause_legs(paused)
+            opened.pause_legs()
 
     def closed(self, opened: OpenRequest) -> None:
         """Remove a request that has ended."""
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -110,4 +110,12 @@
         "return at + len(part)",
         "test_exchange.py::test_blank_lines_ahead_of_an_event_take_no_byte_of_it",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "an answer is read ahead if its client's buffer was full before it began",
+        "dataplane/proxy.py",
+        "        self.pause_legs()\n        if self.exchange.is_over:",
+        "        if self.exchange.is_over:",
+        "test_slow_clients.py::test_an_answer_behind_one_that_its_client_still_reads_is_not_read_ahead",
+    ),
 )
