Stop the silence timer of a stream while its client reads slowly

What callers would see: a client that reads a long resumable stream slowly makes the request run at a second backend, and the first one, which is sound, is avoided for other requests for a while.

While the client's buffer is full the proxy itself reads nothing from the backend, and the timer ran on.

Ruled out: a backend that sends nothing (its bytes wait in the kernel).

Change: the exchange is told the client's pace; the timer stops while the buffer is full and begins anew behind that. Deadline and the route's timeout hold as before.

--- a/cranebank/dataplane/exchange.py
+++ b/cranebank/dataplane/exchange.py
@@ -33,6 +33,7 @@
     BreakReason,
     Call,
     ClientGone,
+    ClientPace,
     Event,
     Free,
     LegData,
@@ -84,6 +85,7 @@
         "_answer",
         "_attempts",
         "_dispatch",
+        "_is_client_slow",
         "_legs",
         "_prompt",
         "_route",
@@ -113,6 +115,7 @@
         self._dispatch = Dispatch(
             shared, route, service, engine, prompt, self._until, self._legs, self._attempts, self._answer
         )
+        self._is_client_slow = False
         self._actions: list[Action] = []
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -134,6 +137,9 @@
                 self._send_next(now)
             case Wake():
                 self._wake(now)
+            case ClientPace(is_slow):
+                self._is_client_slow = is_slow
+                self._set_silence_timers(now)
             case ClientGone():
                 self._shared.count("clients_gone")
                 self._close(now)
@@ -237,7 +243,21 @@
             leg.is_resting = False
             self._shared.count("streams_resumed")
             self._abort_others(now, leg)
-        leg.silent_at = now + STREAM_SILENCE_TIMEOUT_S if self._attempts.are_left else None
+        self._set_silence_timer(now, leg)
+
+    def _set_silence_timer(self, now: float, leg: Leg) -> None:
+        """Begin the time after which a stream counts as silent. It doesn't run while the client reads slowly, as the
+        backend is not read from then."""
+        may_be_copied = self._attempts.are_left and not self._is_client_slow
+        leg.silent_at = now + STREAM_SILENCE_TIMEOUT_S if may_be_copied else None
+
+    def _set_silence_timers(self, now: float) -> None:
+        """Stop or restart the timers of the streams that are passed on."""
+        if not self._answer.is_resumable:
+            return
+        for leg in self._legs:
+            if leg.answering and not leg.is_resting:
+                self._set_silence_timer(now, leg)
 
     def _pass(self, actions: Iterable[Action]) -> None:
         self._actions += actions
--- a/cranebank/dataplane/exchange_events.py
+++ b/cranebank/dataplane/exchange_events.py
@@ -55,7 +55,14 @@
     """The client has disconnected."""
 
 
-Event = Begin | LegHead | LegData | LegEnd | LegFailed | Wake | ClientGone
+class ClientPace(msgspec.Struct, frozen=True):
+    """The client's write buffer is full, as it reads slowly, or has room again. While it is full, nothing is read from
+    the backend of a stream."""
+
+    is_slow: bool
+
+
+Event = Begin | LegHead | LegData | LegEnd | LegFailed | Wake | ClientGone | ClientPace
 
 
 class Call(msgspec.Struct, frozen=True):
--- a/cranebank/dataplane/proxy.py
+++ b/cranebank/dataplane/proxy.py
@@ -28,6 +28,7 @@
     Break,
     Call,
     ClientGone,
+    ClientPace,
     Data,
     Event,
     Finish,
@@ -138,7 +139,7 @@
                     self.proxy.free(backend, handle)
         if chunks:
             self.client.write(b"".join(chunks))
-        self.pause_legs()
+        self._pause_legs()
         if self.exchange.is_over:
             if self.timer is not None:
                 self.timer.cancel()
@@ -202,7 +203,7 @@
         self.legs[call.leg] = connection
         request = head.encode("latin-1") + self.request.body
         connection.call(self, call.leg, self.attempt, request, self.request.method == "HEAD")
-        self.pause_legs()
+        self._pause_legs()
 
     def _abort(self, leg: int) -> None:
         task = self.dialling.pop(leg, None)
@@ -232,7 +233,7 @@
         self.legs.pop(leg, None)
         self.handle_event(LegFailed(leg, evidence))
 
-    def pause_legs(self) -> None:
+    def _pause_legs(self) -> None:
         """Pause or resume reading from backends, as the client reads slowly or not. Answers that are not passed on are
         read in any case."""
         is_paused = self.client.is_write_paused and self.exchange.state is State.STREAMING
@@ -398,6 +399,8 @@
         self.shared.count("requests")
         opened = OpenRequest(self, client, request, exchange, min(until, now + route.timeout_ms / 1e3))
         self._open[client] = opened
+        if client.is_write_paused:  # by the answer to an earlier request
+            opened.handle_event(ClientPace(is_slow=True))
         opened.handle_event(Begin())
 
     def gone(self, client: ClientConnection) -> None:
@@ -410,7 +413,7 @@
         """The client's write buffer is full, or has room again."""
         opened = self._open.get(client)
         if opened is not None:
-            opened.pause_legs()
+            opened.handle_event(ClientPace(client.is_write_paused))
 
     def closed(self, opened: OpenRequest) -> None:
         """Remove a request that has ended."""
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -114,8 +114,25 @@
         Point.RIGHT_CALLER,
         "an answer is read ahead if its client's buffer was full before it began",
         "dataplane/proxy.py",
-        "        self.pause_legs()\n        if self.exchange.is_over:",
+        "        self._pause_legs()\n        if self.exchange.is_over:",
         "        if self.exchange.is_over:",
         "test_slow_clients.py::test_an_answer_behind_one_that_its_client_still_reads_is_not_read_ahead",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a stream that isn't read, as its client is slow, counts as silent",
+        "dataplane/exchange.py",
+        "self._attempts.are_left and not self._is_client_slow",
+        "self._attempts.are_left",
+        "test_slow_clients.py::test_a_client_that_reads_slowly_makes_no_backend_silent "
+        "test_slow_clients.py::test_a_stream_counts_as_silent_only_while_its_client_takes_bytes",
+    ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a stream whose client has been slow never counts as silent again",
+        "dataplane/exchange.py",
+        "                self._set_silence_timers(now)",
+        "                pass",
+        "test_slow_clients.py::test_a_stream_counts_as_silent_only_while_its_client_takes_bytes",
+    ),
 )
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -8,15 +8,18 @@
 import pytest
 from test_call_faults import (
     LONG_SILENCE_S,
-    NO_SILENCE_S,
     Address,
+    Answer,
     Record,
     ScriptedBackend,
     event,
     request,
     run_scenario,
 )
+from test_exchange import SEALED, ExchangeHarness, calls
 
+from cranebank.dataplane.exchange import STREAM_SILENCE_TIMEOUT_S
+from cranebank.dataplane.exchange_events import ClientPace, LegData, LegHead, Wake
 from cranebank.dataplane.front import ClientConnection
 from cranebank.dataplane.proxy import Proxy
 
@@ -54,6 +57,25 @@
     backend.transport.write(head_of(attempt) + whole)
 
 
+def test_a_client_that_reads_slowly_makes_no_backend_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a sound backend that is avoided, and a second run, as the proxy itself has paused reading."""
+    monkeypatch.setattr(
+        ScriptedBackend, "_fail", lambda backend, kind, offset, attempt, whole: answer_at_length(backend, attempt)
+    )
+
+    async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request("slow", "again", "long:0"))
+        await asyncio.sleep(CLIENT_PAUSE_S)
+        found = await Answer().read(reader)
+        writer.close()
+        assert found.is_whole and found.body == long_body("slow")
+        assert record.arrivals["slow"] == 1
+        assert not proxy.counters.get("silent")
+
+    run_scenario(monkeypatch, scenario, silence_s=LONG_SILENCE_S)
+
+
 class FullTransport:
     """A client's transport that takes any bytes and sends none, and says after the first ones that it is full."""
 
@@ -108,6 +130,7 @@
         await asyncio.sleep(CLIENT_PAUSE_S)
         assert record.arrivals == {"first": 1, "second": 1}
         assert client.is_write_paused and len(transport.written) < MAX_BUFFERED_BYTES
+        assert not proxy.counters.get("silent")
         client.resume_writing()
         async with asyncio.timeout(10.0):
             while proxy.open:
@@ -115,4 +138,33 @@
         assert transport.written.endswith(long_event("second", LONG_STREAM_EVENTS) + b"\r\n0\r\n\r\n")
         client.connection_lost(None)
 
-    run_scenario(monkeypatch, scenario, silence_s=NO_SILENCE_S)
+    run_scenario(monkeypatch, scenario, silence_s=LONG_SILENCE_S)
+
+
+# The exchange by itself.
+
+
+def test_a_stream_counts_as_silent_only_while_its_client_takes_bytes() -> None:
+    """Guards against a silence timer that runs on while reading is paused, and one that doesn't begin again."""
+    harness = ExchangeHarness()
+    (call,) = calls(harness.begin())
+    harness.do(LegHead(call.leg, 200, SEALED))
+    harness.do(LegData(call.leg, event("a", 1)))
+    harness.do(ClientPace(is_slow=True))
+    harness.do(LegData(call.leg, event("a", 2)))  # what had been read before reading was paused
+    assert not calls(harness.do(Wake(), 2 * STREAM_SILENCE_TIMEOUT_S))
+    harness.do(ClientPace(is_slow=False))
+    assert not calls(harness.do(Wake(), STREAM_SILENCE_TIMEOUT_S - 0.1))
+    (copy,) = calls(harness.do(Wake(), 0.2))
+    assert dict(copy.headers)["Last-Event-Id"] == "2"
+
+
+def test_a_slow_client_changes_nothing_for_a_stream_that_may_not_be_resumed() -> None:
+    """Guards against a copy of a request that may run once."""
+    harness = ExchangeHarness(resumable=False)
+    (call,) = calls(harness.begin())
+    harness.do(LegHead(call.leg, 200, SEALED))
+    harness.do(LegData(call.leg, event("a", 1)))
+    harness.do(ClientPace(is_slow=True))
+    harness.do(ClientPace(is_slow=False))
+    assert not calls(harness.do(Wake(), 2 * STREAM_SILENCE_TIMEOUT_S))
