Break off with a reset where an orderly end would complete the answer

What callers saw: to a client of HTTP/1.0, or of any answer that ends with its connection, an answer that the proxy broke off looked complete: the backend was lost, the deadline passed, or the proxy's process ended.

Cause: breaking off closes the connection, which is orderly unless unread bytes wait. That shows for an answer with a length or in chunks, and is the proper end of any other.

Ruled out: a proper end sent by ClientAnswer.finish (the exchange returns Break; a capture on the socket shows the FIN of the close).

Change: where the answer has no length and no chunks, the connection is closed with SO_LINGER 0. A proxy that ends breaks off what is open or still buffered.

Measured: four of the five new cases fail before (backend closed, reset or silent until the deadline; the process's end), all pass now; the fifth keeps a whole answer ending in order.

--- a/cranebank/dataplane/client_response.py
+++ b/cranebank/dataplane/client_response.py
@@ -37,6 +37,11 @@
         """Return whether fewer bytes have been sent than the head announced."""
         return bool(self._left) and not self._is_bodiless
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether a body without a length or chunks has begun, whose end the connection's orderly end shows."""
+        return self.has_head and self._left is None and not self._is_chunked and not self._is_bodiless
+
     def head(self, status: int, headers: dict[str, str], *, closing: bool) -> bytes:
         """Return the head of a backend's answer; its body follows with ``frame`` and ``tail``."""
         if self.has_head:
--- a/cranebank/dataplane/front.py
+++ b/cranebank/dataplane/front.py
@@ -18,6 +18,7 @@
 from cranebank.dataplane.routes import ClientLimits
 from cranebank.http.socket_state import readable
 from cranebank.invariants import invariant_error
+from cranebank.transport.tcp_reset import set_reset_on_close
 
 SWEEP_INTERVAL_S = 0.25
 HIGH_WATER_BYTES = 128 << 10
@@ -185,8 +186,20 @@
     def break_off(self) -> None:
         """Close the connection in such a way that the answer does not look complete."""
         self.open = False
-        if self.transport is not None:
-            self.transport.abort()
+        self._abort()
+
+    def break_off_unfinished(self) -> None:
+        """Break off an answer that the client has not been sent whole, as this process ends."""
+        if self.open or (self.transport is not None and self.transport.get_write_buffer_size()):
+            self._abort()
+
+    def _abort(self) -> None:
+        """Close the connection at once; with a reset where an orderly end would end the answer."""
+        if self.transport is None:
+            return
+        if self._response.ends_with_connection:
+            set_reset_on_close(self.transport.get_extra_info("socket"), is_enabled=True)
+        self.transport.abort()
 
     def _end(self) -> None:
         """Close the write side after the last answer, and keep reading for a while, as closing over unread bytes causes
@@ -271,6 +284,11 @@
         for client in list(self._clients):
             client.close_idle()
 
+    def break_off_unfinished(self) -> None:
+        """Break off all answers that are not sent whole, as this process ends."""
+        for client in list(self._clients):
+            client.break_off_unfinished()
+
     def _sweep(self) -> None:
         now, limits = asyncio.get_running_loop().time(), self.limits()
         for client in list(self._clients):
--- a/cranebank/fleetlab/guarded_connection.py
+++ b/cranebank/fleetlab/guarded_connection.py
@@ -11,15 +11,13 @@
 import asyncio
 import errno
 import socket
-import struct
 from collections import deque
 from collections.abc import Iterable
 from enum import Enum
 from typing import Any, cast
 
 from cranebank.fleetlab.network import NetworkView
-
-NO_LINGER = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close resets the connection
+from cranebank.transport.tcp_reset import set_reset_on_close
 
 
 class _State(Enum):
@@ -130,7 +128,7 @@
             return
         sock = self._real.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            set_reset_on_close(sock, is_enabled=True)
         self._real.abort()
 
     # Calls of the program.
--- a/cranebank/programs/edge.py
+++ b/cranebank/programs/edge.py
@@ -202,6 +202,7 @@
         while self.proxy.front.count and loop.time() < until:
             await asyncio.sleep(0.05)
             self.proxy.front.close_idle()
+        self.proxy.front.break_off_unfinished()
         housekeeping.cancel()
         ready.close()
         if exporter is not None:
--- a/cranebank/transport/http_client.py
+++ b/cranebank/transport/http_client.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 import msgspec
 
+from cranebank.transport.tcp_reset import set_reset_on_close
+
 UNBOUNDED = 1 << 62
-NO_LINGER = struct.pack("ii", 0, 0)
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends a reset and drops undelivered bytes
 
 
 class Answer(msgspec.Struct):
@@ -74,9 +72,7 @@
         """Set whether closing resets the connection and drops undelivered bytes, which may otherwise still arrive."""
         connection = self._transport.get_extra_info("socket") if self._transport is not None else None
         if connection is not None:
-            linger = RESET_ON_CLOSE if is_enabled else NO_LINGER
-            with contextlib.suppress(OSError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            set_reset_on_close(connection, is_enabled=is_enabled)
 
     def close(self) -> None:
         """Abort the connection."""
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -135,4 +135,12 @@
         "                pass",
         "test_slow_clients.py::test_a_stream_counts_as_silent_only_while_its_client_takes_bytes",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "an answer that ends with its connection is broken off in order",
+        "dataplane/front.py",
+        "        if self._response.ends_with_connection:",
+        "        if False:",
+        "test_torn_streams.py::test_a_client_of_http_1_0_gets_no_orderly_end_behind_a_torn_answer",
+    ),
 )
--- a/tests/test_torn_streams.py
+++ b/tests/test_torn_streams.py
@@ -12,9 +12,11 @@
 from test_call_faults import (
     EVENTS,
     NO_SILENCE_S,
+    SILENT_MS,
     Address,
     Record,
     ScriptedBackend,
+    answer,
     ask,
     body_of,
     event,
@@ -93,6 +95,55 @@
     assert ends["whole"] if route == "again" else ends["cut"] and ends["502"]
 
 
+@pytest.mark.parametrize("end", ["end", "reset", "silence"])
+def test_a_client_of_http_1_0_gets_no_orderly_end_behind_a_torn_answer(
+    monkeypatch: pytest.MonkeyPatch, end: str
+) -> None:
+    """Guards against a torn answer that looks complete to a client whose answers end with their connection."""
+    framing = len(b"0\r\n\r\n")
+
+    async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
+        for cut in (len(answer("torn")) - framing, len(answer("torn")) - framing - 4):
+            reader, writer = await asyncio.open_connection(*address)
+            sent = request("torn", "once", f"{end}:{cut}", deadline_ms=SILENT_MS)
+            writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            with pytest.raises(ConnectionResetError):
+                await reader.read(-1)
+            writer.close()
+            record.arrivals.clear()
+
+    run_scenario(monkeypatch, scenario)
+
+
+def test_a_whole_answer_to_a_client_of_http_1_0_ends_in_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a reset behind an answer that is complete."""
+
+    async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request("whole").replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        assert (await reader.read(-1)).partition(b"\r\n\r\n")[2] == body_of("whole")
+        writer.close()
+
+    run_scenario(monkeypatch, scenario)
+
+
+def test_an_answer_is_broken_off_if_the_process_ends_before_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the orderly end of a connection, by the end of this process, behind part of an answer."""
+
+    async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        sent = request("open", "once", f"silence:{len(answer('open')) - len(event('open', EVENTS))}")
+        writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        proxy.front.break_off_unfinished()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(-1)
+        writer.close()
+
+    run_scenario(monkeypatch, scenario, silence_s=NO_SILENCE_S)
+
+
 def answering(
     harness: ExchangeHarness, body: bytes, headers: dict[str, str] | None = None, last: str | None = None
 ) -> Call:
