Close a client's connection behind the answer if its request asked for that

What callers saw: a client that sends "Connection: close" and reads to the end of its connection has the whole answer at once, and waits 15 s (idle_ms) for the end.

Cause: the parser was asked for its verdict behind the end of a request, when it has already cleared the request's flags for the next one. For HTTP/1.1 the verdict is then always that the connection is kept.

The parsers of backends' answers, of the controllers' server and of both HTTP clients ask within the callback; by reading.

Change: the verdict is taken in the callback. A client of HTTP/1.0 gets a close as before.

--- a/cranebank/dataplane/client_request.py
+++ b/cranebank/dataplane/client_request.py
@@ -50,6 +50,7 @@
         self._body: list[bytes] = []
         self._body_bytes = self._head_bytes = self._fed_bytes = 0
         self._is_head_done = self._is_whole = False
+        self._keeps_connection = False
         self._error: RequestError | None = None
 
     def feed(self, data: bytes, began_at: float) -> ClientRequest | None:
@@ -76,6 +77,7 @@
         return found or self._error or Malformed(str(error))
 
     def _take(self, began_at: float) -> ClientRequest:
+        is_http_1_0 = self._parser.get_http_version() == "1.0"
         request = ClientRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
@@ -83,8 +85,8 @@
             self._fields,
             b"".join(self._body),
             began_at,
-            self._parser.should_keep_alive(),
-            self._parser.get_http_version() == "1.0",
+            self._keeps_connection and not is_http_1_0,
+            is_http_1_0,
         )
         self._reset()
         return request
@@ -138,6 +140,7 @@
     def on_message_complete(self) -> None:
         """The request is complete."""
         self._is_whole = True
+        self._keeps_connection = self._parser.should_keep_alive()  # the parser forgets it behind this callback
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -143,4 +143,12 @@
         "        if False:",
         "test_torn_streams.py::test_a_client_of_http_1_0_gets_no_orderly_end_behind_a_torn_answer",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a client's wish to have its connection closed is asked for too late",
+        "dataplane/client_request.py",
+        "            self._keeps_connection and not is_http_1_0,",
+        "            self._parser.should_keep_alive() and not is_http_1_0,",
+        "test_client_limits.py::test_a_client_that_asks_for_a_close_gets_one",
+    ),
 )
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -12,7 +12,7 @@
 import pytest
 
 from cranebank.dataplane.client_request import ClientRequest
-from cranebank.dataplane.front import SWEEP_INTERVAL_S, ClientConnection, Front, Handler
+from cranebank.dataplane.front import LINGER_S, SWEEP_INTERVAL_S, ClientConnection, Front, Handler
 from cranebank.dataplane.routes import ClientLimits
 
 LIMITS = ClientLimits(header_bytes=400, body_bytes=100, header_read_ms=3_000, idle_ms=15_000)
@@ -170,6 +170,30 @@
     run_scenario(loop, scenario)
 
 
+@pytest.mark.parametrize(
+    ("line", "version", "is_kept"),
+    [
+        ("Connection: close", "1.1", False),
+        ("Connection: keep-alive", "1.1", True),
+        ("X: y", "1.1", True),
+        ("Connection: keep-alive", "1.0", False),
+        ("X: y", "1.0", False),
+    ],
+)
+def test_a_client_that_asks_for_a_close_gets_one(loop: ManualLoop, line: str, version: str, is_kept: bool) -> None:
+    """Guards against a client that waits for the end of its connection until that has been idle for too long."""
+
+    async def scenario(scene: Scene) -> None:
+        sent = REQUEST.replace(b"HTTP/1.1", f"HTTP/{version}".encode())
+        scene.client.data_received(sent.replace(b"Host: h", f"Host: h\r\n{line}".encode()))
+        scene.answer()
+        assert (b"connection: close" not in scene.transport.written) is is_kept
+        await scene.loop.advance(LINGER_S + SWEEP_INTERVAL_S)
+        assert scene.transport.closed is not is_kept
+
+    run_scenario(loop, scenario)
+
+
 def test_idle_time_does_not_count_while_the_answer_is_being_sent(loop: ManualLoop) -> None:
     """A client that read slowly lost its connection just after it had received its answer."""
 
