Split the pool of connections and an open request into modules of their own

Change: OpenRequest stands in open_request.py, Pool in backend_pool.py; each names what it needs of its owner by a protocol, so no module imports another one back.

--- a/cranebank/dataplane/backend_connections.py
+++ b/cranebank/dataplane/backend_connections.py
@@ -1,4 +1,4 @@
-"""Connections to backends: HTTP/1.1, one request at a time on each, closed as soon as their state is in doubt.
+"""One connection to a backend: HTTP/1.1, one request at a time, closed as soon as its state is in doubt.
 
 An answer is identified by the ``X-Attempt-Id`` that it echoes. A surplus answer, where the next call's is due, is read
 to its end and dropped. Bytes after an answer, or on an idle connection, close the connection. An answer without an id
@@ -11,7 +11,6 @@
 import contextlib
 import re
 import socket
-from collections.abc import Callable
 from typing import Protocol, cast
 
 import httptools
@@ -21,20 +20,15 @@
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.http.socket_state import readable
 from cranebank.transport.messages import Backend
-from cranebank.transport.send_watch import LOOK_INTERVAL_S, SendGuard, SendState
+from cranebank.transport.send_watch import SendGuard, SendState
 from cranebank.transport.tcp_info import unacknowledged_bytes
 
-# Many times the latency between zones; a request loses no more than this on an unreachable backend.
-CONNECT_TIMEOUT_S = 0.3
 TCP_USER_TIMEOUT_MS = 1000  # a connection is closed if bytes stay unacknowledged for so long (see ``send_watch.py``)
-REUSE_DELAY_S = 0.005  # before a connection is reused: bytes that belong to no answer arrive right after one
 DEFAULT_IDLE_S = 4.0  # idle time of a connection if the backend announces none
 IDLE_CLOSE_MARGIN_S = 0.6  # closed so long before the backend would close it, so that no request crosses the close
 MAX_ANSWER_BYTES = 64 << 20
-SWEEP_INTERVAL_S = 0.5
 HIGH_WATER_BYTES = 256 << 10
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
-FREE_TIMEOUT_S = 2.0  # a connection is closed if the backend does not confirm the freeing of a handle for so long
 
 
 class Listener(Protocol):
@@ -53,15 +47,27 @@
         """No complete answer will arrive."""
 
 
-class NoConnectionFree(ConnectionError):
-    """All connections that this proxy may open to a backend are in use."""
+class ConnectionOwner(Protocol):
+    """What keeps the connections and their counters."""
+
+    def count(self, event: str) -> None:
+        """Count an event."""
+
+    def watch(self, connection: Connection) -> None:
+        """Look at the connection's send until the backend has acknowledged the whole request."""
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection for its next request."""
+
+    def forget(self, connection: Connection) -> None:
+        """Remove a closed connection."""
 
 
 class Connection(asyncio.Protocol):
     """One connection to a backend, at the address that it had when the connection was opened."""
 
-    def __init__(self, pool: Pool, backend: Backend) -> None:
-        self._pool, self.backend = pool, backend
+    def __init__(self, owner: ConnectionOwner, backend: Backend) -> None:
+        self._owner, self.backend = owner, backend
         self.transport: asyncio.Transport | None = None
         self._listener: Listener | None = None
         self._leg = 0
@@ -82,7 +88,7 @@
         self._wire_bytes = 0
         self._guard.begin()
         self.transport.write(request)
-        self._pool.watch(self)
+        self._owner.watch(self)
 
     def abort(self) -> None:
         """Close the connection; its listener gets no further calls."""
@@ -110,7 +116,7 @@
         had_stalled = self._guard.has_stalled
         state = self._guard.look(now)
         if self._guard.has_stalled and not had_stalled:
-            self._pool.count("sends_stalled")
+            self._owner.count("sends_stalled")
         if state is SendState.GONE:
             if not self._done:
                 self._fail(ConnectionEnd.TIMED_OUT)
@@ -128,7 +134,7 @@
             (self.transport.pause_reading if paused else self.transport.resume_reading)()
 
     def _close(self) -> None:
-        self._pool.forget(self)
+        self._owner.forget(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -159,7 +165,7 @@
             self._busy = False
             if self._keep and not self._is_surplus and self._is_all_sent():
                 self.pause(False)  # the client of this answer may still be reading it; the next one is not slow
-                self._pool.give_back(self)
+                self._owner.give_back(self)
             else:
                 self._close()
         elif self._wire_bytes > MAX_ANSWER_BYTES:
@@ -183,14 +189,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is closed."""
-        self._pool.forget(self)
+        self._owner.forget(self)
         if self._busy and not self._done:
             self._fail(end_by_error(exc))
         self.transport = None
 
     def _fail(self, end: ConnectionEnd) -> None:
         self._busy = False
-        self._pool.count(f"{LOST_CALLS_PREFIX}{end.value}")
+        self._owner.count(f"{LOST_CALLS_PREFIX}{end.value}")
         logger.debug("request {}: connection to backend {} ended: {}", self._attempt, self.backend.id, end.value)
         listener, self._listener = self._listener, None
         if listener is not None:
@@ -281,138 +287,3 @@
         if name.strip().lower() == "timeout" and value.strip().isdigit():
             return max(0.0, int(value) - max(IDLE_CLOSE_MARGIN_S, 0.1 * int(value)))
     return DEFAULT_IDLE_S
-
-
-class Pool:
-    """All connections to backends, with a limit for each backend."""
-
-    def __init__(self, counters: dict[str, int], local_ip: str = "") -> None:
-        self._idle: dict[str, list[Connection]] = {}  # the one used last at the end
-        self._all: dict[str, set[Connection]] = {}
-        self._counters = counters
-        self._local = local_ip
-        self.max_connections: Callable[[Backend], int] = lambda backend: 64
-        self._timer: asyncio.TimerHandle | None = None
-        self._sending: set[Connection] = set()  # whose requests may not be acknowledged yet
-        self._send_timer: asyncio.TimerHandle | None = None
-
-    def take(self, backend: Backend) -> Connection | None:
-        """Return an idle connection that has waited long enough to be reused, or None."""
-        now = asyncio.get_running_loop().time()
-        connections = self._idle.get(backend.id, [])
-        too_recent: list[Connection] = []
-        found = None
-        while connections and found is None:
-            connection = connections.pop()
-            if now - connection.idle_from < REUSE_DELAY_S:
-                too_recent.append(connection)
-            elif (
-                now - connection.idle_from < connection.idle_for
-                and connection.backend.address == backend.address
-                and connection.usable()
-            ):
-                found = connection
-            else:
-                connection.abort()
-        connections.extend(reversed(too_recent))
-        return found
-
-    async def dial(self, backend: Backend) -> Connection:
-        """Open a connection. Raises OSError if it is not established in time or the limit is reached."""
-        connections = self._all.setdefault(backend.id, set())
-        if len(connections) >= self.max_connections(backend):
-            raise NoConnectionFree("all connections to this backend are in use")
-        host, _, port = backend.address.rpartition(":")
-        connection = Connection(self, backend)
-        connections.add(connection)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await asyncio.get_running_loop().create_connection(lambda: connection, host, int(port))
-        except (OSError, ValueError) as error:
-            self.forget(connection)
-            raise ConnectionError(str(error)) from None
-        except BaseException:
-            self.forget(connection)
-            raise
-        self.count("dialled")
-        return connection
-
-    def count(self, event: str) -> None:
-        """Count an event."""
-        self._counters[event] = self._counters.get(event, 0) + 1
-
-    def give_back(self, connection: Connection) -> None:
-        """Keep a connection for its next request."""
-        connection.idle_from = asyncio.get_running_loop().time()
-        if connection.idle_for <= REUSE_DELAY_S:
-            connection.abort()
-            return
-        self._idle.setdefault(connection.backend.id, []).append(connection)
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
-
-    def watch(self, connection: Connection) -> None:
-        """Look at the connection's send until the backend has acknowledged the whole request."""
-        self._sending.add(connection)
-        if self._send_timer is None:
-            self._send_timer = asyncio.get_running_loop().call_later(LOOK_INTERVAL_S, self._look_at_sends)
-
-    def _look_at_sends(self) -> None:
-        loop = asyncio.get_running_loop()
-        for connection in list(self._sending):
-            if not connection.look_at_send(loop.time()):
-                self._sending.discard(connection)
-        self._send_timer = loop.call_later(LOOK_INTERVAL_S, self._look_at_sends) if self._sending else None
-
-    def forget(self, connection: Connection) -> None:
-        """Remove a closed connection."""
-        self._sending.discard(connection)
-        key = connection.backend.id
-        connections = self._all.get(key)
-        if connections is not None:
-            connections.discard(connection)
-            if not connections:
-                del self._all[key]
-        idle = self._idle.get(key)
-        if idle is not None and connection in idle:
-            idle.remove(connection)
-            if not idle:
-                del self._idle[key]
-
-    def drop(self, backend: str) -> None:
-        """Close the idle connections to a backend that has ended."""
-        for connection in self._idle.pop(backend, []):
-            connection.abort()
-
-    def free(self, backend: Backend, handle: str) -> None:
-        """Free the KV cache of a prefill that no decode backend will fetch; best effort, over an idle connection."""
-        connection = self.take(backend)
-        if connection is None:
-            return
-        listener = _NullListener()
-        request = f"DELETE /api/kv-handle/{handle} HTTP/1.1\r\nHost: {backend.address}\r\n\r\n"
-        connection.call(listener, 0, "", request.encode())
-        asyncio.get_running_loop().call_later(FREE_TIMEOUT_S, connection.give_up, listener)
-
-    def _sweep(self) -> None:
-        now = asyncio.get_running_loop().time()
-        for connections in list(self._idle.values()):
-            for connection in [c for c in connections if now - c.idle_from >= c.idle_for]:
-                connection.abort()
-        self._timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep) if self._idle else None
-
-
-class _NullListener:
-    """The listener of a call whose answer is ignored."""
-
-    def leg_head(self, leg: int, status: int, headers: dict[str, str]) -> None:
-        """Do nothing."""
-
-    def leg_data(self, leg: int, data: bytes) -> None:
-        """Do nothing."""
-
-    def leg_end(self, leg: int, by_close: bool) -> None:
-        """Do nothing."""
-
-    def leg_failed(self, leg: int, evidence: SendEvidence) -> None:
-        """Do nothing."""
--- a/tests/mutants_cold.py
+++ b/tests/mutants_cold.py
@@ -88,7 +88,7 @@
     Mutant(
         Point.OTHER,
         "a call is written by a clock that stands still while the process is suspended",
-        "dataplane/proxy.py",
+        "dataplane/open_request.py",
         "may_write(monotonic(),",
         "may_write(asyncio.get_running_loop().time(),",
         "test_cold_backends.py",
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -113,7 +113,7 @@
     Mutant(
         Point.RIGHT_CALLER,
         "an answer is read ahead if its client's buffer was full before it began",
-        "dataplane/proxy.py",
+        "dataplane/open_request.py",
         "        self._pause_legs()\n        if self.exchange.is_over:",
         "        if self.exchange.is_over:",
         "test_slow_clients.py::test_an_answer_behind_one_that_its_client_still_reads_is_not_read_ahead",
--- a/tests/mutants_data_plane.py
+++ b/tests/mutants_data_plane.py
@@ -8,7 +8,7 @@
     Mutant(
         Point.RIGHT_CALLER,
         "a client's own x-stage header is passed on",
-        "dataplane/proxy.py",
+        "dataplane/open_request.py",
         '"x-target-instance", "x-stage", "kv-from"',
         '"x-target-instance", "kv-from"',
         "test_passed_on.py",
@@ -16,7 +16,7 @@
     Mutant(
         Point.RIGHT_CALLER,
         "a repeated call gets the client's whole time budget instead of the rest",
-        "dataplane/proxy.py",
+        "dataplane/open_request.py",
         "left = max(1, int((self.until - now) * 1e3))",
         "left = 3000",
         "test_passed_on.py",
--- a/tests/test_call_faults.py
+++ b/tests/test_call_faults.py
@@ -21,7 +21,7 @@
 import pytest
 import uvloop
 
-from cranebank.dataplane import backend_connections, dispatch, exchange
+from cranebank.dataplane import backend_pool, dispatch, exchange
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.transport.messages import Backend
 
@@ -245,8 +245,8 @@
 ) -> Record:
     """Run a proxy in front of scripted backends. It retries at once, after ``silence_s`` of silence, and without a
     limit of its budget."""
-    monkeypatch.setattr(backend_connections, "REUSE_DELAY_S", 0.0)
-    monkeypatch.setattr(backend_connections, "CONNECT_TIMEOUT_S", LONG_CONNECT_TIMEOUT_S)
+    monkeypatch.setattr(backend_pool, "REUSE_DELAY_S", 0.0)
+    monkeypatch.setattr(backend_pool, "CONNECT_TIMEOUT_S", LONG_CONNECT_TIMEOUT_S)
     monkeypatch.setattr(dispatch, "SECOND_COPY_DELAY_S", silence_s)
     monkeypatch.setattr(exchange, "STREAM_SILENCE_TIMEOUT_S", silence_s)
     record = Record()
@@ -639,7 +639,7 @@
 
 def test_freeing_a_handle_without_confirmation_releases_the_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     """The connection stayed busy for ever and counted against the backend's limit."""
-    monkeypatch.setattr(backend_connections, "FREE_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(backend_pool, "FREE_TIMEOUT_S", 0.01)
     monkeypatch.setattr(ScriptedBackend, "_request", lambda *_: None)
 
     async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -14,8 +14,8 @@
 from test_proxy import DOCUMENT as WIRE_DOCUMENT
 from test_proxy import REQUEST, run_scenario
 
+from cranebank.dataplane import open_request
 from cranebank.dataplane import prompt as prompts
-from cranebank.dataplane import proxy as plane
 from cranebank.dataplane.candidates import BACKOFF_S, COLD_DOUBT_S
 from cranebank.dataplane.cold_backends import COLD_MARGIN_S
 from cranebank.dataplane.exchange import Exchange
@@ -223,10 +223,10 @@
         (record,) = proxy.shared.candidates.known()
         proxy.learn([structs.replace(record, cold_left_ms=3000, call_seq=2)])
         permit(proxy, "d0", 1)
-        monkeypatch.setattr(plane, "monotonic", lambda: time.monotonic() + PERMIT_SEND_TIMEOUT_S)
+        monkeypatch.setattr(open_request, "monotonic", lambda: time.monotonic() + PERMIT_SEND_TIMEOUT_S)
         assert await status(address) == b"503"
         assert proxy.counters["legs_unsent"] == 1
-        monkeypatch.setattr(plane, "monotonic", time.monotonic)
+        monkeypatch.setattr(open_request, "monotonic", time.monotonic)
         permit(proxy, "d0", 1)
         assert await status(address) == b"200"
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -21,7 +21,8 @@
 from test_proxy import DOCUMENT as ROUTED
 from test_proxy import run_scenario as run_proxy_scenario
 
-from cranebank.dataplane.backend_connections import Connection, Pool
+from cranebank.dataplane.backend_connections import Connection
+from cranebank.dataplane.backend_pool import Pool
 from cranebank.dataplane.candidates import Candidates
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.invariants import violations
--- a/tests/test_paused_reading.py
+++ b/tests/test_paused_reading.py
@@ -8,8 +8,9 @@
 import pytest
 import uvloop
 
-from cranebank.dataplane import backend_connections
-from cranebank.dataplane.backend_connections import Connection, Pool
+from cranebank.dataplane import backend_pool
+from cranebank.dataplane.backend_connections import Connection
+from cranebank.dataplane.backend_pool import Pool
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.transport.messages import Backend
 
@@ -58,7 +59,7 @@
     monkeypatch: pytest.MonkeyPatch, loop_factory: type[asyncio.AbstractEventLoop]
 ) -> None:
     """Guards against a kept connection that is never read, so that a request which has run gets no answer."""
-    monkeypatch.setattr(backend_connections, "REUSE_DELAY_S", 0.0)
+    monkeypatch.setattr(backend_pool, "REUSE_DELAY_S", 0.0)
 
     async def run() -> None:
         server = await asyncio.get_running_loop().create_server(AnsweringBackend, "127.0.0.1", 0)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,13 +11,14 @@
 import pytest
 import uvloop
 
-from cranebank.dataplane import proxy as plane
-from cranebank.dataplane.backend_connections import Connection, Pool
+from cranebank.dataplane.backend_connections import Connection
+from cranebank.dataplane.backend_pool import Pool
 from cranebank.dataplane.exchange import Exchange
 from cranebank.dataplane.exchange_events import (
     WakeAt,
 )
 from cranebank.dataplane.front import ClientConnection
+from cranebank.dataplane.open_request import OpenRequest
 from cranebank.dataplane.proxy import Proxy, RetryRule
 from cranebank.transport.messages import Backend
 
@@ -122,11 +123,11 @@
 
 
 def test_an_internal_error_closes_the_connection_without_a_partial_answer(monkeypatch: pytest.MonkeyPatch) -> None:
-    def broken(self: plane.OpenRequest, at: float) -> None:
+    def broken(self: OpenRequest, at: float) -> None:
         if self.client.transport is not None and self.legs:
             raise RuntimeError("planted")
 
-    monkeypatch.setattr(plane.OpenRequest, "_wake_at", broken)
+    monkeypatch.setattr(OpenRequest, "_wake_at", broken)
 
     async def scenario(proxy: Proxy, address: tuple[str, int]) -> None:
         with pytest.raises(ConnectionResetError):
--- a/tests/test_slow_backends.py
+++ b/tests/test_slow_backends.py
@@ -16,7 +16,7 @@
 import uvloop
 from test_call_faults import Address, Record, ScriptedBackend, answer, ask, body_of, event, request, run_scenario
 
-from cranebank.dataplane.backend_connections import Pool
+from cranebank.dataplane.backend_pool import Pool
 from cranebank.dataplane.evidence import SendEvidence
 from cranebank.dataplane.proxy import Proxy
 from cranebank.transport.messages import Backend
