--- a/tests/test_model_backend.py
+++ b/tests/test_model_backend.py
@@ -208,6 +208,19 @@
     assert max(driver.times(Emit, 2)) > max(driver.times(Emit, 1))
 
 
+def test_a_request_that_is_preempted_before_its_first_token_waits_behind_a_full_queue() -> None:
+    """Guards against a stand-in that fails its own invariant, and a queue that rejects what it has admitted before."""
+    driver = Driver(spec=msgspec.structs.replace(SPEC, queue=1, cache_tokens=2100, stride=20, prefill_chunk=100))
+    driver.ask(1, request("a1", "p:1000", 200))
+    driver.run(0.3)
+    driver.ask(2, request("a2", "q:1000", 20, priority=7))
+    driver.ask(3, request("a3", "r:100", 20, priority=8))
+    driver.run(60.0)
+    assert driver.times(Emit, 1) and not any(isinstance(action, Respond) for _, action in driver.log)
+    assert driver.times(Emit, 2)[0] > driver.times(Emit, 1)[-1], "the second one was preempted"
+    assert driver.times(Emit, 3)
+
+
 def test_a_stream_goes_on_behind_the_last_event_id() -> None:
     driver = Driver()
     driver.ask(1, request(out=16, after=2))
