Pass on resumable streams without the length of their first run

What callers saw: a resumable stream whose backend states a length breaks off, another backend takes it up, and the proxy breaks the client's answer off all the same, with the error "no more bytes than the head promised", or as too short.

Cause: the client gets the head of the first run, its content-length with it. A run that continues may have events of other sizes.

Ruled out: the judgement of the end (the second run's answer is complete, and is taken for that).

Measured: two of the three new cases fail before (a rest of 5 bytes less and of 40 more), all pass; the planted fault is found.

--- a/cranebank/dataplane/client_answer.py
+++ b/cranebank/dataplane/client_answer.py
@@ -89,7 +89,10 @@
         if self.is_begun:
             return []
         self.is_begun = True
-        return [Head(leg.status, leg.headers)]
+        if not self.is_resumable:
+            return [Head(leg.status, leg.headers)]
+        # Another run may continue the stream, at another length.
+        return [Head(leg.status, {name: value for name, value in leg.headers.items() if name != "content-length"})]
 
     def _reply(self, error: RequestError) -> Reply:
         if isinstance(error, NotRun) and self.may_have_run:
--- a/tests/mutants_connections.py
+++ b/tests/mutants_connections.py
@@ -151,4 +151,12 @@
         "            self._parser.should_keep_alive() and not is_http_1_0,",
         "test_client_limits.py::test_a_client_that_asks_for_a_close_gets_one",
     ),
+    Mutant(
+        Point.RIGHT_CALLER,
+        "a resumable stream is held to the length of its first run",
+        "dataplane/client_answer.py",
+        "        if not self.is_resumable:",
+        "        if True:",
+        "test_torn_streams.py::test_a_stream_with_a_length_is_resumed_by_a_run_of_another_length",
+    ),
 )
--- a/tests/test_torn_streams.py
+++ b/tests/test_torn_streams.py
@@ -95,6 +95,32 @@
     assert ends["whole"] if route == "again" else ends["cut"] and ends["502"]
 
 
+@pytest.mark.parametrize("spare", [-5, 0, 40])
+def test_a_stream_with_a_length_is_resumed_by_a_run_of_another_length(
+    monkeypatch: pytest.MonkeyPatch, spare: int
+) -> None:
+    """Guards against an answer held to the length of a run that broke off, which the next run doesn't have."""
+
+    def answer_and_end(backend: ScriptedBackend, fields: dict[str, str]) -> None:
+        attempt, after = fields["x-attempt-id"], int(fields.get("last-event-id", "0"))
+        if not after:
+            whole = framed("length", attempt, body_of(attempt))
+            backend.transport.write(whole[: -len(event(attempt, EVENTS)) // 2])
+            backend.transport.close()
+        else:
+            rest = event(attempt, EVENTS)[: -2 + min(0, spare)] + b"x" * spare + b"\n\n"
+            backend.transport.write(framed("length", attempt, rest))
+
+    monkeypatch.setattr(ScriptedBackend, "_request", answer_and_end)
+
+    async def scenario(proxy: Proxy, address: Address, record: Record) -> None:
+        (found,) = await ask(address, request("long attempt", "again"))
+        assert found.is_whole and found.body.startswith(event("long attempt", 1) + b"id: 2\n")
+        assert len(found.body) == len(body_of("long attempt")) + spare
+
+    run_scenario(monkeypatch, scenario, silence_s=NO_SILENCE_S)
+
+
 @pytest.mark.parametrize("end", ["end", "reset", "silence"])
 def test_a_client_of_http_1_0_gets_no_orderly_end_behind_a_torn_answer(
     monkeypatch: pytest.MonkeyPatch, end: str
