Tests: step the set clock of the batched pushes by more than the batch's time

Cause: the test steps its clock by exactly PUSH_BATCH_S, and a push waits while now - last < PUSH_BATCH_S. Whether (clock + 0.05) - clock is below 0.05 depends on how the sum is rounded, so on the uptime of the machine: of 100,000 clocks drawn between 100 and 2,000 s it is for 80%. A step that is short at the second place gives what was seen. Ruled out: a push lost or late (all three records arrived, in order).

Change: both steps are twice that time; what is asserted is as before.

--- a/tests/test_control_program.py
+++ b/tests/test_control_program.py
@@ -411,9 +411,9 @@
             for name in ("i1", "i2", "i3"):
                 hear(name)
             assert await pushed() == [("i1", "ready")]
-            clock += PUSH_BATCH_S
+            clock += 2 * PUSH_BATCH_S  # once would depend on how the sum is rounded
             assert await pushed() == [("i2", "ready"), ("i3", "ready")]
-            clock += PUSH_BATCH_S
+            clock += 2 * PUSH_BATCH_S  # once would depend on how the sum is rounded
             for name in ("i4", "i5"):
                 hear(name)
             hear("i1", 2, "draining")
