--- a/cranebank/fleetlab/operator.py
+++ b/cranebank/fleetlab/operator.py
@@ -23,6 +23,12 @@
 CHANGE_TIMEOUT_S = 15.0
 CALL_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
+# Limits of types of numbers, and times of day in milliseconds, microseconds and nanoseconds, in rising order.
+REVISION_EDGES = (
+    *(2**31, 2**32, 1_790_000_000_000, 1_790_000_000_000_000, 2**53, 10**18, 1_790_000_000_000_000_000),
+    *(2**63, 2**64, 10**40, 10**100),
+)
+EDGE_SHARE = 0.1  # of the changes: their revision lies beside the next edge
 
 
 def route(name: str, service: str, variant: str = "streaming", **extra: object) -> Document:
@@ -108,6 +114,15 @@
     return tuple(RouteRule(item["hostname"], item["path_prefix"], (item["target"],)) for item in document["routes"])
 
 
+def next_revision(random: Random, current: int) -> int:
+    """Return the revision of a change on top of this one: a few more, or beside the next edge."""
+    small = current + random.randint(1, 4)
+    edges = [edge for edge in REVISION_EDGES if edge - 1 > small]
+    if not edges or random.random() >= EDGE_SHARE:
+        return small
+    return edges[0] + random.randint(-1, 1)
+
+
 class Operator:
     """Sends changes one after another or two at once, and keeps the last acknowledged configuration."""
 
@@ -140,7 +155,7 @@
         next_target = services[1 - services.index(moved_target)]
         removed = [item for item in routes_by_name if item not in {"r-chat", "r-write", "r-search", "r-moved"}][:1]
         return {
-            "revision": self.current["revision"] + self._random.randint(1, 4),
+            "revision": next_revision(self._random, self.current["revision"]),
             "upsert": {
                 "routes": [route("moved", next_target, resumable=False, tries=2, rank=1), route(name, services[0])]
             },
