Soak: some backends' streams have no length and end with their connection

Change: one stream in eight, by its attempt, has neither length nor chunks. The fault that cuts answers tears its last event; a crash or a loss of power resets the connection, as an orderly end between two events would look complete.

--- a/cranebank/fleetlab/backend.py
+++ b/cranebank/fleetlab/backend.py
@@ -16,9 +16,12 @@
 from cranebank.fleetlab.records import Arrival, Drain, OrderSeen
 from cranebank.fleetlab.warmth import Warmth
 from cranebank.transport.http_client import ask_once
+from cranebank.transport.tcp_reset import set_reset_on_close
 
 FAULTS = ("dark", "crash", "cut", "late", "silent")
 CUT_AFTER_EVENTS = 2  # the "cut" fault breaks an answer off after this many events
+TORN_BYTES = 5  # that the same fault leaves out of the last event of a stream without a length
+STREAMS_PER_UNFRAMED = 8  # one stream in so many has no length and ends with its connection
 LEAVE_DELAY_S = 0.3  # in addition to drain_ms
 DRAIN_ACK_TIMEOUT_S = 4.0  # a drain that is not acknowledged by then goes on without it
 DEFAULT_DEADLINE_MS = 60_000.0
@@ -38,7 +41,7 @@
 class Call:
     """One open request at the backend."""
 
-    __slots__ = ("arrival", "connection", "is_head_sent", "is_silent", "number", "request")
+    __slots__ = ("arrival", "connection", "is_head_sent", "is_silent", "is_unframed", "number", "request")
 
     def __init__(
         self, number: int, connection: BackendConnection, arrival: Arrival | None, request: m.GenerationRequest | None
@@ -46,6 +49,7 @@
         self.number, self.connection, self.arrival, self.request = number, connection, arrival, request
         self.is_head_sent = False
         self.is_silent = "silent" in connection.backend.faults
+        self.is_unframed = False  # whether its stream has no length
 
 
 class BackendConnection(asyncio.Protocol):
@@ -115,9 +119,12 @@
             self.transport.write(data)
 
     def abort(self) -> None:
-        """Abort the connection."""
-        if self.transport is not None:
-            self.transport.abort()
+        """Abort the connection; with a reset where an orderly end would complete the answer."""
+        if self.transport is None:
+            return
+        if self.call is not None and self.call.is_unframed:
+            set_reset_on_close(self.transport.get_extra_info("socket"), is_enabled=True)
+        self.transport.abort()
 
 
 class Backend:
@@ -323,6 +330,7 @@
             self._handle_event(m.DeleteHandle(number, path.removeprefix("/api/kv-handle/")))
         else:
             request = call.request = read_request(headers, now)
+            call.is_unframed = has_no_length(request.attempt)
             call.arrival = Arrival(
                 now,
                 self.service,
@@ -436,26 +444,33 @@
                 "Content-Type: text/event-stream",
                 f"X-Attempt-Id: {arrival.attempt}",
                 f"X-Server-Seal: {seal}",
-                "Transfer-Encoding: chunked",
-                *self._closing_headers(),
+                *(
+                    ["Connection: close"]
+                    if call.is_unframed
+                    else ["Transfer-Encoding: chunked", *self._closing_headers()]
+                ),
             ]
             out = "\r\n".join((*lines, "", "")).encode()
             if "late" in self.faults:
                 out = connection.last_answer + out  # an unexpected extra answer in place of the next one
         if number:
             event = f"id: {number}\ndata: {arrival.attempt} {arrival.run} {number}\n\n".encode()
-            out += b"%x\r\n%b\r\n" % (len(event), event)
+            out += event if call.is_unframed else b"%x\r\n%b\r\n" % (len(event), event)
             arrival.events_made += 1
         if "cut" in self.faults and arrival.events_made >= CUT_AFTER_EVENTS:
             arrival.broke_off = True
-            connection.write(out)
+            connection.write(out[:-TORN_BYTES] if call.is_unframed else out)
             self._break_off(call)
             return
         if last:
-            out += b"0\r\n\r\n"
+            out += b"" if call.is_unframed else b"0\r\n\r\n"
             arrival.whole = True
         connection.write(out)
-        if last:
+        if last and call.is_unframed:
+            self._close_call(call)
+            if connection.transport is not None:
+                connection.transport.close()
+        elif last:
             stale_body = f"late {arrival.attempt}".encode()
             connection.last_answer = (
                 f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {arrival.attempt}\r\nX-Server-Seal: {arrival.run}"
@@ -489,6 +504,11 @@
     return hashlib.blake2b(body, digest_size=8).hexdigest()
 
 
+def has_no_length(attempt: str) -> bool:
+    """Return whether the stream of an attempt is sent without a length, so that it ends with its connection."""
+    return not int(digest(attempt.encode()), 16) % STREAMS_PER_UNFRAMED
+
+
 def read_request(headers: dict[str, str], now: float) -> m.GenerationRequest:
     """Return a request parsed from its headers."""
     tokens, _, out = headers.get("x-token-counts", "1,1").partition(",")
