--- a/tests/test_network_cuts.py
+++ b/tests/test_network_cuts.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import struct
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
 from cranebank.fleetlab.launcher import VARIABLE as NETWORK_VARIABLE
 from cranebank.fleetlab.launcher import GuardedLoop, guarded_sockets
 from cranebank.fleetlab.network import LabNetwork, NetworkView, Path, both_ways, one_way
+from cranebank.http.socket_state import readable
 from cranebank.programs.settings import SETTINGS_FILE_VARIABLE as SETTINGS_VARIABLE
 
 OWN, PEER = "127.0.14.1", "127.0.14.2"
@@ -369,3 +371,19 @@
         assert recorder.events == ["made"]
 
     play(tmp_path, scenario)
+
+
+def test_a_connection_whose_reset_is_held_back_by_a_cut_still_has_a_socket(tmp_path: FilePath) -> None:
+    """Guards against a program under test that fails since the laboratory takes its socket away before it notices."""
+
+    async def scenario(network: LabNetwork, view: NetworkView, peer: Peer) -> None:
+        recorder, remote = await dial(peer)
+        await cut(network, view, FROM_PEER)
+        remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        remote.close()
+        await asyncio.sleep(SILENCE_S)
+        assert recorder.events == ["made"], "the end doesn't pass the cut"
+        assert recorder.transport is not None and not recorder.transport.is_closing()
+        assert not readable(recorder.transport.get_extra_info("socket"))
+
+    play(tmp_path, scenario)
