--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -7,7 +7,6 @@
 
 import pytest
 from test_call_faults import (
-    LONG_SILENCE_S,
     Address,
     Answer,
     Record,
@@ -26,7 +25,8 @@
 EVENT_BYTES = 1 << 16
 LONG_STREAM_EVENTS = 320  # some 20 MB, more than the kernel holds for one connection and this process for one client
 MAX_BUFFERED_BYTES = 1 << 20  # for one client; a few reads of 256 KiB
-CLIENT_PAUSE_S = 10 * LONG_SILENCE_S
+SILENCE_S = 0.8  # longer than this process stalls on a busy machine while it builds and sends 20 MB
+CLIENT_PAUSE_S = 4 * SILENCE_S
 
 
 def long_event(attempt: str, number: int) -> bytes:
@@ -73,7 +73,7 @@
         assert record.arrivals["slow"] == 1
         assert not proxy.counters.get("silent")
 
-    run_scenario(monkeypatch, scenario, silence_s=LONG_SILENCE_S)
+    run_scenario(monkeypatch, scenario, silence_s=SILENCE_S)
 
 
 class FullTransport:
@@ -138,7 +138,7 @@
         assert transport.written.endswith(long_event("second", LONG_STREAM_EVENTS) + b"\r\n0\r\n\r\n")
         client.connection_lost(None)
 
-    run_scenario(monkeypatch, scenario, silence_s=LONG_SILENCE_S)
+    run_scenario(monkeypatch, scenario, silence_s=SILENCE_S)
 
 
 # The exchange by itself.
